--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,11 @@
 	touch $@
 
 lint: setup
-	$(PY) -m flake8 mountridge standins bench features tools
-	$(PY) -m black --check -q mountridge standins bench features tools
+	$(PY) -m flake8 mountridge platform standins bench features tools
+	$(PY) -m black --check -q mountridge platform standins bench features tools
 
 format: setup
-	$(PY) -m black -q mountridge standins bench features tools
+	$(PY) -m black -q mountridge platform standins bench features tools
 
 # One process a feature, four at a time; each scenario is on its own.
 test: setup
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -109,7 +109,7 @@
         self.applied = 0
         self.node = types.SimpleNamespace(
             term=0, node_id=app.name, role='', leader_id='', commit=0,
-            config=types.SimpleNamespace(_asdict=dict),
+            config=types.SimpleNamespace(_asdict=dict, addresses=dict),
         )  # fmt: skip
 
     def catch_up(self):
@@ -278,7 +278,8 @@
                     'hall': 'north',
                     'bind': 'tcp://127.0.0.1:1',
                     'controllers': {
-                        c: 'tcp://127.0.0.1:1' for c in self.controllers
+                        c: f'tcp://127.0.0.1:{number + 2}'
+                        for number, c in enumerate(self.controllers)
                     },
                     'keys': {'off': True},
                     'gateway': {'address_ttl_s': 2.0},
--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -53,6 +53,8 @@
         }
         self.tasks: list[Task] = []
         self.drain: list[Task] = []
+        #: Called when the settings may have changed.
+        self.reload: list[typing.Callable[[], None]] = []
         self.dumpers: dict[str, typing.Callable[[], typing.Any]] = {}
         self.nursery: trio.Nursery | None = None
         self.stopping = trio.Event()
@@ -155,10 +157,18 @@
 
     async def _watch_signals(self) -> None:
         with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as received:
-            async for _ in received:
-                self.stopping.set()
+            async for number in received:
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self.stopping.set()
+
+    def _reload(self) -> None:
+        logger.info('asked to reload')
+        for hook in self.reload:
+            hook()
 
     async def run(self) -> None:
         """Run until a planned stop is asked for and has been drained."""
@@ -195,7 +205,8 @@
 
 def _failure(problem: errors.MountridgeError) -> messages.Failure:
     leader = getattr(problem, 'leader', '')
-    return messages.Failure(problem.code, str(problem), leader)
+    address = getattr(problem, 'leader_address', '')
+    return messages.Failure(problem.code, str(problem), leader, address)
 
 
 def _peer_name(frame: zmq.Frame) -> str:
--- /dev/null
+++ b/mountridge/backends.py
@@ -0,0 +1,154 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""What a gateway knows of the runners that registered, and which it takes.
+
+A runner's load is estimated from its newest report and from what this
+gateway has sent since. One that fails requests is left out for a while, for
+longer each time, and then tried again by requests.
+"""
+
+import random
+import typing
+
+from mountridge import instances
+
+__all__ = ['Backend', 'Backends', 'Picked']
+
+#: A load report older than this is no better than the own count alone.
+REPORT_OLD_S = 0.6
+#: Failures in a row after which a runner is left out.
+FAILURES = 2
+EJECT_S = 1.0
+MAX_EJECT_S = 8.0
+#: Occupancy that a hop to another hall is worth: bytes between halls are
+#: paid for, and 1 to 2 ms are little beside a first token of 100 ms.
+HALL_COST = 0.05
+
+
+class Backend:
+    """One life of a runner, as this gateway sees it."""
+
+    def __init__(self, instance: instances.Instance):
+        self.instance = instance
+        self.own = 0  # own requests under way there
+        self.own_since = 0  # begun less ended since the newest report
+        self.reported = 0  # running and waiting, by that report
+        self.reported_s = float('-inf')
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until_s = 0.0
+
+    def load(self, now_s: float) -> int:
+        """Return the requests that are there, as far as is known."""
+        if now_s - self.reported_s > REPORT_OLD_S:
+            return self.own
+        return max(self.own, self.reported + self.own_since)
+
+    def occupancy(self, now_s: float) -> float:
+        """Return the requests there for each that it works on at once."""
+        return self.load(now_s) / max(1, self.instance.slots)
+
+    def began(self) -> None:
+        """Count an own request as sent."""
+        self.own += 1
+        self.own_since += 1
+
+    def ended(self) -> None:
+        """Count an own request as over."""
+        self.own -= 1
+        self.own_since -= 1
+
+    def heard(self, running: int, waiting: int, now_s: float) -> None:
+        """Take a load report."""
+        self.reported = running + waiting
+        self.reported_s = now_s
+        self.own_since = 0
+
+    def succeeded(self) -> None:
+        """Count an answer; the runner is well."""
+        self.failures = 0
+        self.ejections = 0
+
+    def failed(self, now_s: float) -> None:
+        """Count a failure; some in a row leave the runner out."""
+        self.failures += 1
+        if self.failures < FAILURES:
+            return
+        self.failures = FAILURES - 1
+        self.ejections += 1
+        span_s = min(MAX_EJECT_S, EJECT_S * 2 ** (self.ejections - 1))
+        self.ejected_until_s = now_s + span_s
+
+
+class Picked(typing.NamedTuple):
+    """A runner and why it was taken, for the log line."""
+
+    backend: Backend
+    load: int
+    report_age_s: float
+    among: int  # runners that could have been taken
+
+
+class Backends:
+    """All runners of all services, following the view."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Backend] = {}
+        self._by_service: dict[str, list[Backend]] = {}
+
+    def follow(
+        self, registered: typing.Iterable[instances.Instance]
+    ) -> list[str]:
+        """Follow the view; return the addresses that are no more."""
+        before = {b.instance.address for b in self.by_id.values()}
+        known = self.by_id
+        self.by_id = {}
+        self._by_service = {}
+        for instance in registered:
+            if instance.state == instances.LEFT:
+                continue
+            backend = known.get(instance.instance_id) or Backend(instance)
+            backend.instance = instance
+            self.by_id[instance.instance_id] = backend
+            listed = self._by_service.setdefault(instance.service, [])
+            listed.append(backend)
+        after = {b.instance.address for b in self.by_id.values()}
+        return sorted(before - after)
+
+    def of_service(self, service: str) -> list[Backend]:
+        """Return the runners of a service that are not leaving."""
+        return [
+            backend
+            for backend in self._by_service.get(service, [])
+            if backend.instance.state == instances.READY
+        ]
+
+    def pick(
+        self,
+        service: str,
+        hall: str,
+        tried: set[str],
+        rng: random.Random,
+        now_s: float,
+    ) -> Picked | None:
+        """Return the runner for a request; None where there is none.
+
+        Those in ``tried`` have had the request and are not taken again.
+        Runners left out for failures are taken only where all are.
+        """
+        fit = [
+            backend
+            for backend in self.of_service(service)
+            if backend.instance.instance_id not in tried
+        ]
+        sound = [b for b in fit if b.ejected_until_s <= now_s] or fit
+        if not sound:
+            return None
+
+        def cost(backend: Backend) -> tuple[float, float]:
+            away = HALL_COST if backend.instance.hall != hall else 0.0
+            return backend.occupancy(now_s) + away, rng.random()
+
+        best = min(sound, key=cost)
+        age_s = now_s - best.reported_s
+        return Picked(best, best.load(now_s), age_s, len(sound))
--- a/mountridge/commands.py
+++ b/mountridge/commands.py
@@ -10,14 +10,16 @@
 
 import msgspec
 
-from mountridge import errors, messages, views
+from mountridge import errors, instances, messages, views
 
 __all__ = [
     'Command',
     'ExpireClaims',
     'OpenClaim',
     'CloseClaim',
+    'PutRoutes',
     'PutTable',
+    'SetInstance',
     'SetMember',
     'decode',
     'encode',
@@ -63,9 +65,40 @@
     at_s: float
 
 
-Command = PutTable | SetMember | OpenClaim | CloseClaim | ExpireClaims
+class PutRoutes(typing.NamedTuple):
+    """Hold a routes document where its version is above the one held."""
 
-_KINDS = (PutTable, SetMember, OpenClaim, CloseClaim, ExpireClaims)
+    version: int
+    source: bytes
+    at_s: float
+
+
+class SetInstance(typing.NamedTuple):
+    """A runner's registration is new, changed, or over."""
+
+    instance: instances.Instance
+    at_s: float
+
+
+Command = (
+    PutTable
+    | SetMember
+    | OpenClaim
+    | CloseClaim
+    | ExpireClaims
+    | PutRoutes
+    | SetInstance
+)
+
+_KINDS = (
+    PutTable,
+    SetMember,
+    OpenClaim,
+    CloseClaim,
+    ExpireClaims,
+    PutRoutes,
+    SetInstance,
+)
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
 _OUTER = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -13,8 +13,8 @@
 import trio
 
 from mountridge import application, changes, claims, commands, consensus
-from mountridge import entries, errors, leases, limits, messages, replicas
-from mountridge import statemachine, storage, utils, views
+from mountridge import entries, errors, leases, limits, messages, registry
+from mountridge import replicas, statemachine, storage, utils, views
 
 __all__ = ['Controller', 'build', 'run']
 
@@ -36,6 +36,7 @@
         self.replica = make_replica(app, self.machine, self.on_role)
         self.leases = leases.LeaseTable(0.0, 0.0)
         self.apportioner = limits.Apportioner(0.0)
+        self.registry = registry.Registry(app, self.machine, self.replica)
         #: Incarnations that a later one of the same name has replaced.
         self._replaced: set[tuple[str, str]] = set()
 
@@ -46,6 +47,7 @@
         )
         self.apportioner = limits.Apportioner(self.leases.quiet_until_s)
         self._replaced.clear()
+        self.registry.begin_term()
 
     async def propose(self, command: commands.Command) -> typing.Any:
         """Return the state machine's reply once a command is committed."""
@@ -79,8 +81,16 @@
             snapshot,
             changes,
             shares,
+            self._controllers(),
         )
 
+    def _controllers(self) -> dict[str, str]:
+        addresses = self.replica.node.config.addresses()
+        return {
+            node_id.partition('.')[0]: address
+            for node_id, address in addresses.items()
+        }
+
     def _check_name(self, peer, name: str) -> None:
         if peer.name and peer.name != name:
             raise errors.RefusedChange(f'{peer.name} renews for {name}')
@@ -115,7 +125,9 @@
                 continue
             try:
                 await self._lose_lapsed()
-            except errors.MountridgeError:
+                await self.registry.expire()
+            except errors.MountridgeError as problem:
+                logger.debug('members not expired', reason=str(problem))
                 continue
             self.push()
 
@@ -198,6 +210,29 @@
             self.leases.waiting_for(index, now_s),
         )
 
+    async def put_routes(
+        self, peer, put: messages.PutRoutes
+    ) -> messages.RoutesReply:
+        """Hold a routes document where its version is the highest."""
+        self.replica.check_leader()
+        if put.version <= self.machine.routes_version:
+            # Held already, or overtaken: confirmed, but not written again.
+            await self.replica.confirm()
+            return messages.RoutesReply(self.machine.routes_version, b'')
+        logger.info('routes offered', version=put.version)
+        reply = await self.propose(
+            commands.PutRoutes(put.version, put.source, self.app.wall_s())
+        )
+        self.push()
+        return reply
+
+    async def read_routes(
+        self, peer, _: messages.ReadRoutes
+    ) -> messages.RoutesReply:
+        """Return the newest routes document, confirmed by a quorum."""
+        await self.replica.confirm()
+        return self.machine.routes()
+
     async def claim(self, peer, claim: messages.Claim) -> messages.ClaimReply:
         """Grant or show the claim for a key."""
         self.replica.check_leader()
@@ -254,6 +289,10 @@
     app.handlers[messages.Put] = controller.put
     app.handlers[messages.Table] = controller.table
     app.handlers[messages.Claim] = controller.claim
+    app.handlers[messages.PutRoutes] = controller.put_routes
+    app.handlers[messages.ReadRoutes] = controller.read_routes
+    app.handlers[messages.Heartbeat] = controller.registry.on_heartbeat
+    app.handlers[messages.Leave] = controller.registry.on_leave
     app.handlers[messages.Outcome] = controller.outcome
     app.handlers[messages.Members] = controller.list_members
     app.handlers[messages.Raft] = controller.replica.on_raft
--- /dev/null
+++ b/mountridge/dialects.py
@@ -0,0 +1,202 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""How requests, answers and routes documents are spelt on the wire.
+
+The project's own spelling is `NATIVE`. An adapter for a platform that spells
+them otherwise gives another `Dialect`; all else stays the same.
+"""
+
+import typing
+
+from mountridge import errors, httpserver, routes
+
+__all__ = [
+    'Call', 'Dialect', 'HeaderNames', 'NATIVE', 'ReplyHead', 'read_call',
+    'read_reply', 'reply_headers', 'runner_headers',
+]  # fmt: skip
+
+Headers = list[tuple[bytes, bytes]]
+
+#: Headers that concern one connection, or that this project sets itself.
+_PER_CONNECTION = frozenset(
+    (
+        b'connection', b'keep-alive', b'proxy-authenticate',
+        b'proxy-authorization', b'proxy-connection', b'te', b'trailer',
+        b'transfer-encoding', b'upgrade', b'content-length', b'expect',
+    )
+)  # fmt: skip
+
+
+class HeaderNames(typing.NamedTuple):
+    """Names of headers, in lower case."""
+
+    request_id: bytes = b'x-request-id'
+    deadline_ms: bytes = b'x-deadline-ms'  # time that the caller waits
+    team: bytes = b'x-team'  # to runners only
+    expect_instance: bytes = b'x-expect-instance'  # to runners only
+    priority: bytes = b'x-priority'  # to runners only
+    instance_id: bytes = b'x-instance-id'  # from runners
+    not_run: bytes = b'x-not-run'  # from runners: it did not run
+    load: bytes = b'x-load'  # from runners: running, waiting, slots
+    token_counts: bytes = b'x-token-counts'  # of the prompt, most out
+    prefix_parts: bytes = b'x-prefix-parts'  # ID:TOKENS by commas
+    last_event_id: bytes = b'last-event-id'
+
+
+class Dialect(typing.NamedTuple):
+    """A spelling: header names, and how a routes document is read."""
+
+    headers: HeaderNames
+    decode_routes: typing.Callable[[bytes], routes.RouteTable]
+
+
+NATIVE = Dialect(HeaderNames(), routes.decode)
+
+
+class Call(typing.NamedTuple):
+    """What a request's head says of its handling."""
+
+    request_id: str
+    host: str
+    path: str  # without the query
+    deadline_ms: float | None
+    key: str | None
+    last_event_id: bytes | None
+    prompt_tokens: int
+    output_tokens: int
+
+
+class ReplyHead(typing.NamedTuple):
+    """What a runner's answer says besides its body."""
+
+    status: int
+    request_id: str | None
+    not_run: bool
+    instance_id: str | None
+    running: int | None
+    waiting: int | None
+
+
+def read_call(request: httpserver.Request, names: HeaderNames) -> Call:
+    """Return what rules the handling of ``request``.
+
+    :raises BadRequest: a header can't be read.
+    """
+    found = _first_values(request.headers)
+    host = _text(found.get(b'host', b'')).partition(':')[0]
+    return Call(
+        _text(found.get(names.request_id, b'')),
+        host,
+        _text(request.path),
+        _number(found.get(names.deadline_ms)),
+        _bearer(found.get(b'authorization')),
+        found.get(names.last_event_id),
+        *_token_counts(found.get(names.token_counts)),
+    )
+
+
+def _first_values(headers: Headers) -> dict[bytes, bytes]:
+    found: dict[bytes, bytes] = {}
+    for name, value in headers:
+        found.setdefault(name.lower(), value)
+    return found
+
+
+def _text(value: bytes) -> str:
+    return value.decode('latin-1')
+
+
+def _number(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        raise errors.BadRequest(f'not a number: {_text(value)!r}')
+
+
+def _bearer(value: bytes | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = _text(value).partition(' ')
+    return key.strip() if scheme.lower() == 'bearer' else None
+
+
+def _token_counts(value: bytes | None) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most that come out."""
+    if value is None:
+        return 0, 0
+    prompt, _, output = value.partition(b',')
+    try:
+        return int(prompt), int(output or 0)
+    except ValueError:
+        raise errors.BadRequest(f'token counts: {_text(value)!r}')
+
+
+def runner_headers(
+    request: httpserver.Request,
+    names: HeaderNames,
+    added: Headers,
+) -> Headers:
+    """Return the headers for the runner: the caller's, less its key.
+
+    ``added`` are those that this project sets, whatever the caller sent.
+    """
+    dropped = _PER_CONNECTION | {
+        b'authorization',
+        names.deadline_ms,
+        names.team,
+        names.expect_instance,
+        names.priority,
+    }
+    dropped |= {name for name, _ in added}
+    dropped |= _named_in_connection(request.headers)
+    kept = [h for h in request.headers if h[0].lower() not in dropped]
+    kept += added
+    if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
+        kept.append((b'Content-Length', b'%d' % len(request.body)))
+    return kept
+
+
+def _named_in_connection(headers: Headers) -> set[bytes]:
+    return {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b'connection'
+        for token in value.split(b',')
+    }
+
+
+def reply_headers(headers: Headers, keep_length: bool) -> Headers:
+    """Return the headers of a runner's answer that the caller gets."""
+    dropped = _PER_CONNECTION | _named_in_connection(headers)
+    if keep_length:
+        dropped -= {b'content-length'}
+    return [h for h in headers if h[0].lower() not in dropped]
+
+
+def read_reply(status: int, headers: Headers, names: HeaderNames) -> ReplyHead:
+    """Return what the head of a runner's answer says."""
+    found = _first_values(headers)
+    request_id = found.get(names.request_id)
+    instance_id = found.get(names.instance_id)
+    running, waiting = _load(found.get(names.load))
+    return ReplyHead(
+        status,
+        None if request_id is None else _text(request_id),
+        names.not_run in found or status == 421,
+        None if instance_id is None else _text(instance_id),
+        running,
+        waiting,
+    )
+
+
+def _load(value: bytes | None) -> tuple[int | None, int | None]:
+    """Return the requests running and waiting, None where untold."""
+    if value is None:
+        return None, None
+    parts = value.split(b',')
+    try:
+        return int(parts[0]), int(parts[1])
+    except (ValueError, IndexError):
+        return None, None
--- /dev/null
+++ b/mountridge/entry.py
@@ -0,0 +1,367 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""The entry process: callers' requests by routes, on each entry box.
+
+It forwards requests, tells callers which gateways there are, and takes what
+runners and operators say to the controllers. On a box with a disk a
+controller runs in the same process.
+"""
+
+import pathlib
+import typing
+
+from loguru import logger
+import trio
+
+from mountridge import application, backends, controller, dialects, entries
+from mountridge import errors, formation, forwarding, httpserver, instances
+from mountridge import leases, members, messages, routes, signals, storage
+from mountridge import settings as settings_module
+from mountridge import statemachine, utils, views
+
+__all__ = ['Entry', 'build', 'run']
+
+#: A change of routes waits this long for its commit; the operator then
+#: sends it again. Above an election, below the 4 s that operators allow.
+PUT_S = 3.0
+#: A heartbeat that is not taken within a second goes to another process.
+HEARTBEAT_S = 0.9
+#: Callers keep an answer for up to this many times its time to live.
+KEPT_TTLS = 3
+DRAIN_POLL_S = 0.05
+#: Left of the time that a planned stop may take, for closing down.
+GRACE_LEFT_S = 0.5
+#: How often the settings file is looked at for a change without a signal.
+RELOAD_POLL_S = 1.0
+
+
+class Entry:
+    """State of the entry process, and what it does for callers."""
+
+    def __init__(
+        self, app: application.Application, dialect: dialects.Dialect
+    ):
+        self.app = app
+        self.dialect = dialect
+        self.settings = app.settings['entry']
+        self.held = leases.HeldLease()
+        self.leader = members.Leader(app, self._pushed)
+        self.keeper = members.LeaseKeeper(
+            app, self.leader, self.held, self._renewal
+        )
+        self.backends = backends.Backends()
+        self.index: routes.Index | None = None
+        self.forwarder = forwarding.Forwarder(
+            app,
+            dialect,
+            lambda: self.index,
+            self.backends,
+            lambda: len(self.gateways()),
+        )
+        self.draining = False
+        self.front = self._server(self.forwarder.handle)
+        self._view_revision = -1
+
+    def _server(self, handler: httpserver.Handler) -> httpserver.Server:
+        return httpserver.Server(handler, self.limits, lambda: self.draining)
+
+    def limits(self) -> routes.Limits:
+        """Return what callers may send, by the routes in force."""
+        return self.index.table.limits if self.index else routes.Limits()
+
+    # The view.
+
+    def _renewal(self) -> messages.Renew:
+        return messages.Renew(
+            self.app.name,
+            'gateway',
+            self.app.incarnation,
+            self.app.settings['hall'],
+            self.app.settings['bind'],
+            self.settings['front'],
+            [],
+            '',
+            0,
+            self.held.view.index,
+            self.draining,
+            [],
+            [],
+        )
+
+    def _pushed(self, message: typing.Any) -> None:
+        if isinstance(message, messages.Changes):
+            if self.held.extend(message):
+                self.keeper.nudge()
+                self.follow_view()
+
+    def follow_view(self, *_: typing.Any, **__: typing.Any) -> None:
+        """Bring what is derived from the view up to date."""
+        view = self.held.view
+        if view.revision == self._view_revision:
+            return
+        self._view_revision = view.revision
+        self._follow_routes()
+        packed = view.under(statemachine.INSTANCE_PREFIX)
+        registered = [views.unpack_instance(v) for v in packed.values()]
+        for address in self.backends.follow(registered):
+            self.app.start_task(self.forwarder.pool.forget, address)
+
+    def _follow_routes(self) -> None:
+        held = views.routes_in(self.held.view)
+        known = self.index.table.version if self.index else 0
+        if held.version <= known:
+            return
+        try:
+            source = routes.decompress(held.source)
+            table = self.dialect.decode_routes(source)
+        except errors.BadRoutes as problem:
+            logger.error('routes unreadable', reason=str(problem))
+            return
+        self.index = routes.index(table)
+        logger.info(
+            'routes in force',
+            version=table.version,
+            routes=len(table.routes),
+            index=self.held.view.index,
+        )
+
+    def gateways(self) -> list[views.Member]:
+        """Return the gateways that take requests, by the view."""
+        packed = self.held.view.under('member/')
+        listed = [views.unpack_member(value) for value in packed.values()]
+        return [
+            member
+            for member in listed
+            if member.kind == 'gateway' and member.state == 'live'
+        ]
+
+    # What runners, operators and callers ask.
+
+    def addresses(self) -> list[str]:
+        """Return where callers may send requests."""
+        return [member.http for member in self.gateways()]
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be served here."""
+        return self.index is not None and not self.draining
+
+    async def put_routes(self, source: bytes) -> int:
+        """Offer a routes document; return the version then held.
+
+        :raises BadRoutes: it has errors.
+        :raises NoController: it may have been taken, or not.
+        """
+        table = self.dialect.decode_routes(source)
+        put = messages.PutRoutes(table.version, routes.compress(source))
+        reply = await self.leader.call(put, PUT_S)
+        logger.info('routes put', version=table.version, held=reply.version)
+        return reply.version
+
+    async def read_routes(self) -> bytes | None:
+        """Return the newest routes document, None where there is none.
+
+        :raises NoController: it can't be told what is newest.
+        """
+        reply = await self.leader.call(messages.ReadRoutes(), PUT_S)
+        if reply.version == 0:
+            return None
+        return routes.decompress(reply.source)
+
+    async def heartbeat(self, instance: instances.Instance, seq: int):
+        """Take a runner's heartbeat to the leader.
+
+        :raises NoController: it may not have been taken.
+        """
+        message = messages.Heartbeat(instance, seq)
+        await self.leader.call(message, HEARTBEAT_S)
+
+    async def leave(self, instance_id: str) -> None:
+        """Take out a runner that says that it has left.
+
+        :raises NoController: it may not have been taken.
+        """
+        await self.leader.call(messages.Leave(instance_id), HEARTBEAT_S)
+
+    # Life.
+
+    async def hold_lease(self) -> None:
+        """Hold the lease while the process runs."""
+        signals.view_changed.connect(self.follow_view, sender=self.held)
+        await self.keeper.run()
+
+    async def drain(self) -> None:
+        """Leave the list of gateways, wait for callers, end what runs."""
+        self.draining = True
+        began_s = self.app.now_s()
+        bounds = self.app.settings['bounds']
+        until_s = began_s + bounds['grace_s'] - GRACE_LEFT_S
+        logger.info('draining', open=self.front.open_requests)
+        self.app.start_task(self._say_leaving)
+        kept_s = KEPT_TTLS * self.settings['address_ttl_s']
+        await trio.sleep(min(kept_s, until_s - began_s))
+        self.front.close_idle()
+        while self.front.open_requests and self.app.now_s() < until_s:
+            await trio.sleep(DRAIN_POLL_S)
+
+    async def _say_leaving(self) -> None:
+        try:
+            await self.leader.call(self._renewal(), PUT_S)
+        except errors.MountridgeError as problem:
+            logger.warning('planned stop unheard', reason=str(problem))
+
+    def dump(self) -> dict:
+        """Return the state for `mountridge dump`."""
+        return {
+            'index': self.held.view.index,
+            'lease_left_s': self.held.until_s - self.app.now_s(),
+            'routes': self.index.table.version if self.index else 0,
+            'open_requests': self.front.open_requests,
+            'gateways': self.addresses(),
+            'runners': {
+                key: {
+                    'state': backend.instance.state,
+                    'own': backend.own,
+                    'reported': backend.reported,
+                    'failures': backend.failures,
+                }
+                for key, backend in self.backends.by_id.items()
+            },
+            'counts': dict(self.app.metrics.counts),
+        }
+
+    def refer(self, peer, message: typing.Any) -> typing.NoReturn:
+        """Answer what is for a controller: this is none, ask that one."""
+        problem = errors.NotLeader()
+        if self.held.valid(self.app.now_s()):
+            name, address = self.leader.current
+            problem.leader, problem.leader_address = name, address
+        raise problem
+
+
+#: What only the leader answers.
+FOR_LEADER = (
+    messages.Renew,
+    messages.PutRoutes,
+    messages.ReadRoutes,
+    messages.Heartbeat,
+    messages.Leave,
+    messages.Join,
+)
+
+
+def _begin_storage(settings: dict) -> None:
+    """Give an empty data folder an identity.
+
+    At the first start of a whole system the first of the seeds founds it,
+    as the only controller; all others join.
+    """
+    data = settings['controller']['data']
+    if (pathlib.Path(data) / 'format').exists():
+        return
+    node_id = f'{settings["name"]}.{utils.fresh_id()}'
+    founds = (
+        settings['entry']['founding']
+        and members.seed_addresses(settings)[0] == settings['bind']
+    )
+    voters = {node_id: settings['bind']} if founds else {}
+    storage.initialize(data, node_id, entries.Config(voters, {}))
+
+
+def _add_controller(app: application.Application, entry: Entry) -> None:
+    made = controller.build(app)
+    formed = formation.Formation(app, made.replica, entry.leader)
+    app.handlers[messages.Join] = formed.on_join
+    app.tasks += [formed.ask_to_join, formed.steward]
+
+
+def _watch_settings(app: application.Application, entry: Entry, path: str):
+    """Return the task that follows changes of the settings file."""
+    changed = trio.Event()
+
+    def hurry() -> None:
+        changed.set()
+
+    async def follow() -> None:
+        nonlocal changed
+        seen = pathlib.Path(path).read_bytes()
+        while True:
+            with trio.move_on_after(RELOAD_POLL_S):
+                await changed.wait()
+            changed = trio.Event()
+            seen = _reload(entry, path, seen)
+
+    app.reload.append(hurry)
+    return follow
+
+
+def _reload(entry: Entry, path: str, seen: bytes) -> bytes:
+    """Take the seeds of a changed settings file; all else needs a start."""
+    try:
+        given = pathlib.Path(path).read_bytes()
+        if given == seen:
+            return seen
+        entry.leader.follow_seeds(settings_module.load(path))
+        logger.info('settings reloaded', taken='entry.seeds')
+        return given
+    except (OSError, errors.BadSettings) as problem:
+        logger.error('settings not reloaded', reason=str(problem))
+        return seen
+
+
+def build(app: application.Application, dialect: dialects.Dialect) -> Entry:
+    """Return an entry whose handlers and tasks are in ``app``."""
+    entry = Entry(app, dialect)
+    for kind in FOR_LEADER:
+        app.handlers[kind] = entry.refer
+    app.tasks += [entry.hold_lease]
+    app.drain.append(entry.drain)
+    app.dumpers['entry'] = entry.dump
+    if app.settings['controller']['data']:
+        _add_controller(app, entry)
+    return entry
+
+
+class Handlers(typing.NamedTuple):
+    """What a platform's adapter serves, on the addresses of the settings."""
+
+    readiness: httpserver.Handler
+    control: httpserver.Handler
+    directory: httpserver.Handler
+
+
+def serve(entry: Entry, handlers: Handlers) -> list[typing.Callable]:
+    """Return the tasks that listen on all addresses of the settings."""
+
+    def listener(
+        place: str, server: httpserver.Server
+    ) -> typing.Callable[[], typing.Awaitable[None]]:
+        async def listen() -> None:
+            await server.run(entry.settings[place])
+
+        return listen
+
+    return [
+        listener('front', entry.front),
+        listener('readiness', entry._server(handlers.readiness)),
+        listener('control', entry._server(handlers.control)),
+        listener('directory', entry._server(handlers.directory)),
+    ]
+
+
+def run(
+    path: str,
+    dialect: dialects.Dialect,
+    adapter: typing.Callable[[Entry], Handlers],
+) -> None:
+    """Run an entry from the settings file at ``path`` until stopped."""
+    from mountridge import logs
+
+    settings = settings_module.load(path)
+    logs.open_log(settings)
+    if settings['controller']['data']:
+        _begin_storage(settings)
+    app = application.Application(settings)
+    entry = build(app, dialect)
+    app.tasks += serve(entry, adapter(entry))
+    app.tasks.append(_watch_settings(app, entry, path))
+    trio.run(app.run)
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -36,6 +36,14 @@
     'TooLarge',
     'UnknownModel',
     'UnknownTeam',
+    'BadRoutes',
+    'NoRoutes',
+    'TooSlow',
+    'HeadTooLarge',
+    'NoRoute',
+    'UnknownKey',
+    'RunnerRefused',
+    'TimedOut',
     'by_code',
     'NOT_RUN',
     'RAN',
@@ -151,6 +159,56 @@
     status = 504
 
 
+class NoRoutes(MountridgeError):
+    """This process holds no routes yet."""
+
+    code = 1207
+    status = 503
+
+
+class TooSlow(BadRequest):
+    """The request did not arrive in time."""
+
+    code = 1106
+    status = 408
+
+
+class HeadTooLarge(BadRequest):
+    """The head of the request is larger than the limits allow."""
+
+    code = 1107
+    status = 431
+
+
+class NoRoute(BadRequest):
+    """No route fits this host and path."""
+
+    code = 1108
+    status = 404
+
+
+class UnknownKey(BadRequest):
+    """No team holds this key."""
+
+    code = 1109
+    status = 401
+
+
+class RunnerRefused(MountridgeError):
+    """The runner says that it has not run the request."""
+
+    code = 1208
+    status = 503
+
+
+class TimedOut(MountridgeError):
+    """The time for the request ran out while it may have been running."""
+
+    code = 1303
+    status = 504
+    outcome = UNKNOWN
+
+
 class RunnerFailed(MountridgeError):
     """The runner failed while it ran the request."""
 
@@ -207,6 +265,13 @@
     status = 400
 
 
+class BadRoutes(MountridgeError):
+    """The routes document has errors; nothing of it was taken."""
+
+    code = 1502
+    status = 400
+
+
 class BadSettings(MountridgeError):
     """The settings have errors; the process does not start."""
 
--- /dev/null
+++ b/mountridge/forwarding.py
@@ -0,0 +1,405 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""A routed request's way: filters, a runner, its answer, the next try.
+
+A try ends in one of three ways, and never in fewer: the request ran, it
+certainly did not run, or that is not known. Only what did not run, or may
+run more than once, is tried again; a refusal that says "not run" is given
+only where no try could have run.
+"""
+
+import random
+import typing
+
+from loguru import logger
+import trio
+
+from mountridge import application, backends, budgets, dialects, errors
+from mountridge import events, httpserver, lasthop, routes, utils
+
+__all__ = ['Exchange', 'Forwarder']
+
+#: Past its time a request is ended this much later, so that an answer that
+#: is just coming is still given; operators allow 500 ms.
+LATE_S = 0.05
+#: Least time left in which another try makes sense.
+LEAST_LEFT_S = 0.05
+#: When refused callers come back: one engine pass and a bit, spread.
+COME_BACK_S = 0.3
+
+
+class Answer(typing.NamedTuple):
+    """A whole answer of a runner."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Exchange:
+    """State of one request on its way."""
+
+    def __init__(
+        self,
+        request: httpserver.Request,
+        responder: httpserver.Responder,
+        now_s: float,
+    ):
+        self.request = request
+        self.responder = responder
+        self.begun_s = now_s
+        self.call: dialects.Call | None = None
+        self.route: routes.Route | None = None
+        self.team: routes.Team | None = None
+        self.service = ''
+        self.table_version = 0
+        self.until_s = now_s
+        self.tries = 0
+        self.tried: set[str] = set()
+        #: Whether any try may have run.
+        self.may_have_run = False
+        self.last_event_id: int | None = None
+        self.events_sent = 0
+        self.first_data_s: float | None = None
+        #: A runner's own failure, given where no other runner is tried.
+        self.failure: Answer | None = None
+
+
+Filter = typing.Callable[[Exchange, float], None]
+
+
+class Forwarder:
+    """Takes requests through the filters and to runners."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        dialect: dialects.Dialect,
+        index: typing.Callable[[], routes.Index | None],
+        known: backends.Backends,
+        gateways: typing.Callable[[], int],
+    ):
+        self.app = app
+        self.dialect = dialect
+        self.known = known
+        self.rng = random.Random(app.incarnation)
+        self.pool = lasthop.Pool(dialect.headers, app.now_s)
+        self._index = index
+        self._gateways = gateways
+        bounds = app.settings['bounds']
+        self.budget = budgets.RetryBudget(
+            bounds['retry_ratio'],
+            bounds['retry_slack'],
+            bounds['retry_window_s'],
+        )
+        self.filters: list[Filter] = [
+            self._read,
+            self._find_route,
+            self._find_team,
+            self._bound_time,
+        ]
+
+    async def handle(
+        self, request: httpserver.Request, responder: httpserver.Responder
+    ) -> None:
+        """Answer one request, or cut the connection off."""
+        exchange = Exchange(request, responder, self.app.now_s())
+        try:
+            await self._run(exchange)
+            self._log(exchange, 'answered')
+        except errors.MountridgeError as problem:
+            await self._give_up(exchange, problem)
+        except trio.Cancelled:
+            self._log(exchange, 'caller left')
+            raise
+
+    async def _give_up(
+        self, exchange: Exchange, problem: errors.MountridgeError
+    ) -> None:
+        if exchange.may_have_run and problem.outcome == errors.NOT_RUN:
+            # True of the last try, not of all.
+            problem = errors.OutcomeUnknown(str(problem))
+        self.app.metrics.incr(f'refused.{problem.code}')
+        self._log(exchange, 'failed', problem)
+        if exchange.responder.started:
+            # The caller sees a cut: no end of the answer is sent.
+            return
+        if problem.status in (429, 503) and problem.retry_after_s is None:
+            problem.retry_after_s = utils.spread(COME_BACK_S, self.rng)
+        await httpserver.refuse(exchange.responder, problem)
+
+    def _log(
+        self,
+        exchange: Exchange,
+        outcome: str,
+        problem: errors.MountridgeError | None = None,
+    ) -> None:
+        now_s = self.app.now_s()
+        call, route = exchange.call, exchange.route
+        first_s = exchange.first_data_s
+        logger.info(
+            'request',
+            request=call.request_id if call else '',
+            route=route.name if route else '',
+            table=exchange.table_version,
+            service=exchange.service,
+            team=exchange.team.name if exchange.team else '',
+            outcome=outcome,
+            code=problem.code if problem else 0,
+            reason=str(problem) if problem else '',
+            tries=exchange.tries,
+            events=exchange.events_sent,
+            first_ms=_ms(first_s and first_s - exchange.begun_s),
+            took_ms=_ms(now_s - exchange.begun_s),
+        )
+
+    # Filters.
+
+    def _read(self, exchange: Exchange, now_s: float) -> None:
+        call = dialects.read_call(exchange.request, self.dialect.headers)
+        exchange.call = call
+        if call.last_event_id is not None:
+            try:
+                exchange.last_event_id = int(call.last_event_id)
+            except ValueError:
+                exchange.last_event_id = None
+
+    def _find_route(self, exchange: Exchange, now_s: float) -> None:
+        index = self._index()
+        if index is None:
+            raise errors.NoRoutes()
+        exchange.table_version = index.table.version
+        call = exchange.call
+        exchange.route = index.match(call.host, call.path)
+        if exchange.route is None:
+            raise errors.NoRoute(f'{call.host}{call.path}')
+        exchange.service = routes.draw_service(exchange.route, self.rng)
+
+    def _find_team(self, exchange: Exchange, now_s: float) -> None:
+        index = self._index()
+        if index.table.teams is None or exchange.route.public:
+            return
+        exchange.team = index.team(exchange.call.key)
+        if exchange.team is None:
+            raise errors.UnknownKey()
+
+    def _bound_time(self, exchange: Exchange, now_s: float) -> None:
+        limit_ms = exchange.route.timeout_ms
+        if exchange.call.deadline_ms is not None:
+            limit_ms = min(limit_ms, exchange.call.deadline_ms)
+        exchange.until_s = exchange.begun_s + limit_ms / 1000
+
+    # Tries.
+
+    async def _run(self, exchange: Exchange) -> None:
+        for each in self.filters:
+            each(exchange, self.app.now_s())
+        self.budget.first(exchange.service, self.app.now_s())
+        # trio's own clock has another origin than the application's.
+        left_s = exchange.until_s + LATE_S - self.app.now_s()
+        with trio.move_on_after(left_s) as scope:
+            await self._try_runners(exchange)
+        if scope.cancelled_caught:
+            raise self._out_of_time(exchange)
+
+    def _out_of_time(self, exchange: Exchange) -> errors.MountridgeError:
+        if exchange.may_have_run:
+            return errors.TimedOut()
+        return errors.DeadlinePassed()
+
+    async def _try_runners(self, exchange: Exchange) -> None:
+        while True:
+            picked = self._pick(exchange)
+            try:
+                await self._try(exchange, picked)
+                return
+            except errors.MountridgeError as problem:
+                self._note_failure(exchange, picked, problem)
+                if self._may_go_on(exchange, problem):
+                    continue
+                if exchange.failure is None or exchange.responder.started:
+                    raise
+                await self._send_whole(exchange, exchange.failure)
+                return
+
+    def _pick(self, exchange: Exchange) -> backends.Picked:
+        now_s = self.app.now_s()
+        picked = self.known.pick(
+            exchange.service,
+            self.app.settings['hall'],
+            exchange.tried,
+            self.rng,
+            now_s,
+        )
+        if picked is None:
+            raise errors.NoRunner(f'no runner of {exchange.service} is left')
+        return picked
+
+    def _note_failure(
+        self,
+        exchange: Exchange,
+        picked: backends.Picked,
+        problem: errors.MountridgeError,
+    ) -> None:
+        now_s = self.app.now_s()
+        if problem.outcome != errors.NOT_RUN:
+            exchange.may_have_run = True
+        if not isinstance(problem, errors.RunnerRefused):
+            picked.backend.failed(now_s)
+        logger.info(
+            'try failed',
+            request=exchange.call.request_id,
+            runner=picked.backend.instance.instance_id,
+            code=problem.code,
+            outcome=problem.outcome,
+            reason=str(problem),
+            load=picked.load,
+            load_age_ms=_ms(min(picked.report_age_s, 999)),
+            among=picked.among,
+            took_ms=_ms(now_s - exchange.begun_s),
+        )
+
+    def _may_go_on(
+        self, exchange: Exchange, problem: errors.MountridgeError
+    ) -> bool:
+        """Return whether another runner may be tried, and count it."""
+        route = exchange.route
+        if exchange.tries >= route.most_attempts:
+            return False
+        now_s = self.app.now_s()
+        if exchange.until_s - now_s < LEAST_LEFT_S:
+            return False
+        if problem.outcome != errors.NOT_RUN and not route.repeatable:
+            return False
+        if exchange.events_sent and not route.resumable:
+            return False
+        return self.budget.take(exchange.service, self._gateways(), now_s)
+
+    async def _try(self, exchange: Exchange, picked: backends.Picked) -> None:
+        """Send the request to one runner and give its answer.
+
+        :raises MountridgeError: the try failed; what was given to the
+            caller stays given.
+        """
+        backend = picked.backend
+        request = exchange.request
+        exchange.tries += 1
+        exchange.tried.add(backend.instance.instance_id)
+        backend.began()
+        try:
+            async with self.pool.request(
+                backend.instance.address,
+                request.method,
+                request.target,
+                self._runner_headers(exchange, backend),
+                request.body,
+                exchange.call.request_id,
+            ) as reply:
+                await self._give_reply(exchange, backend, reply)
+        finally:
+            backend.ended()
+
+    def _runner_headers(
+        self, exchange: Exchange, backend: backends.Backend
+    ) -> list[tuple[bytes, bytes]]:
+        names = self.dialect.headers
+        left_ms = max(1, int(_ms(exchange.until_s - self.app.now_s())))
+        instance_id = backend.instance.instance_id.encode('latin-1')
+        added = [
+            (names.deadline_ms, b'%d' % left_ms),
+            (names.expect_instance, instance_id),
+        ]
+        if exchange.team is not None:
+            added.append((names.team, exchange.team.name.encode('latin-1')))
+        if exchange.last_event_id is not None:
+            last = b'%d' % exchange.last_event_id
+            added.append((names.last_event_id, last))
+        return dialects.runner_headers(exchange.request, names, added)
+
+    # Answers.
+
+    async def _give_reply(
+        self,
+        exchange: Exchange,
+        backend: backends.Backend,
+        reply: lasthop.Reply,
+    ) -> None:
+        head = reply.head
+        now_s = self.app.now_s()
+        if head.running is not None:
+            backend.heard(head.running, head.waiting, now_s)
+        if head.not_run:
+            raise errors.RunnerRefused(f'the runner answered {head.status}')
+        exchange.may_have_run = True
+        if exchange.route.kind == routes.STREAMING and head.status < 300:
+            await self._give_stream(exchange, reply)
+        else:
+            await self._give_whole(exchange, reply)
+        backend.succeeded()
+
+    async def _give_whole(
+        self, exchange: Exchange, reply: lasthop.Reply
+    ) -> None:
+        body = await reply.whole()
+        status = reply.head.status
+        if exchange.responder.started:
+            raise errors.RunnerFailed(f'resuming was answered {status}')
+        headers = dialects.reply_headers(reply.headers, False)
+        answer = Answer(status, headers, body)
+        if status >= 500:
+            exchange.failure = answer
+            raise errors.RunnerFailed(f'the runner answered {status}')
+        await self._send_whole(exchange, answer)
+
+    async def _send_whole(self, exchange: Exchange, answer: Answer) -> None:
+        exchange.first_data_s = self.app.now_s()
+        await exchange.responder.send_whole(*answer)
+
+    async def _give_stream(
+        self, exchange: Exchange, reply: lasthop.Reply
+    ) -> None:
+        """Pass whole events on as they come, each number once."""
+        responder = exchange.responder
+        if not responder.started:
+            headers = dialects.reply_headers(reply.headers, False)
+            await responder.start(reply.head.status, headers)
+        splitter = events.Splitter()
+        async for piece in reply.pieces():
+            fresh = [
+                event
+                for event in splitter.feed(piece)
+                if _is_next(exchange, event)
+            ]
+            if fresh:
+                await self._send_events(exchange, fresh)
+        if splitter.rest:
+            await responder.send(splitter.rest)
+        await responder.finish()
+
+    async def _send_events(
+        self, exchange: Exchange, fresh: list[events.Event]
+    ) -> None:
+        if exchange.first_data_s is None:
+            exchange.first_data_s = self.app.now_s()
+        await exchange.responder.send(b''.join(e.data for e in fresh))
+        exchange.events_sent += len(fresh)
+
+
+def _is_next(exchange: Exchange, event: events.Event) -> bool:
+    """Return whether an event is new to the caller, and count it.
+
+    :raises BadAnswer: one before it is missing.
+    """
+    last = exchange.last_event_id
+    if event.event_id is None:
+        return True
+    if last is not None and event.event_id <= last:
+        return False
+    if last is not None and event.event_id > last + 1:
+        raise errors.BadAnswer(f'event {event.event_id} came after {last}')
+    exchange.last_event_id = event.event_id
+    return True
+
+
+def _ms(span_s: float | None) -> float:
+    return round((span_s or 0.0) * 1000, 1)
--- /dev/null
+++ b/mountridge/httpserver.py
@@ -0,0 +1,302 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""HTTP/1.1 for callers: h11 on trio streams, one task a connection.
+
+quart on hypercorn serves the gateway's own API. It can't be used on the way
+of routed requests: a caller that leaves must end the work at once, a cut
+answer must not look whole, and the limits of a connection change with the
+routes document (docs/PLATFORM.md). h11 is the parser that hypercorn uses.
+"""
+
+import json
+import typing
+
+import h11
+from loguru import logger
+import trio
+
+from mountridge import errors, routes
+
+__all__ = [
+    'Handler', 'Request', 'Responder', 'Server', 'json_reply', 'refuse',
+]  # fmt: skip
+
+READ_BYTES = 65536
+#: Bytes that a caller may send ahead while its answer is under way.
+PIPELINE_BYTES = 1 << 20
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Request(typing.NamedTuple):
+    """One request as it was read whole; header names as they came."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of the header ``name`` (lower case)."""
+        for known, value in self.headers:
+            if known.lower() == name:
+                return value
+        return None
+
+    @property
+    def path(self) -> bytes:
+        """The target without its query."""
+        return self.target.partition(b'?')[0]
+
+
+class Responder:
+    """The answer to one request: whole, or a head and pieces."""
+
+    def __init__(self, http: h11.Connection, stream, closing: bool, idle_s):
+        self._http = http
+        self._stream = stream
+        self._closing = closing
+        self._idle_s = idle_s
+        self.started = False
+        self.finished = False
+
+    def _persistence(self) -> Headers:
+        if self._closing:
+            return [(b'Connection', b'close')]
+        return [(b'Keep-Alive', b'timeout=%d' % self._idle_s)]
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head; the framing follows from ``headers``."""
+        self.started = True
+        fields = headers + self._persistence()
+        head = h11.Response(status_code=status, headers=fields)
+        await self._stream.send_all(self._http.send(head))
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        await self._stream.send_all(self._http.send(h11.Data(data)))
+
+    async def finish(self) -> None:
+        """Send the explicit end of the body."""
+        self.finished = True
+        await self._stream.send_all(self._http.send(h11.EndOfMessage()))
+
+    async def send_whole(
+        self, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole answer in one write."""
+        self.started = True
+        self.finished = True
+        length = (b'Content-Length', b'%d' % len(body))
+        fields = headers + [length] + self._persistence()
+        head = h11.Response(status_code=status, headers=fields)
+        data = self._http.send(head) + self._http.send(h11.Data(body))
+        data += self._http.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+
+Handler = typing.Callable[[Request, Responder], typing.Awaitable[None]]
+
+
+async def json_reply(
+    responder: Responder,
+    status: int,
+    body: typing.Any,
+    headers: Headers | None = None,
+) -> None:
+    """Answer with a JSON body."""
+    kind = (b'Content-Type', b'application/json')
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    await responder.send_whole(status, [kind] + (headers or []), data)
+
+
+async def refuse(responder: Responder, problem: errors.MountridgeError):
+    """Answer with an error's status, code and time to come back."""
+    fields: Headers = []
+    if problem.retry_after_s is not None:
+        fields.append((b'Retry-After', b'%.3f' % problem.retry_after_s))
+    body = {
+        'error': {
+            'code': problem.code,
+            'type': type(problem).__name__,
+            'message': str(problem),
+            'outcome': problem.outcome,
+        }
+    }
+    await json_reply(responder, problem.status, body, fields)
+
+
+class _Gone(Exception):
+    """The caller has closed the connection."""
+
+
+class Server:
+    """Serves one handler on one address.
+
+    ``limits`` gives the limits in force; while ``closing`` returns true,
+    each answer tells its caller to use the connection no more.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: typing.Callable[[], routes.Limits],
+        closing: typing.Callable[[], bool],
+    ):
+        self._handler = handler
+        self._limits = limits
+        self._closing = closing
+        self._idle: set[trio.CancelScope] = set()
+        self.open_requests = 0
+
+    async def run(self, address: str) -> None:
+        """Listen on IP:PORT until cancelled."""
+        host, _, port = address.rpartition(':')
+        await trio.serve_tcp(self._serve, int(port), host=host)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for scope in list(self._idle):
+            scope.cancel()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        try:
+            await self._serve_requests(stream)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, _Gone):
+            # The caller has left; what it asked for has been cancelled.
+            pass
+        except* Exception as group:
+            logger.opt(exception=group).error('request failed unexpectedly')
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        limits = self._limits()
+        http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        while True:
+            limits = self._limits()
+            idle_s = limits.idle_ms / 1000
+            try:
+                request = await self._read(http, stream, limits)
+            except errors.MountridgeError as problem:
+                await self._refuse_unread(http, stream, problem)
+                return
+            if request is None:
+                return
+            responder = Responder(http, stream, self._closing(), idle_s)
+            self.open_requests += 1
+            try:
+                await self._handle(http, stream, request, responder)
+            finally:
+                self.open_requests -= 1
+            if not responder.finished or http.our_state is not h11.DONE:
+                return
+            if http.their_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    async def _refuse_unread(self, http, stream, problem) -> None:
+        responder = Responder(http, stream, True, 0)
+        try:
+            await refuse(responder, problem)
+        except h11.LocalProtocolError:
+            # No answer can be framed on this connection any more.
+            return
+
+    async def _read(
+        self, http: h11.Connection, stream, limits: routes.Limits
+    ) -> Request | None:
+        """Return the next whole request; None where the caller is done.
+
+        :raises BadRequest: malformed, too large, or too slow.
+        """
+        head = await self._read_head(http, stream, limits)
+        if head is None:
+            return None
+        body = b''
+        while True:
+            with trio.move_on_after(limits.idle_ms / 1000) as scope:
+                event = await self._event(http, stream)
+            if scope.cancelled_caught:
+                raise errors.TooSlow('the body stopped arriving')
+            if isinstance(event, h11.EndOfMessage):
+                break
+            body += event.data
+            if len(body) > limits.body_bytes:
+                raise errors.TooLarge(f'over {limits.body_bytes} bytes')
+        headers = list(head.headers.raw_items())
+        return Request(head.method, head.target, headers, body)
+
+    async def _read_head(
+        self, http: h11.Connection, stream, limits: routes.Limits
+    ) -> h11.Request | None:
+        if not http.trailing_data[0] and not await self._wait_for_bytes(
+            http, stream, limits.idle_ms / 1000
+        ):
+            return None
+        with trio.move_on_after(limits.header_ms / 1000) as scope:
+            event = await self._event(http, stream)
+        if scope.cancelled_caught:
+            raise errors.TooSlow('the head did not arrive in time')
+        return event if isinstance(event, h11.Request) else None
+
+    async def _wait_for_bytes(self, http, stream, idle_s: float) -> bool:
+        """Return whether bytes came before the connection ended."""
+        data = b''
+        with trio.move_on_after(idle_s) as scope:
+            self._idle.add(scope)
+            try:
+                data = await stream.receive_some(READ_BYTES)
+            finally:
+                self._idle.discard(scope)
+        if not data:
+            return False
+        http.receive_data(data)
+        return True
+
+    async def _event(self, http: h11.Connection, stream) -> typing.Any:
+        """Return the next event of the request under way."""
+        try:
+            while True:
+                event = http.next_event()
+                if event is not h11.NEED_DATA:
+                    break
+                if http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(
+                        status_code=100, headers=[]
+                    )
+                    await stream.send_all(http.send(go_on))
+                http.receive_data(await stream.receive_some(READ_BYTES))
+        except h11.RemoteProtocolError as problem:
+            if problem.error_status_hint == 431:
+                raise errors.HeadTooLarge()
+            raise errors.BadRequest(str(problem))
+        if isinstance(event, h11.ConnectionClosed):
+            raise _Gone()
+        return event
+
+    async def _handle(
+        self, http, stream, request: Request, responder: Responder
+    ) -> None:
+        """Run the handler; cancel it where the caller leaves."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_watch, http, stream, nursery.cancel_scope)
+            await self._handler(request, responder)
+            nursery.cancel_scope.cancel()
+
+
+async def _watch(http, stream, scope: trio.CancelScope) -> None:
+    """Cancel ``scope`` when the caller closes; keep what it sends ahead."""
+    ahead = 0
+    while ahead < PIPELINE_BYTES:
+        try:
+            data = await stream.receive_some(READ_BYTES)
+        except trio.BrokenResourceError:
+            data = b''
+        if not data:
+            scope.cancel()
+            return
+        ahead += len(data)
+        http.receive_data(data)
--- a/mountridge/members.py
+++ b/mountridge/members.py
@@ -10,7 +10,7 @@
 from mountridge import application, errors, leases, messages, signals
 from mountridge import sockets
 
-__all__ = ['Leader', 'LeaseKeeper']
+__all__ = ['Leader', 'LeaseKeeper', 'seed_addresses']
 
 #: A leader answers well within this; past it another controller is asked.
 CALL_S = 0.4
@@ -21,24 +21,65 @@
 HURRY_S = 0.05
 
 
+def seed_addresses(settings: dict) -> list[str]:
+    """Return where the seeds take messages of other processes.
+
+    Only their hosts are known; the port is the same on all boxes.
+    """
+    port = settings['bind'].rpartition(':')[2]
+    hosts = [seed.partition(':')[0] for seed in settings['entry']['seeds']]
+    return [f'tcp://{host}:{port}' for host in hosts]
+
+
 class Leader:
-    """Calls to whichever controller leads, over one connection to each."""
+    """Calls to whichever controller leads, over one connection to each.
+
+    The addresses to ask are those of the settings (controllers, or seeds
+    of which only the host is known), and those learnt from answers.
+    """
 
     def __init__(self, app: application.Application, on_message=None):
         self._app = app
         self._on_message = on_message
-        self._names = sorted(app.settings['controllers'])
+        configured = app.settings['controllers']
+        #: Name of the process behind each address; '' for a seed.
+        self._names = {configured[name]: name for name in sorted(configured)}
+        self._seeds: list[str] = []
+        self.follow_seeds(app.settings)
         self._callers: dict[str, sockets.Caller] = {}
-        self._current = self._names[0]
+        self._current = next(iter(self._names))
         self._silent_until_s: dict[str, float] = {}
 
-    def _caller(self, name: str) -> sockets.Caller:
-        if name not in self._callers:
-            address = self._app.settings['controllers'][name]
-            self._callers[name] = self._app.connect(
-                address, name, self._on_message
+    @property
+    def current(self) -> tuple[str, str]:
+        """Name and address of the controller that is asked first."""
+        return self._names.get(self._current, ''), self._current
+
+    def follow_seeds(self, settings: dict) -> None:
+        """Ask the seeds of newer settings too."""
+        self._seeds = seed_addresses(settings)
+        for address in self._seeds:
+            self._names.setdefault(address, '')
+
+    def learn(self, controllers: dict[str, str]) -> None:
+        """Take the controllers that the leader names, and forget others."""
+        if not controllers:
+            return
+        names = {address: name for name, address in controllers.items()}
+        for address in self._seeds:
+            names.setdefault(address, '')
+        names.setdefault(self._current, '')
+        self._names = names
+        for address in list(self._callers):
+            if address not in names:
+                self._callers.pop(address).close()
+
+    def _caller(self, address: str) -> sockets.Caller:
+        if address not in self._callers:
+            self._callers[address] = self._app.connect(
+                address, self._names.get(address, ''), self._on_message
             )
-        return self._callers[name]
+        return self._callers[address]
 
     def _turn(self, problem: errors.NoController) -> None:
         """Go on to the leader that was named, or to the next controller.
@@ -49,14 +90,27 @@
         now_s = self._app.now_s()
         if not isinstance(problem, errors.NotLeader):
             self._silent_until_s[self._current] = now_s + SILENT_S
-        leader = getattr(problem, 'leader', '')
-        place = self._names.index(self._current) + 1
-        order = self._names[place:] + self._names[:place]
-        if leader in self._names:
-            order.insert(0, leader)
-        heard = [n for n in order if self._silent_until_s.get(n, 0) <= now_s]
+        listed = list(self._names)
+        place = listed.index(self._current) + 1
+        order = listed[place:] + listed[:place]
+        named = self._named(problem)
+        if named:
+            order.insert(0, named)
+        heard = [a for a in order if self._silent_until_s.get(a, 0) <= now_s]
         self._current = (heard or order)[0]
 
+    def _named(self, problem: errors.NoController) -> str:
+        """Return the address of the leader that a refusal names, or ''."""
+        leader = getattr(problem, 'leader', '')
+        address = getattr(problem, 'leader_address', '')
+        if address:
+            self._names[address] = leader
+            return address
+        for known, name in self._names.items():
+            if leader and name == leader:
+                return known
+        return ''
+
     async def call(self, message: typing.Any, timeout_s: float):
         """Return the leader's reply, trying controllers until it is found.
 
@@ -122,6 +176,7 @@
             grant = await self._leader.call(
                 self._renewal(), self._settings['lease_s']
             )
+            self._leader.learn(grant.controllers)
             if self._held.take(grant, sent_s):
                 if grant.changes or grant.snapshot:
                     signals.view_changed.send(
--- a/mountridge/messages.py
+++ b/mountridge/messages.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from mountridge import errors
+from mountridge import errors, instances
 
 __all__ = [
     'Ask',
@@ -49,6 +49,13 @@
     'Raft',
     'Admin',
     'AdminReply',
+    'Heartbeat',
+    'Join',
+    'Leave',
+    'PutRoutes',
+    'ReadRoutes',
+    'Registered',
+    'RoutesReply',
     'decode',
     'encode',
 ]
@@ -194,6 +201,8 @@
     snapshot: bool  # the changes replace all that the holder had
     changes: list[Change]
     shares: list[Share]
+    #: The controllers by name, with their addresses.
+    controllers: dict[str, str] | None = None
 
 
 class Changes(typing.NamedTuple):
@@ -314,6 +323,7 @@
     code: int
     message: str
     leader: str
+    leader_address: str = ''
 
 
 class Raft(typing.NamedTuple):
@@ -339,6 +349,49 @@
     text: str
 
 
+class Join(typing.NamedTuple):
+    """Controller to leader: my disk has this identity, let me take part."""
+
+    node_id: str
+    name: str
+    address: str
+
+
+class PutRoutes(typing.NamedTuple):
+    """Operator to leader: hold these routes if no newer ones are held."""
+
+    version: int
+    source: bytes  # the document as it came, compressed
+
+
+class ReadRoutes(typing.NamedTuple):
+    """Operator to leader: the newest routes, confirmed by a quorum."""
+
+
+class RoutesReply(typing.NamedTuple):
+    """The version held after a put, or the document that was read."""
+
+    version: int
+    source: bytes
+
+
+class Heartbeat(typing.NamedTuple):
+    """A runner is alive; ``seq`` rises with each heartbeat of its life."""
+
+    instance: instances.Instance
+    seq: int
+
+
+class Leave(typing.NamedTuple):
+    """A runner has left for good; its id never comes back."""
+
+    instance_id: str
+
+
+class Registered(typing.NamedTuple):
+    """What a heartbeat or leave said is in the replicated state."""
+
+
 _KINDS: tuple[type, ...] = (
     Ticket,
     Frames,
@@ -369,6 +422,13 @@
     Members,
     MembersReply,
     Greet,
+    Join,
+    PutRoutes,
+    ReadRoutes,
+    RoutesReply,
+    Heartbeat,
+    Leave,
+    Registered,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/replicas.py
+++ b/mountridge/replicas.py
@@ -128,7 +128,10 @@
         """Refuse, naming the leader, unless this replica surely leads."""
         if not self.lease_valid():
             problem = errors.NotLeader()
-            problem.leader = self.node.leader_id.partition('.')[0]
+            leader_id = self.node.leader_id
+            problem.leader = leader_id.partition('.')[0]
+            addresses = self.node.config.addresses()
+            problem.leader_address = addresses.get(leader_id, '')
             raise problem
 
     async def propose(self, payload: bytes) -> typing.Any:
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -17,7 +17,7 @@
 
 __all__ = ['DEFAULTS', 'check', 'load', 'merge']
 
-ROLES = ('gateway', 'agent', 'controller')
+ROLES = ('gateway', 'agent', 'controller', 'entry')
 
 #: All settings with their defaults. A key that is not here is refused.
 DEFAULTS: dict[str, typing.Any] = {
@@ -64,6 +64,32 @@
         'snapshot_entries': 5000,
         'claim_keep_s': 600.0,
     },
+    # The role `entry`: a gateway by routes, with a controller beside it
+    # where `controller.data` names a folder.
+    'entry': {
+        'front': '127.0.0.1:8080',
+        'readiness': '127.0.0.1:8081',
+        'control': '127.0.0.1:8082',
+        'directory': '127.0.0.1:8083',
+        'metrics': '127.0.0.1:8084',
+        'address_ttl_s': 2.0,
+        # IP or IP:PORT of processes to ask first; `bind`'s port counts.
+        'seeds': [],
+        # True at the first start of a whole system only.
+        'founding': False,
+    },
+    # What the operators hold the system to; docs/SETTINGS.md says how each
+    # is used. The defaults are those of the sites known so far.
+    'bounds': {
+        'controller_losses': 1,
+        'heartbeat_ms': 1200.0,
+        'drain_ms': 2000.0,
+        'grace_s': 8.0,
+        'retry_ratio': 0.2,
+        'retry_window_s': 10.0,
+        'retry_slack': 96.0,
+        'stall_ms': 1500.0,
+    },
 }
 
 
@@ -102,7 +128,7 @@
     if isinstance(default, dict) and default:
         return {key: _checker(value) for key, value in default.items()}
     if isinstance(default, dict):
-        return {str: _address}
+        return {vol.Optional(str): _address}
     return str
 
 
@@ -112,6 +138,8 @@
     rules['name'] = vol.All(str, vol.Length(min=1, msg='expected a name'))
     rules['bind'] = _address
     rules['gateway']['http'] = _host_port
+    for place in ('front', 'readiness', 'control', 'directory', 'metrics'):
+        rules['entry'][place] = _host_port
     rules['log']['level'] = vol.In(['DEBUG', 'INFO', 'WARNING', 'ERROR'])
     return vol.Schema(rules, required=True)
 
@@ -132,7 +160,10 @@
     wrong = []
     if not settings['keys']['off'] and not settings['keys']['folder']:
         wrong.append('keys.folder: expected a folder, or keys.off: true')
-    if not settings['controllers']:
+    entry = settings['role'] == 'entry'
+    if entry and not settings['entry']['seeds']:
+        wrong.append('entry.seeds: expected at least one')
+    if not entry and not settings['controllers']:
         wrong.append('controllers: expected at least one')
     lease = settings['lease']
     if lease['renew_s'] * 2 > lease['lease_s']:
--- a/mountridge/sockets.py
+++ b/mountridge/sockets.py
@@ -150,6 +150,7 @@
         if isinstance(reply, messages.Failure):
             problem = errors.by_code(reply.code)(reply.message)
             problem.leader = reply.leader
+            problem.leader_address = reply.leader_address
             raise problem
         return reply
 
--- a/mountridge/statemachine.py
+++ b/mountridge/statemachine.py
@@ -11,15 +11,21 @@
 
 import msgspec
 
-from mountridge import claims, commands, errors, messages, tables, views
+from mountridge import claims, commands, errors, instances, messages
+from mountridge import tables, views
 
-__all__ = ['StateMachine', 'VersionRecord']
+__all__ = ['INSTANCE_PREFIX', 'ROUTES_KEY', 'StateMachine', 'VersionRecord']
 
 #: Puts whose replies are kept for resends, and versions in the log.
 KEPT_OPERATIONS = 10000
 KEPT_VERSIONS = 1000
 #: Answers of claimed calls that are kept whole, in bytes.
 MAX_KEPT_ANSWER = 16384
+#: Runners that left whose ids are remembered, so that a late heartbeat of
+#: one does not bring it back; a whole fleet may be replaced a few times.
+KEPT_LEFT = 2000
+ROUTES_KEY = 'routes'
+INSTANCE_PREFIX = 'instance/'
 
 
 class VersionRecord(typing.NamedTuple):
@@ -58,6 +64,8 @@
         #: Unpacked beside the view, for what is looked up often.
         self.rows_by_key: dict[str, tables.Row] = {}
         self.members_by_name: dict[str, views.Member] = {}
+        self.routes_version = 0
+        self.instances: dict[str, instances.Instance] = {}
 
     def apply(self, index: int, command: commands.Command) -> typing.Any:
         """Apply the command at ``index`` and return its reply.
@@ -83,6 +91,15 @@
             key.partition('/')[2]: views.unpack_member(value)
             for key, value in self.view.under('member/').items()
         }
+        self.routes_version = self.routes().version
+        self.instances = {
+            key.partition('/')[2]: views.unpack_instance(value)
+            for key, value in self.view.under(INSTANCE_PREFIX).items()
+        }
+
+    def routes(self) -> messages.RoutesReply:
+        """Return the routes document held; version 0 where none is."""
+        return views.routes_in(self.view)
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes."""
@@ -206,12 +223,65 @@
     return machine.claims.expire(command.keep_s)
 
 
+def _put_routes(
+    machine: StateMachine, index: int, command: commands.PutRoutes
+) -> messages.RoutesReply:
+    """Hold the document with the highest version; others change nothing."""
+    if command.version > machine.routes_version:
+        machine.routes_version = command.version
+        held = messages.RoutesReply(command.version, command.source)
+        machine.view.set(index, ROUTES_KEY, views.pack(held))
+    return messages.RoutesReply(machine.routes_version, b'')
+
+
+def _set_instance(
+    machine: StateMachine, index: int, command: commands.SetInstance
+) -> messages.Registered:
+    given = command.instance
+    known = machine.instances.get(given.instance_id)
+    if known is not None and known.state == instances.LEFT:
+        return messages.Registered()
+    for other in list(machine.instances.values()):
+        if _replaces(given, other):
+            left = other._replace(state=instances.LEFT)
+            _hold_instance(machine, index, left)
+    _hold_instance(machine, index, given)
+    return messages.Registered()
+
+
+def _replaces(given: instances.Instance, other: instances.Instance) -> bool:
+    """Return whether a new runner at the same address ends ``other``."""
+    return (
+        given.state != instances.LEFT
+        and other.address == given.address
+        and other.instance_id != given.instance_id
+        and other.state != instances.LEFT
+    )
+
+
+def _hold_instance(
+    machine: StateMachine, index: int, instance: instances.Instance
+) -> None:
+    """Keep a registration; of those that left only the newest are kept."""
+    key = INSTANCE_PREFIX + instance.instance_id
+    machine.instances.pop(instance.instance_id, None)
+    machine.instances[instance.instance_id] = instance
+    machine.view.set(index, key, views.pack(instance))
+    left = [i for i in machine.instances.values() if i.state == instances.LEFT]
+    for oldest in left[:-KEPT_LEFT]:
+        del machine.instances[oldest.instance_id]
+        key = INSTANCE_PREFIX + oldest.instance_id
+        machine.view.set(index, key, None)
+
+
 _APPLY: dict[type, typing.Callable] = {
     commands.PutTable: _put,
     commands.SetMember: _set_member,
     commands.OpenClaim: _open_claim,
     commands.CloseClaim: _close_claim,
     commands.ExpireClaims: _expire,
+    commands.PutRoutes: _put_routes,
+    commands.SetInstance: _set_instance,
 }
 
 
--- a/mountridge/views.py
+++ b/mountridge/views.py
@@ -2,7 +2,8 @@
 
 """The shared view: what controllers spread to gateways and agents.
 
-Entries are keyed ``row/...``, ``member/...``, ``map/...``; each carries
+Entries are keyed ``row/...``, ``member/...``, ``map/...``, ``routes`` and
+``instance/...``; each carries
 the index of the log entry that last changed it, so that a holder at any
 index can be brought up to date by the entries past it.
 """
@@ -11,9 +12,17 @@
 
 import msgspec
 
-from mountridge import messages, tables
+from mountridge import instances, messages, tables
 
-__all__ = ['Member', 'View', 'pack', 'unpack_member', 'unpack_row']
+__all__ = [
+    'Member',
+    'View',
+    'pack',
+    'routes_in',
+    'unpack_instance',
+    'unpack_member',
+    'unpack_row',
+]
 
 #: Removed keys that are remembered; a holder older than that gets all.
 MAX_REMOVED = 10000
@@ -36,6 +45,8 @@
 
 _ROW = msgspec.msgpack.Decoder(tables.Row)
 _MEMBER = msgspec.msgpack.Decoder(Member)
+_INSTANCE = msgspec.msgpack.Decoder(instances.Instance)
+_ROUTES = msgspec.msgpack.Decoder(messages.RoutesReply)
 
 
 def pack(value: typing.Any) -> bytes:
@@ -53,6 +64,19 @@
     return _MEMBER.decode(data)
 
 
+def unpack_instance(data: bytes) -> instances.Instance:
+    """Return the registration that ``data`` stands for."""
+    return _INSTANCE.decode(data)
+
+
+def routes_in(view: 'View') -> messages.RoutesReply:
+    """Return the routes document in ``view``; version 0 for none."""
+    found = view.entries.get('routes')
+    if found is None or found.value is None:
+        return messages.RoutesReply(0, b'')
+    return _ROUTES.decode(found.value)
+
+
 class View:
     """Entries by key, and the index up to which they are whole."""
 
