Spread experts by sidecars, fresh loads, and seeds that know the controllers

A sidecar beside each runner reports state and expert counts to the leader (free from the same box) and follows its orders; the leader plans sets of layers by measured counts and changes the map with the steps of mapchanges.py.

Cause 2: after a loss of power a process knows its seeds alone. The leader tells the seeds now who the controllers are, twice a second.

Ruled out: the election itself (its log shows a leader at once) and the disks (all entries were there).

--- a/mountridge/backends.py
+++ b/mountridge/backends.py
@@ -7,6 +7,7 @@
 longer each time, and then tried again by requests.
 """
 
+import collections
 import random
 import typing
 
@@ -16,6 +17,9 @@
 
 #: A load report older than this is no better than the own count alone.
 REPORT_OLD_S = 0.6
+#: Own requests begun within this time are not in the newest report yet: it
+#: is taken each 0.1 to 0.25 s and passed on by the leader each 0.1 s.
+UNSEEN_S = 0.25
 #: Failures in a row after which a runner is left out.
 FAILURES = 2
 EJECT_S = 1.0
@@ -31,7 +35,8 @@
     def __init__(self, instance: instances.Instance):
         self.instance = instance
         self.own = 0  # own requests under way there
-        self.own_since = 0  # begun less ended since the newest report
+        #: When own requests of late began; a report may not have them yet.
+        self._begun_s: collections.deque[float] = collections.deque()
         self.reported = 0  # running and waiting, by that report
         self.reported_s = float('-inf')
         self.failures = 0
@@ -42,27 +47,27 @@
         """Return the requests that are there, as far as is known."""
         if now_s - self.reported_s > REPORT_OLD_S:
             return self.own
-        return max(self.own, self.reported + self.own_since)
+        while self._begun_s and self._begun_s[0] < now_s - UNSEEN_S:
+            self._begun_s.popleft()
+        return max(self.own, self.reported + len(self._begun_s))
 
     def occupancy(self, now_s: float) -> float:
         """Return the requests there for each that it works on at once."""
         return self.load(now_s) / max(1, self.instance.slots)
 
-    def began(self) -> None:
+    def began(self, now_s: float) -> None:
         """Count an own request as sent."""
         self.own += 1
-        self.own_since += 1
+        self._begun_s.append(now_s)
 
     def ended(self) -> None:
         """Count an own request as over."""
         self.own -= 1
-        self.own_since -= 1
 
     def heard(self, running: int, waiting: int, now_s: float) -> None:
         """Take a load report."""
         self.reported = running + waiting
         self.reported_s = now_s
-        self.own_since = 0
 
     def succeeded(self) -> None:
         """Count an answer; the runner is well."""
--- a/mountridge/commands.py
+++ b/mountridge/commands.py
@@ -17,6 +17,7 @@
     'ExpireClaims',
     'OpenClaim',
     'CloseClaim',
+    'NextVersion',
     'PutRoutes',
     'PutTable',
     'SetInstance',
@@ -80,6 +81,12 @@
     at_s: float
 
 
+class NextVersion(typing.NamedTuple):
+    """Give out a number that was never given out before."""
+
+    at_s: float
+
+
 Command = (
     PutTable
     | SetMember
@@ -88,6 +95,7 @@
     | ExpireClaims
     | PutRoutes
     | SetInstance
+    | NextVersion
 )
 
 _KINDS = (
@@ -98,6 +106,7 @@
     ExpireClaims,
     PutRoutes,
     SetInstance,
+    NextVersion,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -13,12 +13,16 @@
 import trio
 
 from mountridge import application, changes, claims, commands, consensus
-from mountridge import entries, errors, leases, limits, messages, registry
+from mountridge import entries, errors, groups, leases, limits, members
+from mountridge import messages
+from mountridge import registry
 from mountridge import replicas, statemachine, storage, utils, views
 
 __all__ = ['Controller', 'build', 'run']
 
 WATCH_S = 0.1
+#: Interval at which gateways get loads: about a pass of an engine.
+LOADS_S = 0.1
 EXPIRE_S = 30.0
 
 
@@ -37,6 +41,11 @@
         self.leases = leases.LeaseTable(0.0, 0.0)
         self.apportioner = limits.Apportioner(0.0)
         self.registry = registry.Registry(app, self.machine, self.replica)
+        #: What engines allow of expert maps, by runner; set by the entry.
+        self.sheet: typing.Callable = lambda instance_id: None
+        self.groups = groups.Groups(
+            app, self.replica, lambda instance_id: self.sheet(instance_id)
+        )
         #: Incarnations that a later one of the same name has replaced.
         self._replaced: set[tuple[str, str]] = set()
 
@@ -48,6 +57,7 @@
         self.apportioner = limits.Apportioner(self.leases.quiet_until_s)
         self._replaced.clear()
         self.registry.begin_term()
+        self.groups.begin_term()
 
     async def propose(self, command: commands.Command) -> typing.Any:
         """Return the state machine's reply once a command is committed."""
@@ -81,16 +91,9 @@
             snapshot,
             changes,
             shares,
-            self._controllers(),
+            members.by_name(self.replica.node.config.addresses()),
         )
 
-    def _controllers(self) -> dict[str, str]:
-        addresses = self.replica.node.config.addresses()
-        return {
-            node_id.partition('.')[0]: address
-            for node_id, address in addresses.items()
-        }
-
     def _check_name(self, peer, name: str) -> None:
         if peer.name and peer.name != name:
             raise errors.RefusedChange(f'{peer.name} renews for {name}')
@@ -178,6 +181,20 @@
             if self.app.send(holder.route, pushed):
                 self.leases.sent(name, view.index)
 
+    async def tell_loads(self) -> None:
+        """Tell gateways what sidecars have reported, while leading."""
+        while True:
+            await trio.sleep(LOADS_S)
+            if not self.replica.lease_valid():
+                continue
+            told = self.groups.take_loads()
+            if not told:
+                continue
+            message = messages.Loads(told)
+            for holder in self.leases.holders.values():
+                if holder.renew.kind == 'gateway':
+                    self.app.send(holder.route, message)
+
     # Operators and claims.
 
     async def put(self, peer, put: messages.Put) -> messages.PutReply:
@@ -298,7 +315,8 @@
     app.handlers[messages.Raft] = controller.replica.on_raft
     app.handlers[messages.Admin] = office.on_admin
     app.tasks += [controller.replica.run, controller.watch]
-    app.tasks.append(controller.expire)
+    app.handlers[messages.RankReport] = controller.groups.on_report
+    app.tasks += [controller.expire, controller.tell_loads]
     app.drain.append(controller.replica.hand_over)
     app.dumpers['controller'] = controller.dump
     return controller
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -14,7 +14,8 @@
 import trio
 
 from mountridge import application, backends, controller, dialects, entries
-from mountridge import errors, formation, forwarding, httpserver, instances
+from mountridge import errors, formation, forwarding, groups, httpserver
+from mountridge import instances
 from mountridge import leases, members, messages, routes, signals, storage
 from mountridge import settings as settings_module
 from mountridge import statemachine, utils, views
@@ -93,6 +94,12 @@
             if self.held.extend(message):
                 self.keeper.nudge()
                 self.follow_view()
+        elif isinstance(message, messages.Loads):
+            now_s = self.app.now_s()
+            for load in message.loads:
+                backend = self.backends.by_id.get(load.instance_id)
+                if backend is not None:
+                    backend.heard(load.running, load.waiting, now_s)
 
     def follow_view(self, *_: typing.Any, **__: typing.Any) -> None:
         """Bring what is derived from the view up to date."""
@@ -229,6 +236,10 @@
             'counts': dict(self.app.metrics.counts),
         }
 
+    def learn(self, peer, message: messages.Controllers) -> None:
+        """Take from the leader who the controllers are."""
+        self.leader.learn(message.addresses)
+
     def refer(self, peer, message: typing.Any) -> typing.NoReturn:
         """Answer what is for a controller: this is none, ask that one."""
         problem = errors.NotLeader()
@@ -246,6 +257,7 @@
     messages.Heartbeat,
     messages.Leave,
     messages.Join,
+    messages.RankReport,
 )
 
 
@@ -269,9 +281,22 @@
 
 def _add_controller(app: application.Application, entry: Entry) -> None:
     made = controller.build(app)
+
+    def sheet(instance_id: str) -> groups.Sheet | None:
+        """Return what a runner's engine allows, by the routes in force."""
+        backend = entry.backends.by_id.get(instance_id)
+        if backend is None or entry.index is None:
+            return None
+        service = entry.index.services.get(backend.instance.service)
+        engine = service.engine if service else None
+        if engine is None or not engine.experts:
+            return None
+        return groups.Sheet(engine.places, engine.spare, engine.experts)
+
+    made.sheet = sheet
     formed = formation.Formation(app, made.replica, entry.leader)
     app.handlers[messages.Join] = formed.on_join
-    app.tasks += [formed.ask_to_join, formed.steward]
+    app.tasks += [formed.ask_to_join, formed.steward, formed.tell_seeds]
 
 
 def _watch_settings(app: application.Application, entry: Entry, path: str):
@@ -313,6 +338,7 @@
     entry = Entry(app, dialect)
     for kind in FOR_LEADER:
         app.handlers[kind] = entry.refer
+    app.handlers[messages.Controllers] = entry.learn
     app.tasks += [entry.hold_lease]
     app.drain.append(entry.drain)
     app.dumpers['entry'] = entry.dump
--- a/mountridge/formation.py
+++ b/mountridge/formation.py
@@ -13,7 +13,7 @@
 import trio
 
 from mountridge import application, consensus, entries, errors, members
-from mountridge import messages, replicas, replication
+from mountridge import messages, replicas, replication, sockets
 
 __all__ = ['Formation', 'next_config']
 
@@ -28,6 +28,9 @@
 #: A change that is not committed by then waits for the next look; a leader
 #: cut off from the others would wait for ever.
 CHANGE_S = 5.0
+#: How often the leader tells the seeds who the controllers are. After a loss
+#: of power a process knows the seeds alone, and those may be no controllers.
+TELL_S = 0.5
 
 
 def next_config(node: consensus.Node, most_voters: int, now_s: float):
@@ -118,6 +121,7 @@
             node.node_id, self.app.name, self.app.settings['bind']
         )
         while True:
+            self.leader.learn(self.controllers())
             if node.role != consensus.LEADER:
                 try:
                     await self.leader.call(join, REJOIN_S)
@@ -126,6 +130,24 @@
             takes_part = node.node_id in node.config.addresses()
             await trio.sleep(REJOIN_S if takes_part else STEP_S)
 
+    def controllers(self) -> dict[str, str]:
+        """Return the controllers that this one knows, by name."""
+        return members.by_name(self.replica.node.config.addresses())
+
+    async def tell_seeds(self) -> None:
+        """While leading, tell the seeds who the controllers are."""
+        callers: dict[str, sockets.Caller] = {}
+        while True:
+            await trio.sleep(TELL_S)
+            if not self.replica.lease_valid():
+                continue
+            told = messages.Controllers(self.controllers())
+            for address in self.leader.seeds:
+                if address not in callers:
+                    callers[address] = self.app.connect(address, '')
+                if not callers[address].send(told):
+                    self.app.metrics.incr('seed.unsent')
+
     async def steward(self) -> None:
         """While leading, bring the set of controllers closer to right."""
         while True:
--- a/mountridge/forwarding.py
+++ b/mountridge/forwarding.py
@@ -285,7 +285,7 @@
         request = exchange.request
         exchange.tries += 1
         exchange.tried.add(backend.instance.instance_id)
-        backend.began()
+        backend.began(self.app.now_s())
         try:
             async with self.pool.request(
                 backend.instance.address,
--- a/mountridge/maps.py
+++ b/mountridge/maps.py
@@ -14,7 +14,7 @@
 
 __all__ = [
     'ExpertMap', 'Loads', 'Plan', 'Weights', 'first_map', 'moved_experts',
-    'plan', 'rank_loads', 'skew', 'smooth',
+    'plan', 'rank_loads', 'skew', 'smooth', 'spread',
 ]  # fmt: skip
 
 #: For each rank the experts in its slots. An expert that stands in several
@@ -116,8 +116,19 @@
 class Search:
     """A map under search, with the load of each rank kept up to date."""
 
-    def __init__(self, placed: ExpertMap, loads: Loads):
+    def __init__(
+        self,
+        placed: ExpertMap,
+        loads: Loads,
+        spare: int | None = None,
+        empty: int | None = None,
+    ):
         self.placed = [list(slots) for slots in placed]
+        #: How many experts may be new to a rank; None for any number.
+        self.spare = spare
+        self.first = [set(slots) for slots in placed]
+        #: The expert that stands for an empty place.
+        self.empty = empty
         self.loads = loads
         self.copies = collections.Counter(e for slots in placed for e in slots)
         self.holders: dict[int, set[int]] = collections.defaultdict(set)
@@ -170,10 +181,23 @@
                 if cold in self.holders[mine]:
                     continue
                 for j, theirs in enumerate(self.placed[cold]):
+                    if not self._may_take(cold, mine, theirs):
+                        continue
                     if self.copies[theirs] > 1:
                         yield Change(hot, i, cold, j, False)
                     if hot not in self.holders[theirs]:
-                        yield Change(hot, i, cold, j, True)
+                        if self._may_take(hot, theirs, mine):
+                            yield Change(hot, i, cold, j, True)
+
+    def _may_take(self, rank: int, coming: int, going: int) -> bool:
+        """Return whether a rank may fetch one more expert."""
+        if self.spare is None:
+            return True
+        first = self.first[rank]
+        fresh = set(self.placed[rank]) - first - {going}
+        if coming not in first:
+            fresh.add(coming)
+        return len(fresh - {self.empty}) <= self.spare
 
     def best(self) -> tuple[float, Change] | None:
         """Return the change that gains most for each expert moved."""
@@ -236,3 +260,34 @@
         f'{HORIZON_S:.0f} s at weight {weights.skew:g}, for '
         f'{fetched * weights.expert_gib:.2f} GiB at weight {weights.move:g}',
     )
+
+
+def spread(
+    placed: ExpertMap,
+    load: list[float],
+    places: int,
+    spare: int,
+    least_gain: float,
+) -> ExpertMap:
+    """Return a map whose ranks share ``load`` more evenly.
+
+    A rank holds at most ``places`` experts, of which at most ``spare`` are
+    new to it. Each copy must lower the norm of the ranks' loads by
+    ``least_gain``. An empty place stands in the search as an expert that
+    nobody chooses.
+    """
+    empty = len(load)
+    full = tuple(
+        tuple(held) + (empty,) * (places - len(held)) for held in placed
+    )
+    loads = Loads(load + [0.0], load + [0.0])
+    search = Search(full, loads, spare, empty)
+    for _ in range(MAX_MOVES):
+        best = search.best()
+        if best is None or best[0] < least_gain:
+            break
+        search.take(best[1])
+    return tuple(
+        tuple(expert for expert in held if expert != empty)
+        for held in search.placed
+    )
--- a/mountridge/members.py
+++ b/mountridge/members.py
@@ -10,7 +10,7 @@
 from mountridge import application, errors, leases, messages, signals
 from mountridge import sockets
 
-__all__ = ['Leader', 'LeaseKeeper', 'seed_addresses']
+__all__ = ['Leader', 'LeaseKeeper', 'by_name', 'seed_addresses']
 
 #: A leader answers well within this; past it another controller is asked.
 CALL_S = 0.4
@@ -31,6 +31,14 @@
     return [f'tcp://{host}:{port}' for host in hosts]
 
 
+def by_name(addresses: dict[str, str]) -> dict[str, str]:
+    """Return controllers' addresses by name, of those by identity."""
+    return {
+        node_id.partition('.')[0]: address
+        for node_id, address in addresses.items()
+    }
+
+
 class Leader:
     """Calls to whichever controller leads, over one connection to each.
 
@@ -44,7 +52,7 @@
         configured = app.settings['controllers']
         #: Name of the process behind each address; '' for a seed.
         self._names = {configured[name]: name for name in sorted(configured)}
-        self._seeds: list[str] = []
+        self.seeds: list[str] = []
         self.follow_seeds(app.settings)
         self._callers: dict[str, sockets.Caller] = {}
         self._current = next(iter(self._names))
@@ -57,8 +65,8 @@
 
     def follow_seeds(self, settings: dict) -> None:
         """Ask the seeds of newer settings too."""
-        self._seeds = seed_addresses(settings)
-        for address in self._seeds:
+        self.seeds = seed_addresses(settings)
+        for address in self.seeds:
             self._names.setdefault(address, '')
 
     def learn(self, controllers: dict[str, str]) -> None:
@@ -66,7 +74,7 @@
         if not controllers:
             return
         names = {address: name for name, address in controllers.items()}
-        for address in self._seeds:
+        for address in self.seeds:
             names.setdefault(address, '')
         names.setdefault(self._current, '')
         self._names = names
--- a/mountridge/messages.py
+++ b/mountridge/messages.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from mountridge import errors, instances
+from mountridge import errors, instances, ranks
 
 __all__ = [
     'Ask',
@@ -49,7 +49,12 @@
     'Raft',
     'Admin',
     'AdminReply',
+    'Controllers',
     'Heartbeat',
+    'Loads',
+    'RankReply',
+    'RankReport',
+    'RunnerLoad',
     'Join',
     'Leave',
     'PutRoutes',
@@ -358,6 +363,12 @@
     address: str
 
 
+class Controllers(typing.NamedTuple):
+    """Leader to the seeds: who the controllers are, by name."""
+
+    addresses: dict[str, str]
+
+
 class PutRoutes(typing.NamedTuple):
     """Operator to leader: hold these routes if no newer ones are held."""
 
@@ -393,6 +404,38 @@
     """What a heartbeat or leave said is in the replicated state."""
 
 
+class RankReport(typing.NamedTuple):
+    """Sidecar to leader: its engine's state, and what was chosen since."""
+
+    instance_id: str
+    state: ranks.RankState
+    experts: list[list[int]]  # held now, by set of layers
+    counts: list[int]  # choices of each expert since the report before
+
+
+class RankReply(typing.NamedTuple):
+    """Leader to sidecar: the next order; report soon again in a hurry."""
+
+    term: int
+    order: ranks.RankOrder | None
+    hurry: bool
+
+
+class RunnerLoad(typing.NamedTuple):
+    """What one runner has to do, by its sidecar's newest report."""
+
+    instance_id: str
+    running: int
+    waiting: int
+    pace: float  # over 1: it is slow
+
+
+class Loads(typing.NamedTuple):
+    """Leader to gateways: loads that were reported since the last ones."""
+
+    loads: list[RunnerLoad]
+
+
 _KINDS: tuple[type, ...] = (
     Ticket,
     Frames,
@@ -430,6 +473,10 @@
     Heartbeat,
     Leave,
     Registered,
+    RankReport,
+    RankReply,
+    Loads,
+    Controllers,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/routes.py
+++ b/mountridge/routes.py
@@ -66,6 +66,9 @@
 
     slots: int  # requests in a batch
     memory_tokens: int
+    experts: int = 0  # of one set of layers; 0: not in a group
+    places: int = 0  # experts that a rank holds at most, by set
+    spare: int = 0  # experts new to a rank in one change of the map
 
 
 class Service(typing.NamedTuple):
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -17,7 +17,7 @@
 
 __all__ = ['DEFAULTS', 'check', 'load', 'merge']
 
-ROLES = ('gateway', 'agent', 'controller', 'entry')
+ROLES = ('gateway', 'agent', 'controller', 'entry', 'sidecar')
 
 #: All settings with their defaults. A key that is not here is refused.
 DEFAULTS: dict[str, typing.Any] = {
@@ -78,6 +78,8 @@
         # True at the first start of a whole system only.
         'founding': False,
     },
+    # The role `sidecar`: beside one model runner.
+    'sidecar': {'engine': '127.0.0.1:8100', 'report_s': 0.25},
     # What the operators hold the system to; docs/SETTINGS.md says how each
     # is used. The defaults are those of the sites known so far.
     'bounds': {
@@ -140,6 +142,7 @@
     rules['gateway']['http'] = _host_port
     for place in ('front', 'readiness', 'control', 'directory', 'metrics'):
         rules['entry'][place] = _host_port
+    rules['sidecar']['engine'] = _host_port
     rules['log']['level'] = vol.In(['DEBUG', 'INFO', 'WARNING', 'ERROR'])
     return vol.Schema(rules, required=True)
 
@@ -160,7 +163,7 @@
     wrong = []
     if not settings['keys']['off'] and not settings['keys']['folder']:
         wrong.append('keys.folder: expected a folder, or keys.off: true')
-    entry = settings['role'] == 'entry'
+    entry = settings['role'] in ('entry', 'sidecar')
     if entry and not settings['entry']['seeds']:
         wrong.append('entry.seeds: expected at least one')
     if not entry and not settings['controllers']:
--- /dev/null
+++ b/mountridge/sidecar.py
@@ -0,0 +1,162 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""The sidecar: a small process on each runner's box.
+
+It reads its engine's load and expert counts, which is free and fresh only
+from the same box, reports them to the leading controller, and carries out
+the orders that come back. It holds nothing that has to survive it.
+"""
+
+import typing
+
+from loguru import logger
+import trio
+
+from mountridge import application, errors, members, messages, ranks
+from mountridge import settings as settings_module
+
+__all__ = ['Engine', 'Sidecar', 'build', 'run']
+
+#: Interval of reports while a change of the expert map is under way.
+HURRY_S = 0.04
+#: A leader that does not answer by then is looked for again.
+REPORT_S = 0.8
+
+
+class Engine(typing.Protocol):
+    """The engine on this box, as an adapter speaks with it."""
+
+    async def state(self) -> ranks.RankState:
+        """Return its state now."""
+
+    async def counts(self) -> list[int]:
+        """Return how often each expert was chosen since the epoch began."""
+
+    async def experts(self) -> list[list[int]]:
+        """Return the experts that it holds, by set of layers."""
+
+    async def instance_id(self) -> str:
+        """Return the id under which its runner is registered."""
+
+    async def follow(self, order: ranks.RankOrder) -> None:
+        """Carry out an order.
+
+        :raises RefusedChange: it does not fit the engine's state.
+        :raises OutcomeUnknown: it may be carried out, now or later.
+        """
+
+
+class Sidecar:
+    """Reports one engine and follows the leader's orders."""
+
+    def __init__(self, app: application.Application, engine: Engine):
+        self.app = app
+        self.engine = engine
+        self.leader = members.Leader(app)
+        self._report_s = app.settings['sidecar']['report_s']
+        self._instance_id = ''
+        self._epoch = ranks.NO_VERSION
+        self._counts: list[int] = []
+        self._map_version = ranks.NO_VERSION
+        self._experts: list[list[int]] = []
+        self._fence = 0
+
+    async def run(self) -> None:
+        """Report for ever, more often while a change is under way."""
+        while True:
+            began_s = self.app.now_s()
+            hurry = False
+            try:
+                hurry = await self._report()
+            except errors.MountridgeError as problem:
+                self.app.metrics.incr(f'report.failed.{problem.code}')
+                logger.debug('no report', reason=str(problem))
+            took_s = self.app.now_s() - began_s
+            interval_s = HURRY_S if hurry else self._report_s
+            await trio.sleep(max(HURRY_S / 2, interval_s - took_s))
+
+    async def _report(self) -> bool:
+        state = await self.engine.state()
+        await self._follow_epoch(state)
+        fresh = await self._fresh_counts(state)
+        report = messages.RankReport(
+            self._instance_id, state, self._experts, fresh
+        )
+        reply = await self.leader.call(report, REPORT_S)
+        if reply.term < self._fence:
+            # From a leader that does not know of its successor.
+            return False
+        self._fence = reply.term
+        if reply.order is not None:
+            await self._follow(reply.order)
+        return reply.hurry
+
+    async def _follow_epoch(self, state: ranks.RankState) -> None:
+        """Learn anew what only holds within an epoch of the group."""
+        if state.epoch != self._epoch or not self._instance_id:
+            self._instance_id = await self.engine.instance_id()
+            self._epoch = state.epoch
+            self._counts = []
+            self._map_version = ranks.NO_VERSION
+        if state.map_version != self._map_version:
+            self._experts = await self.engine.experts()
+            self._map_version = state.map_version
+
+    async def _fresh_counts(self, state: ranks.RankState) -> list[int]:
+        """Return the counts since the report before; [] for none."""
+        if not state.group or not state.is_open:
+            return []
+        counts = await self.engine.counts()
+        before = self._counts
+        self._counts = counts
+        if len(before) != len(counts):
+            return []
+        return [now - then for now, then in zip(counts, before)]
+
+    async def _follow(self, order: ranks.RankOrder) -> None:
+        try:
+            await self.engine.follow(order)
+            outcome = 'taken'
+        except errors.RefusedChange as problem:
+            outcome = f'refused: {problem}'
+        except errors.OutcomeUnknown as problem:
+            outcome = f'unknown: {problem}'
+        logger.info(
+            'order',
+            kind=order.kind,
+            epoch=order.epoch,
+            version=order.version,
+            step=order.step,
+            outcome=outcome,
+        )
+
+    def dump(self) -> dict:
+        """Return the state for `mountridge dump`."""
+        return {
+            'instance_id': self._instance_id,
+            'epoch': self._epoch,
+            'map_version': self._map_version,
+            'counts': dict(self.app.metrics.counts),
+        }
+
+
+def build(app: application.Application, engine: Engine) -> Sidecar:
+    """Return a sidecar whose tasks are in ``app``."""
+    made = Sidecar(app, engine)
+    app.tasks.append(made.run)
+    app.dumpers['sidecar'] = made.dump
+    return made
+
+
+def run(
+    path: str,
+    connect: typing.Callable[[application.Application], Engine],
+) -> None:
+    """Run a sidecar from the settings file at ``path`` until stopped."""
+    from mountridge import logs
+
+    settings = settings_module.load(path)
+    logs.open_log(settings)
+    app = application.Application(settings)
+    build(app, connect(app))
+    trio.run(app.run)
--- a/mountridge/statemachine.py
+++ b/mountridge/statemachine.py
@@ -249,6 +249,13 @@
     return messages.Registered()
 
 
+def _next_version(
+    machine: StateMachine, index: int, command: commands.NextVersion
+) -> int:
+    """Return the entry's own index: no other entry ever has it."""
+    return index
+
+
 def _replaces(given: instances.Instance, other: instances.Instance) -> bool:
     """Return whether a new runner at the same address ends ``other``."""
     return (
@@ -282,6 +289,7 @@
     commands.ExpireClaims: _expire,
     commands.PutRoutes: _put_routes,
     commands.SetInstance: _set_instance,
+    commands.NextVersion: _next_version,
 }
 
 
