--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,11 @@
 
 demo: setup
 	$(PY) -m standins.demo
+	$(PY) -m standins.lab
+
+.PHONY: lab
+lab: setup
+	$(PY) -m standins.lab $(LOAD)
 
 bench: setup
 	$(PY) -m bench.path
--- /dev/null
+++ b/features/entry.feature
@@ -0,0 +1,95 @@
+Feature: Requests by routes, runners that register themselves, and expert maps
+
+  Scenario Outline: The route of the longest prefix that begins the path
+    Given routes for a.example at / and /x/ and /x/y/
+    Then a request for <host> with the path <path> takes the route <route>
+
+    Examples:
+      | host      | path     | route  |
+      | a.example | /x/y/2   | /x/y/  |
+      | a.example | /x/y     | /x/    |
+      | A.example | /x/      | /x/    |
+      | a.example | /z       | /      |
+      | b.example | /x/      | none   |
+
+  Scenario Outline: A routes document that contradicts itself is refused whole
+    Given a routes document whose <fault>
+    Then the whole of it is refused with code 1502
+
+    Examples:
+      | fault                             |
+      | route names an unknown service    |
+      | routes share a host and a prefix  |
+      | weights add up to nothing         |
+      | time-out is nothing               |
+      | teams share a key                 |
+      | text is cut short                 |
+
+  Scenario: The highest version of the routes holds, whatever comes later
+    Given a replicated state
+    When routes of the versions 3, 7, 5, 7 and 6 are put in this order
+    Then version 7 with its first content is held, also after a snapshot
+
+  Scenario: A runner that left never comes back, and its address may be reused
+    Given a replicated state
+    When a runner registers, leaves, and a late heartbeat of it comes
+    Then it has left
+    When another runner registers at the address of a live one
+    Then the live one has left and the other is ready
+
+  Scenario Outline: A heartbeat that comes late does not undo a newer one
+    Given a leader's registry
+    When a runner says <first> with number 5 and then <second> with number <n>
+    Then it is held as <held>
+
+    Examples:
+      | first    | second   | n | held     |
+      | draining | ready    | 4 | draining |
+      | ready    | draining | 6 | draining |
+      | draining | ready    | 6 | ready    |
+
+  Scenario Outline: One map in every pass, with orders that are <fault>
+    Given a group of 4 engines whose demand shifts each second
+    When sidecars and a leader change its maps for 40 s with orders <fault>
+    Then no pass was made with two maps
+    And the maps were changed at least <changes> times
+    And the group is not held at the end
+
+    Examples:
+      | fault                                       | changes |
+      | followed at once                            | 8       |
+      | lost 3 in 10 times                          | 4       |
+      | unanswered and carried out 2 to 12 s later  | 1       |
+      | followed while the leader changes each 3 s  | 3       |
+      | late while the leader changes each 3 s      | 1       |
+
+  Scenario: A dead rank begins a new epoch, and the change under way is over
+    Given a group of 4 engines whose demand shifts each second
+    When sidecars and a leader change its maps for 40 s with ranks dying each 5 s
+    Then no pass was made with two maps
+    And the group is not held at the end
+
+  Scenario Outline: The budget of repeated sends holds over all gateways
+    Given <gateways> gateways that share a budget of 0.2 and 96 in 10 s
+    When each sends <firsts> requests in 20 s and repeats all it may
+    Then no 10 s hold more repeated sends than the budget
+
+    Examples:
+      | gateways | firsts |
+      | 1        | 10     |
+      | 10       | 100    |
+      | 37       | 300    |
+
+  Scenario: Log lines are bounded, and those left out are counted
+    Given a log sink that allows 10 lines a second
+    When 100 lines come at once, and one more 3 s later
+    Then 21 lines and one that tells of 80 left out were written
+
+  Scenario: A reader that takes nothing delays nobody
+    Given a log sink that allows 10 lines a second
+    When its reader takes nothing and 5 lines come
+    Then 4 of them are counted as left out
+
+  Scenario: The platform's names stay in its folder
+    Then nothing outside the folder platform names its headers or calls
+    And Python's own platform module is found with that folder on the path
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,343 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on routes, registrations, expert maps, budgets, logs and names."""
+
+import json
+import pathlib
+import random
+import re
+import subprocess
+import sys
+
+from behave import given, then, when
+import trio
+import trio.testing
+
+from features.worlds import ranks as ranks_world
+from mountridge import budgets, commands, errors, instances, logs, messages
+from mountridge import registry, routes, statemachine
+
+FOLDER = pathlib.Path(__file__).resolve().parents[2]
+
+
+def _route(prefix, host='a.example', **over):
+    route = {
+        'name': prefix,
+        'host': host,
+        'prefix': prefix,
+        'kind': 'safe',
+        'timeout_ms': 1000,
+        'target_ms': 100,
+        'priority': 1,
+        'shares': [{'service': 's', 'weight': 1}],
+        'most_attempts': 2,
+        'public': False,
+        'resumable': False,
+        'gap_ms': 0,
+    }
+    return list({**route, **over}.values())
+
+
+def _document(routes_given, version=1, teams=()):
+    shares = routes_given
+    for route in shares:
+        route[7] = [list(share.values()) for share in route[7]]
+    service = ['s', '/health', 10, None]
+    limits = [16384, 1 << 20, 3000, 15000]
+    teams = [[name, keys, None] for name, keys in teams]
+    return json.dumps([version, shares, [service], limits, teams]).encode()
+
+
+@given('routes for a.example at / and /x/ and /x/y/')
+def three_routes(context):
+    document = _document([_route('/'), _route('/x/'), _route('/x/y/')])
+    context.index = routes.index(routes.decode(document))
+
+
+@then('a request for {host} with the path {path} takes the route {name}')
+def check_route(context, host, path, name):
+    found = context.index.match(host, path)
+    assert (found.name if found else 'none') == name, found
+
+
+FAULTS = {
+    'route names an unknown service': lambda: _document(
+        [_route('/', shares=[{'service': 'other', 'weight': 1}])]
+    ),
+    'routes share a host and a prefix': lambda: _document(
+        [_route('/'), _route('/', host='A.example')]
+    ),
+    'weights add up to nothing': lambda: _document(
+        [_route('/', shares=[{'service': 's', 'weight': 0}])]
+    ),
+    'time-out is nothing': lambda: _document([_route('/', timeout_ms=0)]),
+    'teams share a key': lambda: _document(
+        [_route('/')], teams=[('a', ['k']), ('b', ['k'])]
+    ),
+    'text is cut short': lambda: _document([_route('/')])[:-20],
+}
+
+
+@given('a routes document whose {fault}')
+def faulty_document(context, fault):
+    context.document = FAULTS[fault]()
+
+
+@then('the whole of it is refused with code {code:d}')
+def check_refused(context, code):
+    try:
+        routes.decode(context.document)
+    except errors.BadRoutes as problem:
+        assert problem.code == code, problem
+    else:
+        raise AssertionError('it was taken')
+
+
+@given('a replicated state')
+def replicated_state(context):
+    context.machine = statemachine.StateMachine()
+    context.log_index = 0
+
+
+def _apply(context, command):
+    context.log_index += 1
+    return context.machine.apply(context.log_index, command)
+
+
+@when('routes of the versions {numbers} are put in this order')
+def put_versions(context, numbers):
+    for place, number in enumerate(re.findall(r'\d+', numbers)):
+        content = b'%d' % place
+        _apply(context, commands.PutRoutes(int(number), content, 1.0))
+
+
+@then(
+    'version {number:d} with its first content is held,'
+    ' also after a snapshot'
+)
+def check_held(context, number):
+    restored = statemachine.StateMachine()
+    restored.restore(context.machine.snapshot())
+    for machine in (context.machine, restored):
+        assert machine.routes() == messages.RoutesReply(number, b'1')
+        assert machine.routes_version == number
+
+
+def _runner(key='i-1', state=instances.READY, address='10.0.0.1:80'):
+    return instances.Instance(key, 's', address, 'north', 'v1', 4, state)
+
+
+@when('a runner registers, leaves, and a late heartbeat of it comes')
+def leave_and_return(context):
+    for state in (instances.READY, instances.LEFT, instances.READY):
+        _apply(context, commands.SetInstance(_runner(state=state), 1.0))
+
+
+@then('it has left')
+def check_left(context):
+    assert context.machine.instances['i-1'].state == instances.LEFT
+
+
+@when('another runner registers at the address of a live one')
+def reuse_address(context):
+    for key in ('i-2', 'i-3'):
+        command = commands.SetInstance(_runner(key, address='a:1'), 1.0)
+        _apply(context, command)
+
+
+@then('the live one has left and the other is ready')
+def check_reused(context):
+    assert context.machine.instances['i-2'].state == instances.LEFT
+    assert context.machine.instances['i-3'].state == instances.READY
+
+
+class _Replica:
+    """A log of one controller that commits at once."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.index = 0
+
+    def check_leader(self):
+        return None
+
+    async def propose(self, payload):
+        self.index += 1
+        return self.machine.apply_payload(self.index, payload)
+
+
+class _App:
+    """The clock and settings that a registry needs."""
+
+    settings = {'bounds': {'heartbeat_ms': 1000.0}}
+
+    def now_s(self):
+        return 0.0
+
+    def wall_s(self):
+        return 0.0
+
+
+@given("a leader's registry")
+def leaders_registry(context):
+    machine = context.machine = statemachine.StateMachine()
+    context.registry = registry.Registry(_App(), machine, _Replica(machine))
+
+
+@when(
+    'a runner says {first} with number 5 and then {second} with number {n:d}'
+)
+def two_heartbeats(context, first, second, n):
+    async def main():
+        for state, seq in ((first, 5), (second, n)):
+            heartbeat = messages.Heartbeat(_runner(state=state), seq)
+            await context.registry.on_heartbeat(None, heartbeat)
+
+    trio.run(main)
+
+
+@then('it is held as {state}')
+def check_state(context, state):
+    assert context.machine.instances['i-1'].state == state
+
+
+# Expert maps.
+
+
+@given('a group of 4 engines whose demand shifts each second')
+def shifting_group(context):
+    context.name = context.scenario.name
+
+
+@when('sidecars and a leader change its maps for {span_s:d} s with {faults}')
+def change_maps(context, span_s, faults):
+    context.world = ranks_world.play(span_s, faults, context.name)
+
+
+@then('no pass was made with two maps')
+def check_mixed(context):
+    assert context.world.group.step > 100, context.world.group.step
+    assert context.world.group.mixed_passes == 0
+
+
+@then('the maps were changed at least {count:d} times')
+def check_changes(context, count):
+    assert context.world.changes >= count, context.world.changes
+
+
+@then('the group is not held at the end')
+def check_free(context):
+    held = [rank.held_step for rank in context.world.group.ranks]
+    assert set(held) == {-1}, held
+
+
+# Budgets.
+
+
+@given('{count:d} gateways that share a budget of 0.2 and 96 in 10 s')
+def gateways_with_budget(context, count):
+    context.budgets = [
+        budgets.RetryBudget(0.2, 96, 10.0) for _ in range(count)
+    ]
+
+
+@when('each sends {firsts:d} requests in 20 s and repeats all it may')
+def send_all(context, firsts):
+    rng = random.Random(1)
+    sends = [
+        (rng.uniform(0, 20), budget)
+        for budget in context.budgets
+        for _ in range(firsts)
+    ]
+    context.firsts_s, context.repeats_s = [], []
+    for now_s, budget in sorted(sends, key=lambda each: each[0]):
+        budget.first('s', now_s)
+        context.firsts_s.append(now_s)
+        while budget.take('s', len(context.budgets), now_s):
+            context.repeats_s.append(now_s)
+
+
+@then('no 10 s hold more repeated sends than the budget')
+def check_budget(context):
+    assert context.repeats_s or len(context.budgets) > 10
+    for end_s in context.repeats_s:
+        inside = [s for s in context.repeats_s if end_s - 10 < s <= end_s]
+        first = [s for s in context.firsts_s if end_s - 10 < s <= end_s]
+        assert len(inside) <= 0.2 * len(first) + 96, end_s
+
+
+# Logs.
+
+
+@given('a log sink that allows 10 lines a second')
+def log_sink(context):
+    context.now_s = 0.0
+    context.written = b''
+    context.takes = True
+
+    def write(data):
+        if not context.takes:
+            raise BlockingIOError()
+        context.written += data
+        return len(data)
+
+    context.sink = logs.LineSink(write, 10.0, lambda: context.now_s)
+
+
+@when('100 lines come at once, and one more 3 s later')
+def many_lines(context):
+    for _ in range(100):
+        context.sink('line\n')
+    context.now_s = 3.0
+    context.sink('line\n')
+
+
+@then('21 lines and one that tells of 80 left out were written')
+def check_lines(context):
+    lines = context.written.decode().splitlines()
+    assert lines.count('line') == 21, lines
+    assert json.loads(lines[-2])['count'] == 80, lines
+
+
+@when('its reader takes nothing and 5 lines come')
+def deaf_reader(context):
+    context.takes = False
+    for _ in range(5):
+        context.sink('line\n')
+
+
+@then('4 of them are counted as left out')
+def check_left_out(context):
+    assert context.sink.left_out == 4
+
+
+# Names.
+
+
+@then('nothing outside the folder platform names its headers or calls')
+def check_names(context):
+    found = []
+    for top in ('mountridge', 'standins', 'bench', 'tools'):
+        for path in (FOLDER / top).glob('*.py'):
+            text = path.read_text().lower()
+            if 'x-mountridge-' in text or "'/mountridge/" in text:
+                found.append(path.name)
+    assert not found, found
+    size = sum(
+        len(path.read_text().splitlines())
+        for path in (FOLDER / 'platform').rglob('*.py')
+    )
+    assert size < 1200, size
+
+
+@then("Python's own platform module is found with that folder on the path")
+def check_platform_module(context):
+    code = 'import platform; print(platform.python_version())'
+    for path in (FOLDER, FOLDER / 'platform'):
+        shown = subprocess.run(
+            [sys.executable, '-c', code],
+            cwd=path,
+            capture_output=True,
+            text=True,
+        )
+        assert shown.stdout.startswith('3.'), shown.stderr
--- /dev/null
+++ b/features/worlds/ranks.py
@@ -0,0 +1,191 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""A group of engines, their sidecars and a leader, on virtual time.
+
+The leader's planning and the steps of a change are the product's own code;
+orders between sidecars and engines can be lost or late, the leader can
+change, and ranks can die.
+"""
+
+import random
+import types
+
+import trio
+import trio.testing
+
+from mountridge import errors, groups, sidecar
+from standins import engine
+
+SHEET = engine.EngineSheet()
+LOADED = 3
+
+
+class Leader:
+    """What the leader's planning needs: a clock, a log, and leadership."""
+
+    def __init__(self, world):
+        self.world = world
+        self.node = types.SimpleNamespace(term=world.term)
+        sheet = groups.Sheet(SHEET.places, SHEET.spare, SHEET.experts)
+        self.groups = groups.Groups(self, self, lambda _: sheet)
+
+    def now_s(self):
+        return trio.current_time()
+
+    def wall_s(self):
+        return trio.current_time()
+
+    def check_leader(self):
+        if self.world.leader is not self:
+            raise errors.NotLeader()
+
+    async def propose(self, _payload):
+        await trio.sleep(0.005)
+        self.check_leader()
+        self.world.log_index += 1
+        return self.world.log_index
+
+
+class Engine:
+    """The engine of one rank, as its sidecar speaks with it."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+
+    async def state(self):
+        await trio.sleep(0.001)
+        return self.world.group.state(self.number, trio.current_time())
+
+    async def counts(self):
+        return list(self.world.group.ranks[self.number].counts)
+
+    async def experts(self):
+        held = self.world.group.ranks[self.number].held
+        return [list(each) for each in held]
+
+    async def instance_id(self):
+        return f'i-{self.number}'
+
+    async def follow(self, order):
+        world = self.world
+        await trio.sleep(0.001)
+        if world.rng.random() >= world.faulty:
+            world.group.follow(self.number, order, trio.current_time())
+            return
+        if world.late:
+            world.nursery.start_soon(self._follow_late, order)
+        await trio.sleep(0.5)
+        raise errors.OutcomeUnknown('no answer')
+
+    async def _follow_late(self, order):
+        await trio.sleep(self.world.rng.uniform(2, 12))
+        try:
+            now_s = trio.current_time()
+            self.world.group.follow(self.number, order, now_s)
+        except errors.RefusedChange:
+            # What came too late no longer fits, as on a real engine.
+            return
+
+
+class Caller:
+    """A sidecar's way to whoever leads."""
+
+    def __init__(self, world):
+        self.world = world
+
+    async def call(self, report, _timeout_s):
+        await trio.sleep(0.002)
+        reply = await self.world.leader.groups.on_report(None, report)
+        await trio.sleep(0.002)
+        return reply
+
+
+class World:
+    """All of it, with the faults that a scenario names."""
+
+    def __init__(self, nursery, faults, seed):
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.group = engine.Group(SHEET, self.rng)
+        self.faulty = 0.0
+        self.late = 'late' in faults
+        if 'lost' in faults or self.late:
+            self.faulty = 0.3
+        self.changing = 'leader changes' in faults
+        self.dying = 'dying' in faults
+        self.term, self.log_index, self.changes = 1, 0, 0
+        self.leader = Leader(self)
+
+    def start(self):
+        for number in range(SHEET.ranks):
+            self.nursery.start_soon(self._sidecar, number)
+        self.nursery.start_soon(self._passes)
+        self.nursery.start_soon(self._shift)
+        if self.changing:
+            self.nursery.start_soon(self._change_leaders)
+        if self.dying:
+            self.nursery.start_soon(self._kill_ranks)
+
+    async def _sidecar(self, number):
+        app = types.SimpleNamespace(
+            settings={
+                'sidecar': {'report_s': 0.2},
+                'controllers': {'c': 'tcp://127.0.0.1:1'},
+                'entry': {'seeds': []},
+                'bind': 'tcp://127.0.0.1:1',
+            },
+            now_s=trio.current_time,
+            metrics=types.SimpleNamespace(incr=lambda _: None),
+        )
+        made = sidecar.Sidecar(app, Engine(self, number))
+        made.leader = Caller(self)
+        await made.run()
+
+    async def _passes(self):
+        used = 0
+        while True:
+            for rank in self.group.ranks:
+                while len(rank.running) + len(rank.waiting) < LOADED:
+                    rank.waiting.append(engine.Run(200, 100))
+            length_s = self.group.begin_pass(trio.current_time())
+            if length_s is None:
+                await trio.sleep(0.01)
+                continue
+            if self.group.ranks[0].map_version not in (0, used):
+                self.changes += 1
+                used = self.group.ranks[0].map_version
+            await trio.sleep(length_s)
+            self.group.end_pass()
+
+    async def _shift(self):
+        while True:
+            self.group.shift_demand()
+            await trio.sleep(1)
+
+    async def _change_leaders(self):
+        while True:
+            await trio.sleep(3)
+            self.term += 1
+            self.leader = Leader(self)
+
+    async def _kill_ranks(self):
+        while True:
+            await trio.sleep(5 + self.rng.random())
+            self.group.reform(trio.current_time())
+
+
+def play(span_s, faults, seed):
+    """Play a scenario and return its world."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, faults, seed)
+            world.start()
+            await trio.sleep(span_s)
+            world.faulty = 0.0
+            await trio.sleep(20)
+            nursery.cancel_scope.cancel()
+        return world
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -394,9 +394,7 @@
         for extra_s in copies:
             # Here, since tasks started at one moment run in any order.
             due_s = self._due_s(app.name, to, extra_s)
-            self.nursery.start_soon(
-                self._deliver, app, to, data, reply, due_s
-            )
+            self.nursery.start_soon(self._deliver, app, to, data, reply, due_s)
 
     def _blocked(self, one, other):
         if one in self.cut_since_s or other in self.cut_since_s:
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -13,15 +13,12 @@
 import trio
 import yaml
 
-from mountridge import application, entries, errors, keys, logs, members
-from mountridge import messages, sheets, storage, tables, utils
+from mountridge import application, cliroutes, clitools, entries, errors, keys
+from mountridge import logs, members, messages, sheets, storage, tables, utils
 from mountridge import settings as settings_module
 
 __all__ = ['main']
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-EXIT_UNREACHED = 3
 CALL_S = 10.0
 PROBE_S = 0.5
 
@@ -37,17 +34,11 @@
 AS_JSON = click.option('--json', 'as_json', is_flag=True, help='For programs.')
 
 
-def _fail(problem: errors.MountridgeError) -> typing.NoReturn:
-    click.echo(f'error {problem.code}: {problem}', err=True)
-    unreached = isinstance(problem, errors.NoController)
-    sys.exit(EXIT_UNREACHED if unreached else EXIT_REFUSED)
-
-
 def _load(path: str) -> dict:
     try:
         return settings_module.load(path)
     except errors.MountridgeError as problem:
-        _fail(problem)
+        clitools.fail(problem)
 
 
 def _operate(path: str, work: typing.Callable) -> typing.Any:
@@ -68,7 +59,7 @@
     try:
         return trio.run(main)
     except* errors.MountridgeError as group:
-        _fail(_first(group))
+        clitools.fail(_first(group))
 
 
 def _call_leader(path: str, message: typing.Any) -> typing.Any:
@@ -109,6 +100,32 @@
     _run(daemon.run, settings_file, 'agent')
 
 
+@main.command()
+@SETTINGS
+def entry(settings_file: str) -> None:
+    """Run an entry: a gateway by routes, and a controller with a disk."""
+    from mountridge import entry as daemon
+
+    _run(
+        lambda loaded: daemon.run(loaded, settings_file),
+        settings_file,
+        'entry',
+    )
+
+
+@main.command()
+@SETTINGS
+def sidecar(settings_file: str) -> None:
+    """Run a sidecar beside a model engine."""
+    from mountridge import engines
+    from mountridge import sidecar as daemon
+
+    def run(loaded: dict) -> None:
+        daemon.run(loaded, engines.connect)
+
+    _run(run, settings_file, 'sidecar')
+
+
 @main.command()
 @SETTINGS
 def controller(settings_file: str) -> None:
@@ -121,12 +138,12 @@
 def _run(run: typing.Callable, path: str, role: str) -> None:
     loaded = _load(path)
     if loaded['role'] != role:
-        _fail(errors.BadSettings(f'role: expected {role}'))
+        clitools.fail(errors.BadSettings(f'role: expected {role}'))
     logs.open_log(loaded)
     try:
         run(loaded)
     except* errors.MountridgeError as group:
-        _fail(_first(group))
+        clitools.fail(_first(group))
 
 
 def _first(group: BaseExceptionGroup) -> errors.MountridgeError:
@@ -146,9 +163,9 @@
     try:
         return sheets.read_sheet(pathlib.Path(path).read_text())
     except errors.MountridgeError as problem:
-        _fail(problem)
+        clitools.fail(problem)
     except (OSError, UnicodeDecodeError) as problem:
-        _fail(errors.BadSheet(f'{path}: {problem}'))
+        clitools.fail(errors.BadSheet(f'{path}: {problem}'))
 
 
 @table.command()
@@ -233,7 +250,7 @@
         click.echo(f'refused: the table is at version {reply.version}')
         click.echo('\n'.join(reply.diff))
     if not reply.accepted:
-        sys.exit(EXIT_REFUSED)
+        sys.exit(clitools.EXIT_REFUSED)
 
 
 @table.command('log')
@@ -377,7 +394,7 @@
         for path in keys.make(folder, list(names)):
             click.echo(path.name)
     except errors.MountridgeError as problem:
-        _fail(problem)
+        clitools.fail(problem)
 
 
 @main.group('storage')
@@ -406,7 +423,7 @@
             entries.Config(voters, {}),
         )
     except errors.MountridgeError as problem:
-        _fail(problem)
+        clitools.fail(problem)
     click.echo(f'{loaded["name"]}.0 is ready')
 
 
@@ -450,7 +467,7 @@
     except (errors.MountridgeError, OSError) as problem:
         if isinstance(problem, OSError):
             problem = errors.DamagedStorage(str(problem))
-        _fail(problem)
+        clitools.fail(problem)
 
 
 @main.group()
@@ -501,3 +518,6 @@
 def controllers_transfer(settings_file: str, controller_id: str) -> None:
     """Hand leadership to a voter, by default to the best one."""
     _admin(settings_file, 'transfer', controller_id)
+
+
+main.add_command(cliroutes.group)
--- /dev/null
+++ b/mountridge/engines.py
@@ -0,0 +1,119 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""A model engine over HTTP, as a sidecar speaks with it.
+
+The project's own form of the calls; an adapter for another platform takes
+`EngineCalls` for the way and brings its own paths and bodies.
+"""
+
+import typing
+
+import msgspec
+import trio
+
+from mountridge import application, dialects, errors, lasthop, ranks
+
+__all__ = ['EngineCalls', 'NativeEngine', 'connect']
+
+#: The engine is on the same box and answers within a few milliseconds.
+CALL_S = 0.5
+STATE = b'/v1/state'
+COUNTS = b'/v1/counts'
+EXPERTS = b'/v1/experts'
+ORDER = b'/v1/order'
+
+_STATE = msgspec.json.Decoder(ranks.RankState)
+_COUNTS = msgspec.json.Decoder(list[int])
+_EXPERTS = msgspec.json.Decoder(list[list[int]])
+
+
+class EngineCalls:
+    """Calls to the engine at one address, with their errors."""
+
+    def __init__(self, pool: lasthop.Pool, address: str):
+        self._pool = pool
+        self._address = address
+
+    async def call(
+        self, method: bytes, target: bytes, body: bytes = b''
+    ) -> tuple[dialects.ReplyHead, bytes]:
+        """Return the head and body of the answer to one call.
+
+        :raises OutcomeUnknown: none came in time.
+        """
+        headers = [(b'Host', self._address.encode())]
+        if body:
+            headers.append((b'Content-Type', b'application/json'))
+            headers.append((b'Content-Length', b'%d' % len(body)))
+        with trio.move_on_after(CALL_S):
+            async with self._pool.request(
+                self._address, method, target, headers, body, ''
+            ) as reply:
+                return reply.head, await reply.whole()
+        raise errors.OutcomeUnknown('no answer in time')
+
+    async def read(
+        self, target: bytes, decoder: msgspec.json.Decoder
+    ) -> typing.Any:
+        """Return what a GET tells.
+
+        :raises RunnerFailed: it was refused.
+        :raises BadAnswer: it can't be read.
+        """
+        head, body = await self.call(b'GET', target)
+        if head.status != 200:
+            raise errors.RunnerFailed(f'answered {head.status}')
+        try:
+            return decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
+            raise errors.BadAnswer(str(problem))
+
+    async def order(self, target: bytes, body: bytes) -> None:
+        """Give an order.
+
+        :raises RefusedChange: it does not fit the engine's state.
+        :raises OutcomeUnknown: it may be carried out, now or later.
+        """
+        head, answer = await self.call(b'POST', target, body)
+        if head.status >= 500:
+            raise errors.OutcomeUnknown(f'answered {head.status}')
+        if head.status >= 400:
+            reason = answer[:200].decode('latin-1')
+            raise errors.RefusedChange(f'answered {head.status}: {reason}')
+
+
+class NativeEngine:
+    """An engine that speaks the project's own form."""
+
+    def __init__(self, calls: EngineCalls):
+        self._calls = calls
+
+    async def state(self) -> ranks.RankState:
+        """Return its state now."""
+        return await self._calls.read(STATE, _STATE)
+
+    async def counts(self) -> list[int]:
+        """Return how often each expert was chosen since its start."""
+        return await self._calls.read(COUNTS, _COUNTS)
+
+    async def experts(self) -> list[list[int]]:
+        """Return the experts that it holds, by set of layers."""
+        return await self._calls.read(EXPERTS, _EXPERTS)
+
+    async def instance_id(self) -> str:
+        """Return the id under which its runner is registered."""
+        head, _ = await self._calls.call(b'GET', STATE)
+        if head.instance_id is None:
+            raise errors.BadAnswer('the state names no instance')
+        return head.instance_id
+
+    async def follow(self, order: ranks.RankOrder) -> None:
+        """Carry out an order."""
+        await self._calls.order(ORDER, msgspec.json.encode(order))
+
+
+def connect(app: application.Application) -> NativeEngine:
+    """Return the engine that the settings of ``app`` name."""
+    pool = lasthop.Pool(dialects.NATIVE.headers, app.now_s)
+    address = app.settings['sidecar']['engine']
+    return NativeEngine(EngineCalls(pool, address))
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -14,9 +14,9 @@
 import trio
 
 from mountridge import application, backends, controller, dialects, entries
-from mountridge import errors, formation, forwarding, groups, httpserver
-from mountridge import instances
-from mountridge import leases, members, messages, routes, signals, storage
+from mountridge import entryapi, errors, formation, forwarding, groups
+from mountridge import httpserver, leases, members, messages
+from mountridge import routes, signals, storage
 from mountridge import settings as settings_module
 from mountridge import statemachine, utils, views
 
@@ -174,13 +174,12 @@
             return None
         return routes.decompress(reply.source)
 
-    async def heartbeat(self, instance: instances.Instance, seq: int):
+    async def heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Take a runner's heartbeat to the leader.
 
         :raises NoController: it may not have been taken.
         """
-        message = messages.Heartbeat(instance, seq)
-        await self.leader.call(message, HEARTBEAT_S)
+        await self.leader.call(heartbeat, HEARTBEAT_S)
 
     async def leave(self, instance_id: str) -> None:
         """Take out a runner that says that it has left.
@@ -347,15 +346,7 @@
     return entry
 
 
-class Handlers(typing.NamedTuple):
-    """What a platform's adapter serves, on the addresses of the settings."""
-
-    readiness: httpserver.Handler
-    control: httpserver.Handler
-    directory: httpserver.Handler
-
-
-def serve(entry: Entry, handlers: Handlers) -> list[typing.Callable]:
+def serve(entry: Entry, handlers: entryapi.Handlers) -> list[typing.Callable]:
     """Return the tasks that listen on all addresses of the settings."""
 
     def listener(
@@ -375,19 +366,17 @@
 
 
 def run(
+    settings: dict,
     path: str,
-    dialect: dialects.Dialect,
-    adapter: typing.Callable[[Entry], Handlers],
+    dialect: dialects.Dialect = dialects.NATIVE,
+    spelling: entryapi.Spelling = entryapi.NATIVE,
 ) -> None:
-    """Run an entry from the settings file at ``path`` until stopped."""
-    from mountridge import logs
-
-    settings = settings_module.load(path)
-    logs.open_log(settings)
+    """Run an entry until it is stopped; ``path`` is its settings file."""
     if settings['controller']['data']:
         _begin_storage(settings)
     app = application.Application(settings)
     entry = build(app, dialect)
-    app.tasks += serve(entry, adapter(entry))
+    app.tasks += serve(entry, entryapi.handlers(entry, spelling))
+    app.tasks.append(httpserver.metrics_task(app))
     app.tasks.append(_watch_settings(app, entry, path))
     trio.run(app.run)
--- /dev/null
+++ b/mountridge/entryapi.py
@@ -0,0 +1,166 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""The calls that an entry process answers besides callers' requests.
+
+Who asks are callers (where to send requests), health checks, runners
+(heartbeats, leaves) and operators (routes documents). Another spelling of
+the same calls is another `Spelling`.
+"""
+
+import typing
+
+import msgspec
+
+from mountridge import errors, httpserver, instances, messages
+
+__all__ = ['Handlers', 'NATIVE', 'Spelling', 'handlers']
+
+
+class Entry(typing.Protocol):
+    """What the calls need of the entry process."""
+
+    settings: dict
+
+    def addresses(self) -> list[str]:
+        """Return where callers may send requests."""
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be served here."""
+
+    async def put_routes(self, source: bytes) -> int:
+        """Offer a routes document; return the version then held."""
+
+    async def read_routes(self) -> bytes | None:
+        """Return the newest routes document."""
+
+    async def heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        """Take a runner's heartbeat to the leader."""
+
+    async def leave(self, instance_id: str) -> None:
+        """Take out a runner."""
+
+
+class Spelling(typing.NamedTuple):
+    """Paths of the calls, and how their bodies are read and written."""
+
+    put_routes: bytes
+    get_routes: bytes
+    instances: bytes  # prefix; the id and one of the next two follow
+    heartbeat: bytes
+    leave: bytes
+    read_heartbeat: typing.Callable[[str, bytes], messages.Heartbeat]
+    write_addresses: typing.Callable[[list[str], float], dict]
+
+
+class HeartbeatBody(msgspec.Struct):
+    """A heartbeat in the project's own form."""
+
+    service: str
+    address: str
+    hall: str
+    seq: int
+    software: str = ''
+    slots: int = 1
+    state: str = instances.READY
+
+
+_HEARTBEAT = msgspec.json.Decoder(HeartbeatBody)
+
+
+def read_heartbeat(instance_id: str, body: bytes) -> messages.Heartbeat:
+    """Return the heartbeat in a body of the project's own form.
+
+    :raises BadRequest: it can't be read.
+    """
+    try:
+        given = _HEARTBEAT.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
+        raise errors.BadRequest(str(problem))
+    if given.state not in (instances.READY, instances.DRAINING):
+        raise errors.BadRequest(f'unknown state {given.state!r}')
+    instance = instances.Instance(
+        instance_id,
+        given.service,
+        given.address,
+        given.hall,
+        given.software,
+        given.slots,
+        given.state,
+    )
+    return messages.Heartbeat(instance, given.seq)
+
+
+def write_addresses(addresses: list[str], ttl_s: float) -> dict:
+    """Return the body that tells callers where to send requests."""
+    return {'addresses': addresses, 'ttl_s': ttl_s}
+
+
+NATIVE = Spelling(
+    b'/v1/routes/put',
+    b'/v1/routes/get',
+    b'/v1/instances/',
+    b'/heartbeat',
+    b'/leave',
+    read_heartbeat,
+    write_addresses,
+)
+
+
+class Handlers(typing.NamedTuple):
+    """Handlers for the addresses of the settings but the callers'."""
+
+    readiness: httpserver.Handler
+    control: httpserver.Handler
+    directory: httpserver.Handler
+
+
+def handlers(entry: Entry, spelling: Spelling) -> Handlers:
+    """Return the handlers of all calls that ``entry`` answers."""
+
+    async def readiness(request, responder) -> None:
+        status = 200 if entry.is_ready() else 503
+        await httpserver.json_reply(responder, status, {})
+
+    async def directory(request, responder) -> None:
+        addresses = entry.addresses()
+        ttl_s = entry.settings['address_ttl_s']
+        body = spelling.write_addresses(addresses, ttl_s)
+        status = 200 if addresses else 503
+        await httpserver.json_reply(responder, status, body)
+
+    async def control(request, responder) -> None:
+        try:
+            body = await _control(entry, spelling, request)
+        except errors.MountridgeError as problem:
+            await httpserver.refuse(responder, problem)
+            return
+        await httpserver.json_reply(responder, 200, body)
+
+    return Handlers(readiness, control, directory)
+
+
+async def _control(
+    entry: Entry, spelling: Spelling, request: httpserver.Request
+) -> dict | bytes:
+    """Carry out a control call and return the body of its answer."""
+    path = request.path
+    if path == spelling.put_routes:
+        return {'version': await entry.put_routes(request.body)}
+    if path == spelling.get_routes:
+        source = await entry.read_routes()
+        if source is None:
+            raise errors.NoRoutes()
+        return source
+    prefix = spelling.instances
+    if path.startswith(prefix) and path.endswith(spelling.heartbeat):
+        instance_id = path[len(prefix) : -len(spelling.heartbeat)]
+        heartbeat = spelling.read_heartbeat(
+            instance_id.decode('latin-1'), request.body
+        )
+        await entry.heartbeat(heartbeat)
+        return {}
+    if path.startswith(prefix) and path.endswith(spelling.leave):
+        instance_id = path[len(prefix) : -len(spelling.leave)]
+        await entry.leave(instance_id.decode('latin-1'))
+        return {}
+    raise errors.NoRoute(path.decode('latin-1'))
--- a/mountridge/forwarding.py
+++ b/mountridge/forwarding.py
@@ -61,6 +61,8 @@
         self.last_event_id: int | None = None
         self.events_sent = 0
         self.first_data_s: float | None = None
+        self.status = 0
+        self.picked: backends.Picked | None = None
         #: A runner's own failure, given where no other runner is tried.
         self.failure: Answer | None = None
 
@@ -137,6 +139,9 @@
         now_s = self.app.now_s()
         call, route = exchange.call, exchange.route
         first_s = exchange.first_data_s
+        self.app.metrics.timing('request', now_s - exchange.begun_s)
+        if first_s is not None:
+            self.app.metrics.timing('first_data', first_s - exchange.begun_s)
         logger.info(
             'request',
             request=call.request_id if call else '',
@@ -147,6 +152,8 @@
             outcome=outcome,
             code=problem.code if problem else 0,
             reason=str(problem) if problem else '',
+            status=exchange.status or (problem.status if problem else 0),
+            **_told(exchange.picked, now_s),
             tries=exchange.tries,
             events=exchange.events_sent,
             first_ms=_ms(first_s and first_s - exchange.begun_s),
@@ -233,6 +240,7 @@
         )
         if picked is None:
             raise errors.NoRunner(f'no runner of {exchange.service} is left')
+        exchange.picked = picked
         return picked
 
     def _note_failure(
@@ -249,13 +257,10 @@
         logger.info(
             'try failed',
             request=exchange.call.request_id,
-            runner=picked.backend.instance.instance_id,
             code=problem.code,
             outcome=problem.outcome,
             reason=str(problem),
-            load=picked.load,
-            load_age_ms=_ms(min(picked.report_age_s, 999)),
-            among=picked.among,
+            **_told(picked, now_s),
             took_ms=_ms(now_s - exchange.begun_s),
         )
 
@@ -353,6 +358,7 @@
 
     async def _send_whole(self, exchange: Exchange, answer: Answer) -> None:
         exchange.first_data_s = self.app.now_s()
+        exchange.status = answer.status
         await exchange.responder.send_whole(*answer)
 
     async def _give_stream(
@@ -362,6 +368,7 @@
         responder = exchange.responder
         if not responder.started:
             headers = dialects.reply_headers(reply.headers, False)
+            exchange.status = reply.head.status
             await responder.start(reply.head.status, headers)
         splitter = events.Splitter()
         async for piece in reply.pieces():
@@ -401,5 +408,18 @@
     return True
 
 
+def _told(picked: backends.Picked | None, now_s: float) -> dict:
+    """Return the fields of a log line on the runner that was taken."""
+    if picked is None:
+        return {}
+    backend = picked.backend
+    return {
+        'runner': backend.instance.instance_id,
+        'load': picked.load,
+        'load_age_ms': _ms(min(picked.report_age_s, 999)),
+        'among': picked.among,
+    }
+
+
 def _ms(span_s: float | None) -> float:
     return round((span_s or 0.0) * 1000, 1)
--- a/mountridge/httpserver.py
+++ b/mountridge/httpserver.py
@@ -18,7 +18,8 @@
 from mountridge import errors, routes
 
 __all__ = [
-    'Handler', 'Request', 'Responder', 'Server', 'json_reply', 'refuse',
+    'Handler', 'Request', 'Responder', 'Server', 'json_reply',
+    'metrics_task', 'refuse',
 ]  # fmt: skip
 
 READ_BYTES = 65536
@@ -300,3 +301,20 @@
             return
         ahead += len(data)
         http.receive_data(data)
+
+
+def metrics_task(app) -> typing.Callable[[], typing.Awaitable[None]]:
+    """Return the task that serves an application's metrics as text."""
+
+    async def answer(request: Request, responder: Responder) -> None:
+        kind = (b'Content-Type', b'text/plain; version=0.0.4')
+        body = app.metrics.text().encode()
+        await responder.send_whole(200, [kind], body)
+
+    async def serve() -> None:
+        address = app.settings['metrics']
+        if address:
+            server = Server(answer, routes.Limits, lambda: False)
+            await server.run(address)
+
+    return serve
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -32,7 +32,11 @@
     'keys': {'off': False, 'folder': ''},
     # The key that operators' commands use, where it is another name's.
     'operator_key': '',
-    'log': {'level': 'INFO', 'json': True},
+    # `lines_per_s` bounds the volume; what is over it is counted. A busy
+    # gateway of the sites writes some 20 lines a second.
+    'log': {'level': 'INFO', 'json': True, 'lines_per_s': 300.0},
+    # IP:PORT at which counters and histograms are served; '' for nowhere.
+    'metrics': '',
     'statsd': {'host': '', 'port': 8125, 'prefix': 'mountridge'},
     'limits': {'message_bytes': 8 << 20},
     'lease': {'lease_s': 3.0, 'renew_s': 0.75},
@@ -71,7 +75,6 @@
         'readiness': '127.0.0.1:8081',
         'control': '127.0.0.1:8082',
         'directory': '127.0.0.1:8083',
-        'metrics': '127.0.0.1:8084',
         'address_ttl_s': 2.0,
         # IP or IP:PORT of processes to ask first; `bind`'s port counts.
         'seeds': [],
@@ -140,9 +143,10 @@
     rules['name'] = vol.All(str, vol.Length(min=1, msg='expected a name'))
     rules['bind'] = _address
     rules['gateway']['http'] = _host_port
-    for place in ('front', 'readiness', 'control', 'directory', 'metrics'):
+    for place in ('front', 'readiness', 'control', 'directory'):
         rules['entry'][place] = _host_port
     rules['sidecar']['engine'] = _host_port
+    rules['metrics'] = vol.Any('', _host_port)
     rules['log']['level'] = vol.In(['DEBUG', 'INFO', 'WARNING', 'ERROR'])
     return vol.Schema(rules, required=True)
 
--- a/mountridge/sidecar.py
+++ b/mountridge/sidecar.py
@@ -12,8 +12,8 @@
 from loguru import logger
 import trio
 
-from mountridge import application, errors, members, messages, ranks
-from mountridge import settings as settings_module
+from mountridge import application, errors, httpserver, members
+from mountridge import messages, ranks
 
 __all__ = ['Engine', 'Sidecar', 'build', 'run']
 
@@ -149,14 +149,11 @@
 
 
 def run(
-    path: str,
+    settings: dict,
     connect: typing.Callable[[application.Application], Engine],
 ) -> None:
-    """Run a sidecar from the settings file at ``path`` until stopped."""
-    from mountridge import logs
-
-    settings = settings_module.load(path)
-    logs.open_log(settings)
+    """Run a sidecar until it is stopped."""
     app = application.Application(settings)
     build(app, connect(app))
+    app.tasks.append(httpserver.metrics_task(app))
     trio.run(app.run)
--- /dev/null
+++ b/standins/engineserver.py
@@ -0,0 +1,169 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""The emulated runners over HTTP: a group of engines and plain services.
+
+Requests and answers are spelt in the project's own dialect. Faults are
+switched by `Faults`; each runner registers itself with heartbeats.
+"""
+
+import json
+import random
+import typing
+
+import msgspec
+import trio
+
+from mountridge import dialects, errors, httpserver, ranks, routes
+from standins import engine
+
+__all__ = ['Faults', 'Plain', 'Ranks', 'register']
+
+NAMES = dialects.NATIVE.headers
+IDLE_S = 0.005
+_ORDER = msgspec.json.Decoder(ranks.RankOrder)
+
+
+class Faults:
+    """What a runner does wrong; shares of its requests, 0 to 1."""
+
+    def __init__(self) -> None:
+        self.errors = 0.0  # answered 500
+        self.cut = 0.0  # broken off midway
+        self.lost = 0.0  # run, and not answered
+        self.silent = False  # nothing is answered at all
+
+
+class Ranks:
+    """The engines of one group, each a runner of its own."""
+
+    def __init__(self, group: engine.Group, rng: random.Random):
+        self.group = group
+        self.rng = rng
+        self.faults = [Faults() for _ in group.ranks]
+
+    async def passes(self) -> None:
+        """Make passes for ever."""
+        while True:
+            length_s = self.group.begin_pass(trio.current_time())
+            if length_s is None:
+                await trio.sleep(IDLE_S)
+                continue
+            await trio.sleep(length_s)
+            self.group.end_pass()
+
+    def handler(self, number: int) -> httpserver.Handler:
+        """Return what answers requests and calls to one rank."""
+
+        async def handle(request, responder) -> None:
+            if self.faults[number].silent:
+                await trio.sleep_forever()
+            if request.path.startswith(b'/v1/'):
+                await self._call(number, request, responder)
+            else:
+                await self._serve(number, request, responder)
+
+        return handle
+
+    async def _call(self, number: int, request, responder) -> None:
+        rank = self.group.ranks[number]
+        body: typing.Any = {}
+        if request.path == b'/v1/state':
+            body = self.group.state(number, trio.current_time())
+        elif request.path == b'/v1/counts':
+            body = rank.counts
+        elif request.path == b'/v1/experts':
+            body = rank.held
+        else:
+            try:
+                order = _ORDER.decode(request.body)
+                self.group.follow(number, order, trio.current_time())
+            except errors.RefusedChange as problem:
+                await httpserver.refuse(responder, problem)
+                return
+        named = [(NAMES.instance_id, b'i-%d' % number)]
+        data = msgspec.json.encode(body)
+        await httpserver.json_reply(responder, 200, data, named)
+
+    async def _serve(self, number: int, request, responder) -> None:
+        rank = self.group.ranks[number]
+        told = [(NAMES.request_id, request.header(NAMES.request_id) or b'')]
+        if len(rank.waiting) >= 2 * self.group.sheet.slots:
+            told.append((NAMES.not_run, b'1'))
+            await httpserver.json_reply(responder, 503, {}, told)
+            return
+        call = dialects.read_call(request, NAMES)
+        first = int(call.last_event_id or 0)
+        left = call.output_tokens - first * self.group.sheet.stride
+        run = engine.Run(call.prompt_tokens, max(1, left), first)
+        rank.waiting.append(run)
+        try:
+            await self._stream(number, run, responder, told)
+        finally:
+            run.cut = True
+            if run in rank.waiting:
+                rank.waiting.remove(run)
+
+    async def _stream(self, number: int, run, responder, told) -> None:
+        fails = self.faults[number]
+        if self.rng.random() < fails.errors:
+            await httpserver.json_reply(responder, 500, {}, told)
+            return
+        cut = self.rng.random() < fails.cut
+        kind = (b'Content-Type', b'text/event-stream')
+        while not run.done or run.fresh:
+            await trio.sleep(IDLE_S)
+            if run.cut or (cut and run.events > 2):
+                return
+            if run.fresh and not responder.started:
+                await responder.start(200, told + [kind])
+            for event in run.fresh:
+                await responder.send(b'id: %d\ndata: tokens\n\n' % event)
+            run.fresh.clear()
+        await responder.finish()
+
+
+class Plain:
+    """One runner of a plain service."""
+
+    def __init__(self, number: int, work_s: float, rng: random.Random):
+        self.number = number
+        self.work_s = work_s
+        self.rng = rng
+        self.faults = Faults()
+        self.runs: dict[bytes, int] = {}
+
+    async def handle(self, request, responder) -> None:
+        """Answer one request after its work."""
+        request_id = request.header(NAMES.request_id) or b''
+        told = [(NAMES.request_id, request_id)]
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        await trio.sleep(self.work_s * (0.5 + self.rng.random()))
+        if self.faults.silent or self.rng.random() < self.faults.lost:
+            await trio.sleep_forever()
+        status = 500 if self.rng.random() < self.faults.errors else 200
+        body = {'by': self.number, 'path': request.path.decode()}
+        await httpserver.json_reply(responder, status, body, told)
+
+
+async def register(
+    post: typing.Callable, key: str, service: str, address: str, slots: int
+) -> None:
+    """Send a runner's heartbeats for ever."""
+    seq = 0
+    while True:
+        seq += 1
+        body = {
+            'service': service,
+            'address': address,
+            'hall': 'north',
+            'seq': seq,
+            'slots': slots,
+        }
+        path = b'/v1/instances/%s/heartbeat' % key.encode()
+        await post(path, json.dumps(body).encode())
+        await trio.sleep(1.0)
+
+
+def limits() -> routes.Limits:
+    """Return the limits of the emulated runners: the defaults."""
+    return routes.Limits()
--- /dev/null
+++ b/standins/lab.py
@@ -0,0 +1,334 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""A load tool: plays a described load on real processes over loopback.
+
+``python -m standins.lab [samples/lab.yaml] [--plot FILE]`` starts entries
+and sidecars as processes, emulates runners, plays callers and an operator,
+and prints what was served, by kind. It ends only what it started.
+"""
+
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import click
+from hdrh.histogram import HdrHistogram
+import tabulate
+import trio
+import yaml
+
+from mountridge import dialects, errors, httpserver, lasthop
+from standins import engine, engineserver
+
+__all__ = ['Lab', 'main']
+
+SAMPLE = pathlib.Path(__file__).parent.parent / 'samples' / 'lab.yaml'
+#: Addresses of the loopback net that the processes of the lab use.
+HOST = '127.0.7.'
+START_S = 20.0
+NAMES = dialects.NATIVE.headers
+
+
+class Kind(typing.NamedTuple):
+    """One kind of request of the load."""
+
+    name: str
+    service: str
+    per_s: float
+    aim_ms: float
+    deadline_ms: float
+    prompt: int
+    output: int
+
+
+class Seen:
+    """What became of the requests of one kind."""
+
+    def __init__(self) -> None:
+        self.asked = self.in_aim = self.late = 0
+        self.refused = self.failed = 0
+        self.first_ms = HdrHistogram(1, 60_000, 2)
+
+
+class Lab:
+    """The processes, runners and callers of one load."""
+
+    def __init__(self, load: dict, folder: str):
+        self.load = load
+        self.folder = pathlib.Path(folder)
+        self.rng = random.Random(load['seed'])
+        self.kinds = [Kind(**each) for each in load['kinds']]
+        self.seen = {kind.name: Seen() for kind in self.kinds}
+        self.processes: list[subprocess.Popen] = []
+        self.pool = lasthop.Pool(NAMES, trio.current_time)
+        self.control = f'{HOST}1:8002'
+        self.fronts = [f'{HOST}{n + 1}:8000' for n in range(load['entries'])]
+
+    # Processes.
+
+    def start(self, name: str, host: str, settings: dict) -> None:
+        """Start an entry or a sidecar."""
+        seeds = [f'{HOST}{n + 1}' for n in range(self.load['entries'])]
+        common = {
+            'name': name,
+            'hall': 'north',
+            'bind': f'tcp://{host}:7000',
+            'keys': {'off': True},
+        }
+        merged = {**common, **settings}
+        merged['entry'] = {**settings.get('entry', {}), 'seeds': seeds[:3]}
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(merged))
+        with open(self.folder / f'{name}.log', 'wb') as log:
+            args = [sys.executable, '-m', 'mountridge', merged['role'], path]
+            made = subprocess.Popen(args, stdout=log, stderr=log)
+        self.processes.append(made)
+
+    def start_all(self) -> None:
+        """Start all entries and sidecars."""
+        for number in range(self.load['entries']):
+            host = f'{HOST}{number + 1}'
+            entry = {
+                'front': f'{host}:8000',
+                'readiness': f'{host}:8001',
+                'control': f'{host}:8002',
+                'directory': f'{host}:8003',
+                'founding': True,
+            }
+            settings: dict = {'role': 'entry', 'entry': entry}
+            if number < 3:
+                data = str(self.folder / f'data-{number}')
+                settings['controller'] = {'data': data}
+            self.start(f'entry-{number}', host, settings)
+        for number in range(self.load['ranks']):
+            host = f'{HOST}{100 + number}'
+            engine_at = {'engine': f'{host}:9000', 'report_s': 0.1}
+            settings = {'role': 'sidecar', 'sidecar': engine_at}
+            self.start(f'sidecar-{number}', host, settings)
+
+    def stop_all(self) -> None:
+        """End what was started, by its process ids."""
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+
+    # Runners and the operator.
+
+    async def post(self, path: bytes, body: bytes) -> int:
+        """Send a control call; return its status, 503 where unreached."""
+        headers = [
+            (b'Host', b'control'),
+            (b'Content-Length', b'%d' % len(body)),
+        ]
+        try:
+            with trio.move_on_after(3):
+                async with self.pool.request(
+                    self.control, b'POST', path, headers, body, ''
+                ) as reply:
+                    await reply.whole()
+                    return reply.head.status
+        except errors.MountridgeError:
+            return 503
+        return 503
+
+    def document(self) -> bytes:
+        """Return the routes document of the load."""
+        listed = []
+        for kind in self.kinds:
+            streaming = kind.output > 0
+            listed.append(
+                [
+                    kind.name,
+                    'lab.example',
+                    f'/{kind.name}/',
+                    'streaming' if streaming else 'safe',
+                    kind.deadline_ms,
+                    kind.aim_ms,
+                    1,
+                    [[kind.service, 1.0]],
+                    2,
+                    True,
+                    streaming,
+                    0.0,
+                ]
+            )
+        sheet = engine.EngineSheet(ranks=self.load['ranks'])
+        llm = [sheet.slots, sheet.memory_tokens, sheet.experts]
+        llm += [sheet.places, sheet.spare]
+        services = [['llm', '/h', 64, llm], ['plain', '/h', 64, None]]
+        limits = [16384, 1 << 20, 3000.0, 15000.0]
+        return json.dumps([1, listed, services, limits, None]).encode()
+
+    async def run_runners(self, nursery: trio.Nursery) -> engine.Group:
+        """Start the emulated runners and their heartbeats."""
+        sheet = engine.EngineSheet(ranks=self.load['ranks'])
+        group = engine.Group(sheet, self.rng)
+        served = engineserver.Ranks(group, self.rng)
+        nursery.start_soon(served.passes)
+        runners = [
+            (f'{HOST}{100 + n}:9000', f'i-{n}', 'llm', served.handler(n))
+            for n in range(sheet.ranks)
+        ]
+        for number in range(2):
+            plain = engineserver.Plain(number, 0.02, self.rng)
+            address = f'{HOST}{200 + number}:9000'
+            runners.append((address, f'p-{number}', 'plain', plain.handle))
+        for address, key, service, handler in runners:
+            server = httpserver.Server(
+                handler, engineserver.limits, lambda: False
+            )
+            nursery.start_soon(server.run, address)
+            nursery.start_soon(
+                engineserver.register,
+                self.post,
+                key,
+                service,
+                address,
+                sheet.slots,
+            )
+        return group
+
+    # Callers.
+
+    async def call(self, kind: Kind) -> None:
+        """Send one request and note what became of it."""
+        seen = self.seen[kind.name]
+        seen.asked += 1
+        began_s = trio.current_time()
+        request_id = f'{self.rng.getrandbits(64):016x}'
+        headers = [
+            (b'Host', b'lab.example'),
+            (NAMES.request_id, request_id.encode()),
+            (NAMES.deadline_ms, b'%d' % kind.deadline_ms),
+            (NAMES.token_counts, b'%d,%d' % (kind.prompt, kind.output)),
+        ]
+        target = f'/{kind.name}/1'.encode()
+        front = self.rng.choice(self.fronts)
+        try:
+            with trio.fail_after(kind.deadline_ms / 1000):
+                async with self.pool.request(
+                    front, b'GET', target, headers, b'', request_id
+                ) as reply:
+                    await self._read(kind, reply, began_s)
+        except (errors.MountridgeError, trio.TooSlowError):
+            seen.failed += 1
+
+    async def _read(
+        self, kind: Kind, reply: lasthop.Reply, began_s: float
+    ) -> None:
+        seen = self.seen[kind.name]
+        first_ms = 0.0
+        async for _ in reply.pieces():
+            if not first_ms:
+                first_ms = (trio.current_time() - began_s) * 1000
+        if reply.head.status != 200:
+            seen.refused += reply.head.status == 503
+            seen.failed += reply.head.status != 503
+            return
+        seen.first_ms.record_value(max(1, round(first_ms)))
+        in_aim = first_ms <= kind.aim_ms
+        seen.in_aim += in_aim
+        seen.late += not in_aim
+
+    async def callers(self, nursery: trio.Nursery, until_s: float) -> None:
+        """Send requests of all kinds at their rates."""
+        rate = sum(kind.per_s for kind in self.kinds)
+        weights = [kind.per_s for kind in self.kinds]
+        while trio.current_time() < until_s:
+            await trio.sleep(self.rng.expovariate(rate))
+            kind = self.rng.choices(self.kinds, weights)[0]
+            nursery.start_soon(self.call, kind)
+
+    async def play(self) -> engine.Group:
+        """Play the whole load."""
+        async with trio.open_nursery() as nursery:
+            group = await self.run_runners(nursery)
+            group.shift_demand()
+            await self._begin()
+            span_s = self.load['span_s']
+            until_s = trio.current_time() + span_s
+            async with trio.open_nursery() as asking:
+                await self.callers(asking, until_s)
+            nursery.cancel_scope.cancel()
+        return group
+
+    async def _begin(self) -> None:
+        """Put the routes, and wait until they are served everywhere."""
+        with trio.fail_after(START_S):
+            document = self.document()
+            while await self.post(b'/v1/routes/put', document) != 200:
+                await trio.sleep(0.2)
+            await trio.sleep(2.5)
+
+    def table(self) -> str:
+        """Return what became of the requests, by kind."""
+        rows = []
+        for name, seen in self.seen.items():
+            rows.append(
+                [
+                    name,
+                    seen.asked,
+                    seen.in_aim,
+                    seen.late,
+                    seen.refused,
+                    seen.failed,
+                    seen.first_ms.get_value_at_percentile(50),
+                    seen.first_ms.get_value_at_percentile(99),
+                ]
+            )
+        heads = ['kind', 'asked', 'in aim', 'late', 'refused', 'failed']
+        return tabulate.tabulate(rows, heads + ['p50 ms', 'p99 ms'])
+
+    def plot(self, path: str) -> None:
+        """Draw the times to the first data by kind."""
+        import matplotlib
+
+        matplotlib.use('Agg')
+        from matplotlib import pyplot
+
+        percents = list(range(1, 100))
+        for name, seen in self.seen.items():
+            values = [
+                seen.first_ms.get_value_at_percentile(p) for p in percents
+            ]
+            pyplot.plot(percents, values, label=name)
+        pyplot.xlabel('percentile of requests')
+        pyplot.ylabel('time to first data, ms')
+        pyplot.legend()
+        pyplot.savefig(path)
+
+
+@click.command()
+@click.argument('load', default=str(SAMPLE), type=click.Path(exists=True))
+@click.option('--plot', 'plot', default='', help='Draw into this file.')
+def main(load: str, plot: str) -> None:
+    """Play a load and print what was served, by kind."""
+    described = yaml.safe_load(pathlib.Path(load).read_text())
+    with tempfile.TemporaryDirectory() as folder:
+        lab = Lab(described, folder)
+        began_s = time.monotonic()
+        try:
+            lab.start_all()
+            group = trio.run(lab.play)
+        finally:
+            lab.stop_all()
+        click.echo(lab.table())
+        click.echo(
+            f'{group.step} passes, {group.mixed_passes} with two maps, map '
+            f'version {group.ranks[0].map_version}; '
+            f'{time.monotonic() - began_s:.0f} s'
+        )
+        if plot:
+            lab.plot(plot)
+    failed = sum(seen.failed for seen in lab.seen.values())
+    sys.exit(1 if failed or group.mixed_passes else 0)
+
+
+if __name__ == '__main__':
+    main()
