--- a/features/entry.feature
+++ b/features/entry.feature
@@ -90,6 +90,16 @@
     When its reader takes nothing and 5 lines come
     Then 4 of them are counted as left out
 
+  Scenario: After a loss of power, entries find the leader by a seed with no disk
+    Given 4 entries of which 3 have a disk, with routes in force
+    When all are killed and start again with only the fourth as their seed
+    Then all 4 are ready again within 15 s
+
+  Scenario: A lost disk joins as new, and holds what was acknowledged
+    Given 4 entries of which 3 have a disk, with routes in force
+    When an entry is killed, its disk is emptied, and it starts again
+    Then it is a voter within 15 s, under another identity
+
   Scenario: The platform's names stay in its folder
     Then nothing outside the folder platform names its headers or calls
     And Python's own platform module is found with that folder on the path
--- /dev/null
+++ b/features/steps/entry_process_steps.py
@@ -0,0 +1,90 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on real entry processes over loopback."""
+
+import json
+import shutil
+import tempfile
+import time
+
+from behave import given, then, when
+import httpx
+
+from standins import lab
+
+LOAD = {'seed': 1, 'kinds': [], 'entries': 4, 'ranks': 0}
+
+
+def _wait_for(check, limit_s):
+    until_s = time.monotonic() + limit_s
+    while not check():
+        assert time.monotonic() < until_s, f'not within {limit_s} s'
+        time.sleep(0.1)
+
+
+def _get(number, port):
+    try:
+        url = f'http://{lab.HOST}{number}:{port}/'
+        return httpx.get(url, timeout=1).status_code
+    except httpx.HTTPError:
+        return 0
+
+
+def _all_ready():
+    return all(_get(number, 8001) == 200 for number in range(1, 5))
+
+
+def _voters(context):
+    """Return the newest set of voters that any log tells."""
+    newest = ('', [])
+    for path in context.lab.folder.glob('entry-*.log'):
+        for line in path.read_text().splitlines():
+            told = json.loads(line) if line.startswith('{') else {}
+            if told.get('message') == 'controllers':
+                newest = max(newest, (told['at'], told['voters']))
+    return newest[1]
+
+
+@given('4 entries of which 3 have a disk, with routes in force')
+def start_entries(context):
+    context.lab = lab.Lab(LOAD, tempfile.mkdtemp())
+    context.add_cleanup(context.lab.stop_all)
+    context.lab.start_entries(founding=True)
+    _wait_for(lambda: len(_voters(context)) == 3, 15)
+    url = f'http://{lab.HOST}1:8002/v1/routes/put'
+    answer = httpx.post(url, content=context.lab.document(), timeout=5)
+    assert answer.status_code == 200, answer.text
+    _wait_for(_all_ready, 10)
+
+
+@when('all are killed and start again with only the fourth as their seed')
+def lose_power(context):
+    context.lab.stop_all()
+    context.lab.seeds = [4]
+    context.lab.start_entries(founding=False)
+
+
+@then('all 4 are ready again within {limit_s:d} s')
+def check_ready(context, limit_s):
+    _wait_for(_all_ready, limit_s)
+
+
+@when('an entry is killed, its disk is emptied, and it starts again')
+def empty_disk(context):
+    made = context.lab
+    context.before = [v for v in _voters(context) if v.startswith('entry-1.')]
+    process = made.processes[1]
+    process.kill()
+    process.wait()
+    shutil.rmtree(made.folder / 'data-1')
+    made.start_entry(1, founding=False)
+
+
+@then('it is a voter within {limit_s:d} s, under another identity')
+def check_voter(context, limit_s):
+    def joined():
+        now = [v for v in _voters(context) if v.startswith('entry-1.')]
+        return now and now != context.before and len(_voters(context)) == 3
+
+    _wait_for(joined, limit_s)
+    _wait_for(_all_ready, limit_s)
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -60,6 +60,7 @@
             lambda: len(self.gateways()),
         )
         self.draining = False
+        self._drain_began_s = 0.0
         self.front = self._server(self.forwarder.handle)
         self._view_revision = -1
 
@@ -195,16 +196,20 @@
         signals.view_changed.connect(self.follow_view, sender=self.held)
         await self.keeper.run()
 
-    async def drain(self) -> None:
-        """Leave the list of gateways, wait for callers, end what runs."""
+    async def begin_drain(self) -> None:
+        """Leave the list of gateways, and be ready no more."""
         self.draining = True
-        began_s = self.app.now_s()
-        bounds = self.app.settings['bounds']
-        until_s = began_s + bounds['grace_s'] - GRACE_LEFT_S
+        self._drain_began_s = self.app.now_s()
         logger.info('draining', open=self.front.open_requests)
         self.app.start_task(self._say_leaving)
+
+    async def drain(self) -> None:
+        """Wait for callers that keep the address; end what runs."""
+        grace_s = self.app.settings['bounds']['grace_s']
+        until_s = self._drain_began_s + grace_s - GRACE_LEFT_S
         kept_s = KEPT_TTLS * self.settings['address_ttl_s']
-        await trio.sleep(min(kept_s, until_s - began_s))
+        kept_until_s = min(self._drain_began_s + kept_s, until_s)
+        await trio.sleep(max(0.0, kept_until_s - self.app.now_s()))
         self.front.close_idle()
         while self.front.open_requests and self.app.now_s() < until_s:
             await trio.sleep(DRAIN_POLL_S)
@@ -339,10 +344,12 @@
         app.handlers[kind] = entry.refer
     app.handlers[messages.Controllers] = entry.learn
     app.tasks += [entry.hold_lease]
-    app.drain.append(entry.drain)
     app.dumpers['entry'] = entry.dump
+    app.drain.append(entry.begin_drain)
     if app.settings['controller']['data']:
+        # Leadership is handed over before the long wait for callers.
         _add_controller(app, entry)
+    app.drain.append(entry.drain)
     return entry
 
 
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -65,6 +65,8 @@
         self.kinds = [Kind(**each) for each in load['kinds']]
         self.seen = {kind.name: Seen() for kind in self.kinds}
         self.processes: list[subprocess.Popen] = []
+        #: Numbers of the entries that the settings name as seeds.
+        self.seeds = [1, 2, 3]
         self.pool = lasthop.Pool(NAMES, trio.current_time)
         self.control = f'{HOST}1:8002'
         self.fronts = [f'{HOST}{n + 1}:8000' for n in range(load['entries'])]
@@ -73,7 +75,6 @@
 
     def start(self, name: str, host: str, settings: dict) -> None:
         """Start an entry or a sidecar."""
-        seeds = [f'{HOST}{n + 1}' for n in range(self.load['entries'])]
         common = {
             'name': name,
             'hall': 'north',
@@ -81,7 +82,8 @@
             'keys': {'off': True},
         }
         merged = {**common, **settings}
-        merged['entry'] = {**settings.get('entry', {}), 'seeds': seeds[:3]}
+        seeds = {'seeds': [f'{HOST}{n}' for n in self.seeds]}
+        merged['entry'] = {**settings.get('entry', {}), **seeds}
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(merged))
         with open(self.folder / f'{name}.log', 'wb') as log:
@@ -89,22 +91,29 @@
             made = subprocess.Popen(args, stdout=log, stderr=log)
         self.processes.append(made)
 
-    def start_all(self) -> None:
-        """Start all entries and sidecars."""
+    def start_entries(self, founding: bool) -> None:
+        """Start all entries; the first three have a disk."""
         for number in range(self.load['entries']):
-            host = f'{HOST}{number + 1}'
-            entry = {
-                'front': f'{host}:8000',
-                'readiness': f'{host}:8001',
-                'control': f'{host}:8002',
-                'directory': f'{host}:8003',
-                'founding': True,
-            }
-            settings: dict = {'role': 'entry', 'entry': entry}
-            if number < 3:
-                data = str(self.folder / f'data-{number}')
-                settings['controller'] = {'data': data}
-            self.start(f'entry-{number}', host, settings)
+            self.start_entry(number, founding)
+
+    def start_entry(self, number: int, founding: bool) -> None:
+        """Start one entry, the first being number 0."""
+        host = f'{HOST}{number + 1}'
+        entry = {
+            'front': f'{host}:8000',
+            'readiness': f'{host}:8001',
+            'control': f'{host}:8002',
+            'directory': f'{host}:8003',
+            'founding': founding,
+        }
+        settings: dict = {'role': 'entry', 'entry': entry}
+        if number < 3:
+            data = str(self.folder / f'data-{number}')
+            settings['controller'] = {'data': data}
+        self.start(f'entry-{number}', host, settings)
+
+    def start_sidecars(self) -> None:
+        """Start a sidecar beside each emulated engine."""
         for number in range(self.load['ranks']):
             host = f'{HOST}{100 + number}'
             engine_at = {'engine': f'{host}:9000', 'report_s': 0.1}
@@ -117,6 +126,7 @@
             process.kill()
         for process in self.processes:
             process.wait()
+        self.processes.clear()
 
     # Runners and the operator.
 
@@ -314,7 +324,8 @@
         lab = Lab(described, folder)
         began_s = time.monotonic()
         try:
-            lab.start_all()
+            lab.start_entries(founding=True)
+            lab.start_sidecars()
             group = trio.run(lab.play)
         finally:
             lab.stop_all()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -308,6 +308,55 @@
         'if best is None or best[0] * weights.skew * HORIZON_S <= cost:',
         'if best is None:', 'maps', 'A plan',
     ),
+    Mutant(
+        'entry: go before all are armed', 'mapchanges',
+        'if state.held_step == change.step and _all_armed(change, states):',
+        'if state.held_step == change.step:', 'entry', 'One map',
+    ),
+    Mutant(
+        'entry: arm with no pass held', 'mapchanges',
+        'if not _is_held(change, states) and not _all_armed(change, states):',
+        'if change.step == ranks.NO_VERSION:', 'entry', 'One map',
+    ),
+    Mutant(
+        'entry: hold before all have prepared', 'mapchanges',
+        'if not _all_prepared(change, states):',
+        'if state.prepared != change.version:', 'entry', 'One map',
+    ),
+    Mutant(
+        'entry: a held pass is not taken up', 'mapchanges',
+        'if not held:', 'if True:', 'entry', 'One map',
+    ),
+    Mutant(
+        'entry: the seeds are told nothing', 'formation',
+        'for address in self.leader.seeds:', 'for address in ():', 'entry',
+        'loss of power',
+    ),
+    Mutant(
+        'entry: answers only to known addresses', 'replicas',
+        'address = address or self._senders.get(effect.to)', '', 'entry',
+        'lost disk',
+    ),
+    Mutant(
+        'entry: a lower version of routes', 'statemachine',
+        'if command.version > machine.routes_version:', 'if True:', 'entry',
+        'highest version',
+    ),
+    Mutant(
+        'entry: late heartbeats count', 'registry',
+        'if heartbeat.seq < self._newest_seq.get(key, 0):', 'if False:',
+        'entry', 'heartbeat that comes late',
+    ),
+    Mutant(
+        'entry: left runners come back', 'statemachine',
+        'if known is not None and known.state == instances.LEFT:',
+        'if False:', 'entry', 'runner that left',
+    ),
+    Mutant(
+        'entry: the whole slack for each gateway', 'budgets',
+        'slack = self._slack / max(1, gateways)', 'slack = self._slack',
+        'entry', 'budget',
+    ),
 )  # fmt: skip
 
 
