Prove the last hop against raw runners, and refuse large heads

Failed first, and mended: a head of 20000 bytes was taken, since the parser bounds a head only while it is incomplete and this one came in one piece.

Ruled out: a smaller read, which only moves the bound.

--- /dev/null
+++ b/features/forwarding.feature
@@ -0,0 +1,50 @@
+Feature: Whole answers, true refusals, and resumed streams, whatever a runner does
+
+  Scenario Outline: A <kind> request whose first runner <fault>
+    Given two runners of which the first <fault>
+    When a <kind> request is sent
+    Then its answer is <answer>
+    And the runners ran it <runs> times
+    And the caller's key reached no runner, and each was told what time is left
+
+    Examples:
+      | kind      | fault                                | answer            | runs |
+      | safe      | answers well                         | 200 and whole     | 1    |
+      | unsafe    | answers well                         | 200 and whole     | 1    |
+      | streaming | answers well                         | 200 and whole     | 1    |
+      | safe      | says that it has not run it          | 200 and whole     | 1    |
+      | unsafe    | says that it has not run it          | 200 and whole     | 1    |
+      | streaming | says that it has not run it          | 200 and whole     | 1    |
+      | unsafe    | says that another runner was meant   | 200 and whole     | 1    |
+      | safe      | closes with no answer                | 200 and whole     | 2    |
+      | unsafe    | closes with no answer                | 502 and unknown   | 1    |
+      | safe      | breaks off its answer                | 200 and whole     | 2    |
+      | unsafe    | breaks off its answer                | 502               | 1    |
+      | streaming | breaks off its answer                | 200 and whole     | 2    |
+      | streaming | breaks off inside an event           | 200 and whole     | 2    |
+      | safe      | fails while it runs it               | 200 and whole     | 2    |
+      | unsafe    | fails while it runs it               | 500 of the runner | 1    |
+      | unsafe    | first answers an earlier request     | 200 and whole     | 1    |
+      | unsafe    | sends more behind its answer         | 200 and whole     | 1    |
+      | unsafe    | tells no length and closes           | 200 and whole     | 1    |
+      | unsafe    | cannot be reached                    | 200 and whole     | 1    |
+
+  Scenario: A caller that leaves ends the work
+    Given two runners of which the first never answers
+    When a safe request is sent and its caller leaves after 0.2 s
+    Then the runner's connection is closed within 0.5 s
+
+  Scenario Outline: What a caller may not do is refused with a code
+    Given two runners of which the first answers well
+    When one caller <does>
+    Then it is answered <status> and nothing ran
+
+    Examples:
+      | does                                    | status |
+      | sends no key                            | 401    |
+      | sends a key that no team holds          | 401    |
+      | asks for a path with no route           | 404    |
+      | sends a head of 20000 bytes             | 431    |
+      | sends a body of 3000 bytes              | 413    |
+      | sends half a head and waits             | 408    |
+      | sends what is no request                | 400    |
--- /dev/null
+++ b/features/steps/forwarding_steps.py
@@ -0,0 +1,322 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on the forwarder, between raw callers and raw runners on loopback."""
+
+import types
+
+from behave import given, then, when
+import trio
+
+from mountridge import backends, dialects, forwarding, httpserver, instances
+from mountridge import metrics, routes
+
+EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
+HOST = '127.0.0.1'
+LIMITS = routes.Limits(8192, 2000, 300.0, 2000.0)
+
+
+def _head(status, request, extra=b''):
+    lines = [b'HTTP/1.1 %d X' % status]
+    lines.append(b'X-Request-Id: ' + request.get(b'x-request-id', b''))
+    return b'\r\n'.join(lines) + b'\r\n' + extra
+
+
+def _whole(status, request, body, extra=b''):
+    length = b'Content-Length: %d\r\n\r\n' % len(body)
+    return _head(status, request, extra + length) + body
+
+
+def _stream(request, cut_after=None):
+    """Return a stream's bytes from the event after the last one given."""
+    first = int(request.get(b'last-event-id', b'0'))
+    data = _head(200, request, b'Transfer-Encoding: chunked\r\n\r\n')
+    for number, event in enumerate(EVENTS[first:]):
+        if cut_after is not None and number >= int(cut_after):
+            if number != cut_after:
+                data += b'%x\r\n%s\r\n' % (4, event[:4])
+            return data
+        data += b'%x\r\n%s\r\n' % (len(event), event)
+    return data + b'0\r\n\r\n'
+
+
+class Runner:
+    """One runner that speaks raw bytes, well or not."""
+
+    def __init__(self, fault):
+        self.fault = fault
+        self.runs = 0
+        self.seen = []
+        self.closed = trio.Event()
+
+    async def serve(self, stream):
+        request = await self._read(stream)
+        while request is not None:
+            self.seen.append(request)
+            data, keep = self._answer(request)
+            if data is None:
+                await stream.receive_some(1)
+                self.closed.set()
+                return
+            await stream.send_all(data)
+            if not keep:
+                return
+            request = await self._read(stream)
+
+    async def _read(self, stream):
+        data = b''
+        while b'\r\n\r\n' not in data:
+            more = await stream.receive_some(4096)
+            if not more:
+                return None
+            data += more
+        head = data.partition(b'\r\n\r\n')[0]
+        lines = [x.partition(b': ') for x in head.split(b'\r\n')[1:]]
+        found = {name.lower(): value for name, _, value in lines}
+        found[b'streams'] = b'/streaming/' in head
+        return found
+
+    def _answer(self, request):
+        """Return (bytes, whether the connection goes on)."""
+        fault = self.fault
+        if fault == 'says that it has not run it':
+            return _whole(503, request, b'', b'X-Not-Run: 1\r\n'), True
+        if fault == 'says that another runner was meant':
+            return _whole(421, request, b''), True
+        self.runs += 1
+        if fault == 'never answers':
+            return None, False
+        if fault == 'closes with no answer':
+            return b'', False
+        if request[b'streams']:
+            cut = {
+                'breaks off its answer': 2,
+                'breaks off inside an event': 2.5,
+            }
+            return _stream(request, cut.get(fault)), fault not in cut
+        if fault == 'breaks off its answer':
+            return _whole(200, request, b'whole')[:-2], False
+        if fault == 'fails while it runs it':
+            return _whole(500, request, b'failed'), True
+        if fault == 'first answers an earlier request':
+            other = {b'x-request-id': b'other'}
+            earlier = _whole(200, other, b'not this')
+            return earlier + _whole(200, request, b'whole'), True
+        if fault == 'sends more behind its answer':
+            return _whole(200, request, b'whole') + b'HTTP/1.1 200', True
+        if fault == 'tells no length and closes':
+            return _head(200, request, b'\r\n') + b'whole', False
+        return _whole(200, request, b'whole'), True
+
+
+def _table():
+    made = [
+        routes.Route(
+            kind, 'a.example', f'/{kind}/', kind, 3000.0, 100.0, 1,
+            [routes.Share('s', 1.0)], 2, False, kind == routes.STREAMING, 0.0,
+        )  # fmt: skip
+        for kind in routes.KINDS
+    ]
+    services = [routes.Service('s', '/h', 8, None)]
+    teams = [routes.Team('crews', ['key'], None)]
+    return routes.RouteTable(1, made, services, LIMITS, teams)
+
+
+class World:
+    """A forwarder with its server, and two runners."""
+
+    def __init__(self, fault):
+        self.runners = [Runner(fault), Runner('answers well')]
+        bounds = {
+            'retry_ratio': 0.2,
+            'retry_slack': 96.0,
+            'retry_window_s': 10.0,
+        }
+        app = types.SimpleNamespace(
+            settings={'hall': 'north', 'bounds': bounds},
+            incarnation='1',
+            now_s=trio.current_time,
+            metrics=metrics.Metrics(None),
+        )
+        self.known = backends.Backends()
+        index = routes.index(_table())
+        self.forwarder = forwarding.Forwarder(
+            app, dialects.NATIVE, lambda: index, self.known, lambda: 1
+        )
+        self.server = httpserver.Server(
+            self.forwarder.handle, lambda: LIMITS, lambda: False
+        )
+        self.port = 0
+
+    async def start(self, nursery):
+        registered = []
+        for number, runner in enumerate(self.runners):
+            (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+            port = listener.socket.getsockname()[1]
+            if runner.fault == 'cannot be reached':
+                await listener.aclose()
+            else:
+                nursery.start_soon(
+                    trio.serve_listeners, runner.serve, [listener]
+                )
+            registered.append(
+                instances.Instance(
+                    f'i-{number}', 's', f'{HOST}:{port}', 'north', 'v', 4,
+                    instances.READY,
+                )  # fmt: skip
+            )
+        self.known.follow(registered)
+        # So that the first one is taken first.
+        self.known.by_id['i-1'].heard(3, 0, trio.current_time())
+        (front,) = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = front.socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, self.server._serve, [front])
+
+    async def open(self):
+        return await trio.open_tcp_stream(HOST, self.port)
+
+
+def _play(context, script):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            with trio.fail_after(10):
+                await context.world.start(nursery)
+                await script(context.world)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def _read_all(stream):
+    """Return what comes until 0.5 s of silence, or the end."""
+    data = b''
+    with trio.move_on_after(5):
+        while True:
+            more = await stream.receive_some(65536)
+            if not more:
+                break
+            data += more
+            if data.endswith(b'\r\n0\r\n\r\n') or _is_whole(data):
+                break
+    return data
+
+
+def _is_whole(data):
+    head, _, body = data.partition(b'\r\n\r\n')
+    for line in head.split(b'\r\n'):
+        name, _, value = line.partition(b': ')
+        if name.lower() == b'content-length':
+            return len(body) >= int(value)
+    return False
+
+
+def _request(path, key=b'key', extra=b'', method=b'GET'):
+    lines = [
+        method + b' ' + path + b' HTTP/1.1',
+        b'Host: a.example',
+        b'X-Request-Id: mine',
+        b'X-Deadline-Ms: 2500',
+    ]
+    if key:
+        lines.append(b'Authorization: Bearer ' + key)
+    return b'\r\n'.join(lines) + b'\r\n' + extra + b'\r\n'
+
+
+@given('two runners of which the first {fault}')
+def two_runners(context, fault):
+    context.world = World(fault)
+
+
+@when('a {kind} request is sent')
+def send_request(context, kind):
+    async def script(world):
+        stream = await world.open()
+        await stream.send_all(_request(b'/%s/1' % kind.encode()))
+        context.data = await _read_all(stream)
+
+    context.kind = kind
+    _play(context, script)
+
+
+@then('its answer is {answer}')
+def check_answer(context, answer):
+    head, _, body = context.data.partition(b'\r\n\r\n')
+    status = int(head.split(b' ')[1])
+    assert status == int(answer.split()[0]), context.data
+    if answer.endswith('whole') and context.kind == 'streaming':
+        sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
+        assert b''.join(sent) == b''.join(EVENTS), body
+        assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('whole'):
+        assert body == b'whole', context.data
+    elif answer.endswith('unknown'):
+        assert b'"outcome": "unknown"' in body, body
+    elif answer.endswith('of the runner'):
+        assert body == b'failed', body
+
+
+@then('the runners ran it {count:d} times')
+def check_runs(context, count):
+    runs = [runner.runs for runner in context.world.runners]
+    assert sum(runs) == count, runs
+
+
+@then(
+    "the caller's key reached no runner, and each was told what time is left"
+)
+def check_headers(context):
+    for runner in context.world.runners:
+        for request in runner.seen:
+            assert b'authorization' not in request, request
+            assert 0 < int(request[b'x-deadline-ms']) <= 2500, request
+            assert request[b'x-team'] == b'crews', request
+            assert request[b'x-expect-instance'].startswith(b'i-'), request
+
+
+@when('a safe request is sent and its caller leaves after 0.2 s')
+def leave(context):
+    async def script(world):
+        stream = await world.open()
+        await stream.send_all(_request(b'/safe/1'))
+        await trio.sleep(0.2)
+        await stream.aclose()
+        with trio.move_on_after(0.5):
+            await world.runners[0].closed.wait()
+
+    _play(context, script)
+
+
+@then("the runner's connection is closed within 0.5 s")
+def check_closed(context):
+    assert context.world.runners[0].closed.is_set()
+
+
+SENT = {
+    'sends no key': _request(b'/safe/1', key=b''),
+    'sends a key that no team holds': _request(b'/safe/1', key=b'other'),
+    'asks for a path with no route': _request(b'/none/1'),
+    'sends a head of 20000 bytes': _request(
+        b'/safe/1', extra=b'X-Much: ' + b'x' * 20000 + b'\r\n'
+    ),
+    'sends a body of 3000 bytes': _request(
+        b'/unsafe/1', extra=b'Content-Length: 3000\r\n', method=b'POST'
+    )
+    + b'x' * 3000,
+    'sends half a head and waits': _request(b'/safe/1')[:-10],
+    'sends what is no request': b'nonsense\r\n\r\n',
+}
+
+
+@when('one caller {does}')
+def send_wrong(context, does):
+    async def script(world):
+        stream = await world.open()
+        await stream.send_all(SENT[does])
+        context.data = await _read_all(stream)
+
+    _play(context, script)
+
+
+@then('it is answered {status:d} and nothing ran')
+def check_status(context, status):
+    assert context.data.startswith(b'HTTP/1.1 %d ' % status), context.data
+    assert not any(runner.runs for runner in context.world.runners)
--- a/mountridge/httpserver.py
+++ b/mountridge/httpserver.py
@@ -241,7 +241,12 @@
             event = await self._event(http, stream)
         if scope.cancelled_caught:
             raise errors.TooSlow('the head did not arrive in time')
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        # The parser bounds a head only while it is incomplete.
+        if _head_bytes(event) > limits.header_bytes:
+            raise errors.HeadTooLarge(f'over {limits.header_bytes} bytes')
+        return event
 
     async def _wait_for_bytes(self, http, stream, idle_s: float) -> bool:
         """Return whether bytes came before the connection ended."""
@@ -288,6 +293,13 @@
             nursery.cancel_scope.cancel()
 
 
+def _head_bytes(head: h11.Request) -> int:
+    """Return the size of a request's head as it came, near enough."""
+    fields = head.headers.raw_items()
+    size = sum(len(name) + len(value) + 4 for name, value in fields)
+    return size + len(head.method) + len(head.target)
+
+
 async def _watch(http, stream, scope: trio.CancelScope) -> None:
     """Cancel ``scope`` when the caller closes; keep what it sends ahead."""
     ahead = 0
