--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -12,6 +12,8 @@
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 HOST = '127.0.0.1'
+#: After how many events a stream is cut; a half is inside the next one.
+CUTS = {'breaks off its answer': 2, 'breaks off inside an event': 2.5}
 LIMITS = routes.Limits(8192, 2000, 300.0, 2000.0)
 
 
@@ -88,11 +90,8 @@
         if fault == 'closes with no answer':
             return b'', False
         if request[b'streams']:
-            cut = {
-                'breaks off its answer': 2,
-                'breaks off inside an event': 2.5,
-            }
-            return _stream(request, cut.get(fault)), fault not in cut
+            cut = CUTS.get(fault)
+            return _stream(request, cut), cut is None
         if fault == 'breaks off its answer':
             return _whole(200, request, b'whole')[:-2], False
         if fault == 'fails while it runs it':
@@ -169,7 +168,8 @@
         self.known.by_id['i-1'].heard(3, 0, trio.current_time())
         (front,) = await trio.open_tcp_listeners(0, host=HOST)
         self.port = front.socket.getsockname()[1]
-        nursery.start_soon(trio.serve_listeners, self.server._serve, [front])
+        serve = self.server.serve_connection
+        nursery.start_soon(trio.serve_listeners, serve, [front])
 
     async def open(self):
         return await trio.open_tcp_stream(HOST, self.port)
--- a/mountridge/cliroutes.py
+++ b/mountridge/cliroutes.py
@@ -71,7 +71,7 @@
         ]
         with trio.fail_after(CALL_S):
             async with pool.request(
-                address, method, target, headers, body, ''
+                address, method, target, headers, body, None
             ) as reply:
                 return reply.head.status, await reply.whole()
 
--- a/mountridge/engines.py
+++ b/mountridge/engines.py
@@ -47,7 +47,7 @@
             headers.append((b'Content-Length', b'%d' % len(body)))
         with trio.move_on_after(CALL_S):
             async with self._pool.request(
-                self._address, method, target, headers, body, ''
+                self._address, method, target, headers, body, None
             ) as reply:
                 return reply.head, await reply.whole()
         raise errors.OutcomeUnknown('no answer in time')
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -61,10 +61,11 @@
         )
         self.draining = False
         self._drain_began_s = 0.0
-        self.front = self._server(self.forwarder.handle)
+        self.front = self.make_server(self.forwarder.handle)
         self._view_revision = -1
 
-    def _server(self, handler: httpserver.Handler) -> httpserver.Server:
+    def make_server(self, handler: httpserver.Handler) -> httpserver.Server:
+        """Return a server under the limits and the drain of this process."""
         return httpserver.Server(handler, self.limits, lambda: self.draining)
 
     def limits(self) -> routes.Limits:
@@ -366,9 +367,9 @@
 
     return [
         listener('front', entry.front),
-        listener('readiness', entry._server(handlers.readiness)),
-        listener('control', entry._server(handlers.control)),
-        listener('directory', entry._server(handlers.directory)),
+        listener('readiness', entry.make_server(handlers.readiness)),
+        listener('control', entry.make_server(handlers.control)),
+        listener('directory', entry.make_server(handlers.directory)),
     ]
 
 
--- a/mountridge/httpserver.py
+++ b/mountridge/httpserver.py
@@ -153,14 +153,15 @@
     async def run(self, address: str) -> None:
         """Listen on IP:PORT until cancelled."""
         host, _, port = address.rpartition(':')
-        await trio.serve_tcp(self._serve, int(port), host=host)
+        await trio.serve_tcp(self.serve_connection, int(port), host=host)
 
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         for scope in list(self._idle):
             scope.cancel()
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve the requests of one connection until it ends."""
         try:
             await self._serve_requests(stream)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, _Gone):
--- a/mountridge/lasthop.py
+++ b/mountridge/lasthop.py
@@ -108,12 +108,12 @@
         self,
         names: dialects.HeaderNames,
         now_s: typing.Callable[[], float],
+        connect_s: float = CONNECT_S,
     ):
         self._names = names
+        self._connect_s = connect_s
         self._now_s = now_s
         self._idle: dict[str, list[_Connection]] = {}
-        #: Connections made, by address: they are what runners bear.
-        self.opened = 0
 
     async def _connect(self, address: str) -> _Connection:
         idle = self._idle.get(address, [])
@@ -124,14 +124,13 @@
             await trio.aclose_forcefully(connection.stream)
         host, _, port = address.rpartition(':')
         try:
-            with trio.fail_after(CONNECT_S):
+            with trio.fail_after(self._connect_s):
                 stream = await trio.open_tcp_stream(host, int(port))
         except (OSError, trio.TooSlowError) as problem:
             raise errors.NoRunner(f'{address} can not be reached: {problem}')
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
-        self.opened += 1
         return _Connection(stream)
 
     @contextlib.asynccontextmanager
@@ -142,10 +141,13 @@
         target: bytes,
         headers: Headers,
         body: bytes,
-        request_id: str,
+        request_id: str | None,
     ) -> typing.AsyncIterator[Reply]:
         """Send a request and give its answer once the head has come.
 
+        Answers that carry another id than ``request_id`` are passed over;
+        None takes any.
+
         :raises NoRunner: no connection could be made; nothing was sent.
         :raises OutcomeUnknown: the connection broke before the answer.
         """
@@ -173,14 +175,16 @@
         connection: _Connection,
         asked: h11.Request,
         body: bytes,
-        request_id: str,
+        request_id: str | None,
     ) -> Reply:
         """Return the answer to this request, past those to earlier ones."""
         for _ in range(MAX_SURPLUS):
             status, headers = await self._head(connection)
             head = dialects.read_reply(status, headers, self._names)
             reply = Reply(connection, head, headers)
-            if head.request_id in (None, request_id):
+            if None in (request_id, head.request_id):
+                return reply
+            if head.request_id == request_id:
                 return reply
             await reply.whole()
             _expect_another(connection, asked, body)
--- a/mountridge/routes.py
+++ b/mountridge/routes.py
@@ -15,14 +15,13 @@
 from mountridge import errors
 
 __all__ = [
-    'Engine', 'IDEMPOTENT', 'Limits', 'Route', 'RouteTable', 'SAFE',
+    'Engine', 'Limits', 'Route', 'RouteTable', 'SAFE',
     'STREAMING', 'Service', 'Share', 'Team', 'UNSAFE', 'check', 'compress',
-    'decompress', 'decode', 'index',
+    'decompress', 'decode', 'draw_service', 'index',
 ]  # fmt: skip
 
 #: Kinds of route: what may be repeated, and how the answer comes.
 SAFE, UNSAFE, STREAMING = 'safe', 'unsafe', 'streaming'
-IDEMPOTENT = (SAFE,)
 KINDS = (SAFE, UNSAFE, STREAMING)
 
 #: A document past this size, unpacked, is refused; 4 MiB is what the HTTP
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -139,7 +139,7 @@
         try:
             with trio.move_on_after(3):
                 async with self.pool.request(
-                    self.control, b'POST', path, headers, body, ''
+                    self.control, b'POST', path, headers, body, None
                 ) as reply:
                     await reply.whole()
                     return reply.head.status
