Let a gateway's box hold a pass, not the box of the held rank

Ruled out: the leader reading the rank itself; the runner is frozen with its box.

Change: the leader lets a gateway give the hold, one that is no controller where there is one, in turn; after 0.15 s without effect the rank's own box gives it. The pass is held one earlier, half a pass being under way already.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -68,12 +68,17 @@
     When sidecars and a leader change its maps for 40 s with orders unanswered and carried out 2 to 12 s later
     Then the group stood still for at most 2 s in all
 
-  Scenario: A sidecar that is frozen right after a hold hardly holds a group up
+  Scenario Outline: Whoever is lost right after a hold hardly holds a group up
     Given a group of 4 engines whose demand shifts each second
-    When sidecars and a leader change its maps for 40 s with each hold's sidecar frozen for 4 s
-    Then the group stood still for at most 8 s in all
+    When sidecars and a leader change its maps for 40 s with <lost> of each hold frozen for 4 s
+    Then the group stood still for at most <most> s in all
     And no pass was made with two maps
-    And the maps were changed at least 4 times
+    And the maps were changed at least <changes> times
+
+    Examples:
+      | lost                              | most | changes |
+      | the sidecar, no other box holding | 8    | 4       |
+      | the box                           | 1    | 20      |
 
   Scenario: A dead rank begins a new epoch, and the change under way is over
     Given a group of 4 engines whose demand shifts each second
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -14,9 +14,8 @@
 
 from mountridge import application, changes, claims, commands, consensus
 from mountridge import entries, errors, groups, leases, limits, members
-from mountridge import messages
-from mountridge import registry
-from mountridge import replicas, statemachine, storage, utils, views
+from mountridge import messages, registry, replicas, statemachine
+from mountridge import storage, utils, views
 
 __all__ = ['Controller', 'build', 'run']
 
@@ -47,6 +46,7 @@
         self.groups = groups.Groups(
             app, self.replica, lambda instance_id: self.sheet(instance_id)
         )
+        self.groups.give_elsewhere = self.give_elsewhere
         #: Incarnations that a later one of the same name has replaced.
         self._replaced: set[tuple[str, str]] = set()
 
@@ -196,6 +196,26 @@
                 if holder.renew.kind == 'gateway':
                     self.app.send(holder.route, message)
 
+    def give_elsewhere(self, order: messages.RemoteOrder) -> bool:
+        """Let a gateway give an order; false where none can be told.
+
+        Gateways that are no controllers come first, in turn, so that the
+        loss of the one that gives it costs no election.
+        """
+        controllers = members.by_name(self.replica.node.config.addresses())
+        listed = sorted(
+            (holder.renew.name in controllers, name)
+            for name, holder in self.leases.holders.items()
+            if holder.renew.kind == 'gateway' and not holder.renew.leaving
+        )
+        plain = [name for is_controller, name in listed if not is_controller]
+        names = plain or [name for _, name in listed]
+        if not names:
+            return False
+        name = names[order.order.version % len(names)]
+        logger.info('order by another box', box=name, **_told(order))
+        return self.app.send(self.leases.holders[name].route, order)
+
     # Operators and claims.
 
     async def put(self, peer, put: messages.Put) -> messages.PutReply:
@@ -296,6 +316,17 @@
         }
 
 
+def _told(remote: messages.RemoteOrder) -> dict:
+    """Return the fields of a log line on an order."""
+    order = remote.order
+    return {
+        'runner': remote.instance_id,
+        'kind': order.kind,
+        'version': order.version,
+        'step': order.step,
+    }
+
+
 def build(
     app: application.Application,
     make_replica: typing.Callable = replicas.Replica,
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -36,14 +36,22 @@
 RELOAD_POLL_S = 1.0
 
 
+#: Reaches the engine at an address.
+Connect = typing.Callable[[application.Application, str], sidecar.Engine]
+
+
 class Entry:
     """State of the entry process, and what it does for callers."""
 
     def __init__(
-        self, app: application.Application, dialect: dialects.Dialect
+        self,
+        app: application.Application,
+        dialect: dialects.Dialect,
+        connect: Connect,
     ):
         self.app = app
         self.dialect = dialect
+        self._connect = connect
         self.settings = app.settings['entry']
         self.held = leases.HeldLease()
         self.leader = members.Leader(app, self._pushed)
@@ -103,6 +111,24 @@
                 if backend is not None:
                     backend.heard(load.running, load.waiting, now_s)
                     backend.pace = load.pace
+        elif isinstance(message, messages.RemoteOrder):
+            self.app.start_task(self._give_order, message)
+
+    async def _give_order(self, remote: messages.RemoteOrder) -> None:
+        """Give an order in place of the box of the runner."""
+        engine = self.engine(remote.instance_id)
+        if engine is None:
+            logger.warning('order for an unknown runner', **remote._asdict())
+            return
+        told = await sidecar.follow(engine, remote.order)
+        logger.info('remote order', runner=remote.instance_id, **told)
+
+    def engine(self, instance_id: str) -> sidecar.Engine | None:
+        """Return a way to a runner's engine, None where it is not known."""
+        backend = self.backends.by_id.get(instance_id)
+        if backend is None:
+            return None
+        return self._connect(self.app, backend.instance.address)
 
     def follow_view(self, *_: typing.Any, **__: typing.Any) -> None:
         """Bring what is derived from the view up to date."""
@@ -285,12 +311,7 @@
     storage.initialize(data, node_id, entries.Config(voters, {}))
 
 
-def _add_controller(
-    app: application.Application,
-    entry: Entry,
-    connect: typing.Callable[[application.Application, str], sidecar.Engine],
-) -> None:
-    """Add a controller; ``connect`` reaches the engine at an address."""
+def _add_controller(app: application.Application, entry: Entry) -> None:
     made = controller.build(app)
     made.groups.offload = trio.to_thread.run_sync
 
@@ -305,13 +326,10 @@
             return None
         return mapplans.Sheet(engine.places, engine.spare, engine.experts)
 
-    def engine(instance_id: str) -> sidecar.Engine | None:
-        """Return a way to a runner's engine, None where it is not known."""
-        backend = entry.backends.by_id.get(instance_id)
-        return connect(app, backend.instance.address) if backend else None
-
     made.sheet = sheet
-    app.tasks.append(remoteranks.RemoteRanks(app, made.groups, engine).run)
+    app.tasks.append(
+        remoteranks.RemoteRanks(app, made.groups, entry.engine).run
+    )
     formed = formation.Formation(app, made.replica, entry.leader)
     app.handlers[messages.Join] = formed.on_join
     app.tasks += [formed.ask_to_join, formed.steward, formed.tell_seeds]
@@ -354,10 +372,10 @@
 def build(
     app: application.Application,
     dialect: dialects.Dialect,
-    connect: typing.Callable[[application.Application, str], sidecar.Engine],
+    connect: Connect,
 ) -> Entry:
     """Return an entry whose handlers and tasks are in ``app``."""
-    entry = Entry(app, dialect)
+    entry = Entry(app, dialect, connect)
     for kind in FOR_LEADER:
         app.handlers[kind] = entry.refer
     app.handlers[messages.Controllers] = entry.learn
@@ -366,7 +384,7 @@
     app.drain.append(entry.begin_drain)
     if app.settings['controller']['data']:
         # Leadership is handed over before the long wait for callers.
-        _add_controller(app, entry, connect)
+        _add_controller(app, entry)
     app.drain.append(entry.drain)
     return entry
 
@@ -395,9 +413,7 @@
     path: str,
     dialect: dialects.Dialect = dialects.NATIVE,
     spelling: entryapi.Spelling = entryapi.NATIVE,
-    connect: typing.Callable[
-        [application.Application, str], sidecar.Engine
-    ] = engines.connect_to,
+    connect: Connect = engines.connect_to,
 ) -> None:
     """Run an entry until it is stopped; ``path`` is its settings file."""
     if settings['controller']['data']:
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -18,6 +18,9 @@
 
 #: A rank that has not reported for this long is unknown; nothing is begun.
 REPORT_OLD_S = 2.0
+#: A hold that another box gives shows in the rank's report within two or
+#: three of the 0.04 s between reports; past this the rank's own box gives it.
+REMOTE_HOLD_S = 0.15
 #: Span of the passes by which the length of one is told. Longer than some
 #: passes, shorter than a slow rank takes to be noticed.
 PASSES_S = 0.5
@@ -44,6 +47,8 @@
         self.change: mapchanges.Change | None = None
         self.changed_s = 0.0
         self.planning = False
+        #: The pass whose hold was last given by another box, and when.
+        self.remote_hold = (ranks.NO_VERSION, 0.0)
         #: When each of the newest passes was first heard of.
         self._passes: collections.deque[tuple[int, float]] = (
             collections.deque()
@@ -130,6 +135,10 @@
         #: Runs the search for a plan; a process that serves requests gives
         #: one that runs it in a thread.
         self.offload: typing.Callable = _at_once
+        #: Lets another box give an order; tells whether one was found.
+        self.give_elsewhere: typing.Callable[[messages.RemoteOrder], bool] = (
+            lambda _: False
+        )
         self.by_name: dict[str, Group] = {}
         self._loads: dict[str, messages.RunnerLoad] = {}
 
@@ -192,8 +201,31 @@
         if group.change is None and not group.planning:
             await self._plan(report.instance_id, group, now_s)
         order = self._next_order(group, state, now_s)
+        if order is not None and order.kind == ranks.HOLD:
+            order = self._hold_elsewhere(group, report, order, now_s)
         return messages.RankReply(term, order, group.change is not None)
 
+    def _hold_elsewhere(
+        self,
+        group: Group,
+        report: messages.RankReport,
+        order: ranks.RankOrder,
+        now_s: float,
+    ) -> ranks.RankOrder | None:
+        """Let another box hold the pass; return the order where none does.
+
+        Whoever holds a pass may be lost right after. If that is the box of
+        the rank itself, nobody can reach the rank to let the pass go.
+        """
+        step, given_s = group.remote_hold
+        if order.step == step:
+            return order if now_s - given_s > REMOTE_HOLD_S else None
+        remote = messages.RemoteOrder(report.instance_id, order)
+        if not self.give_elsewhere(remote):
+            return order
+        group.remote_hold = (order.step, now_s)
+        return None
+
     def _next_order(
         self, group: Group, state: ranks.RankState, now_s: float
     ) -> ranks.RankOrder | None:
--- a/mountridge/mapchanges.py
+++ b/mountridge/mapchanges.py
@@ -128,4 +128,4 @@
     newest = max(s.step for s in states)
     if newest + PAST_PASSES <= change.step:
         return change
-    return change._replace(step=newest + 1 + math.ceil(AHEAD_S / pass_s))
+    return change._replace(step=newest + math.ceil(AHEAD_S / pass_s))
--- a/mountridge/messages.py
+++ b/mountridge/messages.py
@@ -52,6 +52,7 @@
     'Controllers',
     'Heartbeat',
     'Loads',
+    'RemoteOrder',
     'RankReply',
     'RankReport',
     'RunnerLoad',
@@ -436,6 +437,13 @@
     loads: list[RunnerLoad]
 
 
+class RemoteOrder(typing.NamedTuple):
+    """Leader to a gateway: give an order to a runner's engine."""
+
+    instance_id: str
+    order: ranks.RankOrder
+
+
 _KINDS: tuple[type, ...] = (
     Ticket,
     Frames,
@@ -476,6 +484,7 @@
     RankReport,
     RankReply,
     Loads,
+    RemoteOrder,
     Controllers,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
