--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -26,12 +26,12 @@
 PASSES_S = 0.5
 #: Time constant of the mean of expert counts. What is asked for shifts
 #: within seconds; a second of passes holds thousands of choices.
-COUNTS_S = 1.2
+COUNTS_S = 0.6
 #: Least time between the end of a change and the next plan.
-PAUSE_S = 0.6
+PAUSE_S = 0.2
 #: Work seen within COUNTS_S, in choices of an expert, below which no plan
 #: is made: an idle group gains nothing from one.
-LEAST_CHOICES = 20000
+LEAST_CHOICES = 10000
 
 
 class Group:
--- a/mountridge/mapplans.py
+++ b/mountridge/mapplans.py
@@ -18,7 +18,7 @@
 
 #: Part by which the passes' slowest ranks must get faster, set by set, for
 #: a change to pay for its copies and its orders.
-LEAST_GAIN = 0.15
+LEAST_GAIN = 0.1
 #: Gain per expert copied, in the norm of `maps`, below which it stays.
 LEAST_MOVE_GAIN = 0.02
 #: A rank at this many times its usual time is relieved of all experts that
