Bound what a rank copies in one change of the map by the time it takes

A copy of an expert takes 0.4 s there, a rank copied up to four a set one after the other, and demand shifts each 3 to 4 s: most of that time passed before a plan was in use.

A change now copies so many experts to a rank, over all sets of layers, as take 0.45 s, and one at least; the copies that lower the slowest ranks most come first, whatever their set. Ruled out: planning set by set with a bound per set, as before, which gives the first sets all copies.

--- a/features/mapplans.feature
+++ b/features/mapplans.feature
@@ -34,6 +34,13 @@
     When a map is planned
     Then it is a whole map within the places and the spare ones
 
+  Scenario: Where copies take long, the few that help most come first
+    Given a group of 12 ranks with 96 experts in 3 sets, whose copies take 0.4 s
+    And one expert of each set gets 23 of 100 choices
+    When a map is planned
+    Then at most 1 experts are new to a rank over all sets
+    And the slowest rank's time is at most 0.5 of what it was
+
   Scenario: Requests go past a slow runner while there is another
     Given 3 gateways and 4 runners of 6 slots
     And the first runner takes 5 times its usual time
--- a/features/steps/mapplans_steps.py
+++ b/features/steps/mapplans_steps.py
@@ -14,13 +14,38 @@
 
 @given('a group of 16 ranks with 64 experts in 4 sets, 5 places and 2 spare')
 def make_plan_group(context):
+    _make_group(context, RANKS, SETS, SHEET)
+
+
+@given(
+    'a group of 12 ranks with 96 experts in 3 sets, '
+    'whose copies take {copy_s:g} s'
+)
+def make_slow_copies(context, copy_s):
+    sheet = mapplans.Sheet(places=11, spare=4, experts=96, copy_s=copy_s)
+    _make_group(context, 12, 3, sheet)
+
+
+def _make_group(context, ranks, sets, sheet):
     rng = random.Random(3)
+    context.sheet = sheet
     context.placed = [
-        [list(range(r, EXPERTS, RANKS)) for r in range(RANKS)]
-        for _ in range(SETS)
+        [list(range(r, sheet.experts, ranks)) for r in range(ranks)]
+        for _ in range(sets)
+    ]
+    context.counts = [
+        rng.uniform(50, 150) for _ in range(sets * sheet.experts)
     ]
-    context.counts = [rng.uniform(50, 150) for _ in range(SETS * EXPERTS)]
-    context.paces = [1.0] * RANKS
+    context.paces = [1.0] * ranks
+
+
+@given('one expert of each set gets {part:d} of 100 choices')
+def one_hot_expert(context, part):
+    experts = context.sheet.experts
+    for first in range(0, len(context.counts), experts):
+        others = sum(context.counts[first : first + experts])
+        others -= context.counts[first + 5]
+        context.counts[first + 5] = others * part / (100 - part)
 
 
 @given('rank {rank:d} takes {times:g} times its usual time')
@@ -42,7 +67,7 @@
 def _plan(context):
     context.before = context.placed
     planned = mapplans.plan(
-        context.placed, context.counts, context.paces, SHEET
+        context.placed, context.counts, context.paces, context.sheet
     )
     if planned is not None:
         context.placed = planned.placed
@@ -81,6 +106,16 @@
             assert len(set(new) - set(old)) <= SHEET.spare, (old, new)
 
 
+@then('at most {most:d} experts are new to a rank over all sets')
+def check_new_over_sets(context, most):
+    for rank in range(len(context.paces)):
+        new = sum(
+            len(set(after[rank]) - set(before[rank]))
+            for before, after in zip(context.before, context.placed)
+        )
+        assert new <= most, (rank, new)
+
+
 @then('rank {rank:d} holds at most {most:d} experts in each set')
 def check_most(context, rank, most):
     held = [len(by_rank[rank]) for by_rank in context.placed]
@@ -96,7 +131,8 @@
 def _time(context, placed):
     total = 0.0
     for number, by_rank in enumerate(placed):
-        load = context.counts[number * EXPERTS : (number + 1) * EXPERTS]
+        experts = context.sheet.experts
+        load = context.counts[number * experts : (number + 1) * experts]
         each = maps.rank_loads(by_rank, load)
         total += max(a * p for a, p in zip(each, context.paces))
     return total
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -329,7 +329,9 @@
         engine = service.engine if service else None
         if engine is None or not engine.experts:
             return None
-        return mapplans.Sheet(engine.places, engine.spare, engine.experts)
+        return mapplans.Sheet(
+            engine.places, engine.spare, engine.experts, engine.copy_s
+        )
 
     made.sheet = sheet
     app.tasks.append(
--- a/mountridge/mapplans.py
+++ b/mountridge/mapplans.py
@@ -25,6 +25,11 @@
 #: others have places for. Below, weighing its load by its pace is enough.
 RELIEVE_PACE = 2.0
 
+#: How long the copies of one change may take at a rank. Demand may shift
+#: each 3 s; until a change is in use the passes wait for the most loaded
+#: rank. One copy is always allowed.
+COPIES_S = 0.45
+
 #: By set of layers and rank, the experts.
 Placed = list[list[list[int]]]
 
@@ -35,6 +40,14 @@
     places: int  # experts that a rank holds at most, by set
     spare: int  # experts new to a rank, by set, in one change
     experts: int  # of one set
+    copy_s: float = 0.0  # to copy one expert; 0 where it is not known
+
+    def most_new(self, sets: int) -> int:
+        """Return how many experts may be new to a rank in one change."""
+        most = self.spare * sets
+        if self.copy_s <= 0:
+            return most
+        return max(1, min(most, int(COPIES_S / self.copy_s)))
 
 
 class Planned(typing.NamedTuple):
@@ -52,22 +65,19 @@
     ``counts`` has the choices of each expert, set by set; ``paces`` how
     many times its usual time each rank takes.
     """
-    before = after = 0.0
-    moved = 0
-    new = []
-    for number, by_rank in enumerate(placed):
-        first = number * sheet.experts
-        load = counts[first : first + sheet.experts]
-        planned = _plan_set(by_rank, load, paces, sheet)
-        before += _slowest(by_rank, load, paces)
-        after += _slowest(planned, load, paces)
-        moved += maps.moved_experts(by_rank, planned)
-        new.append([list(held) for held in planned])
+    load = [
+        counts[first : first + sheet.experts]
+        for first in range(0, len(placed) * sheet.experts, sheet.experts)
+    ]
+    new = _spread(placed, load, paces, sheet)
+    before = sum(_slowest(p, asked, paces) for p, asked in zip(placed, load))
+    after = sum(_slowest(p, asked, paces) for p, asked in zip(new, load))
+    moved = sum(maps.moved_experts(old, now) for old, now in zip(placed, new))
     if before <= 0 or (before - after) / before < LEAST_GAIN:
         return None
     mean = sum(counts) / max(1, len(paces))
     return Planned(
-        new,
+        [[list(held) for held in by_rank] for by_rank in new],
         f'slowest ranks at {before / mean:.2f} times the mean, then '
         f'{after / mean:.2f}, for {moved} experts copied'
         f'{_told_slow(paces)}',
@@ -90,24 +100,29 @@
     return max(amount * pace for amount, pace in zip(each, paces))
 
 
-def _plan_set(
-    placed: list[list[int]],
-    load: list[float],
+def _spread(
+    placed: Placed,
+    load: list[list[float]],
     paces: list[float],
     sheet: Sheet,
-) -> maps.ExpertMap:
-    """Return the map of one set of layers, balanced anew."""
+) -> list[maps.ExpertMap]:
+    """Return the maps of all sets of layers, balanced anew."""
     slow = {r for r, pace in enumerate(paces) if pace >= RELIEVE_PACE}
     if len(slow) == len(paces):
         slow = set()
     weighed = [
         math.inf if rank in slow else pace for rank, pace in enumerate(paces)
     ]
+    relieved = [
+        _relieve(by_rank, asked, slow, sheet)
+        for by_rank, asked in zip(placed, load)
+    ]
     return maps.spread(
-        _relieve(placed, load, slow, sheet),
+        relieved,
         load,
         sheet.places,
         sheet.spare,
+        sheet.most_new(len(placed)),
         LEAST_MOVE_GAIN,
         weighed,
         placed,
--- a/mountridge/maps.py
+++ b/mountridge/maps.py
@@ -114,6 +114,14 @@
     is_swap: bool
 
 
+class Allowance:
+    """How many experts may be new to a rank, over all sets of layers."""
+
+    def __init__(self, ranks: int, most: int):
+        self.most = most
+        self.taken = [0] * ranks
+
+
 class Search:
     """A map under search, with the load of each rank kept up to date."""
 
@@ -125,6 +133,7 @@
         empty: int | None = None,
         paces: list[float] | None = None,
         first: ExpertMap | None = None,
+        allowance: Allowance | None = None,
     ):
         #: How many times its usual time each rank takes for its load.
         self.paces = paces or [1.0] * len(placed)
@@ -132,6 +141,8 @@
         #: How many experts may be new to a rank; None for any number.
         self.spare = spare
         self.first = [set(slots) for slots in first or placed]
+        #: What the searches of all sets of layers may add to each rank.
+        self.allowance = allowance
         #: The expert that stands for an empty place.
         self.empty = empty
         self.loads = loads
@@ -202,7 +213,8 @@
             key=lambda r: each[r],
         )
         hot = order[-1]
-        for cold in order[:COLDEST]:
+        able = [rank for rank in order if self._has_room(rank)]
+        for cold in able[:COLDEST]:
             for i, mine in enumerate(self.placed[hot]):
                 if cold in self.holders[mine]:
                     continue
@@ -215,15 +227,38 @@
                         if self._may_take(hot, theirs, mine):
                             yield Change(hot, i, cold, j, True)
 
+    def _has_room(self, rank: int) -> bool:
+        """Return whether a rank may take a new expert of any set."""
+        if self.allowance is None:
+            return True
+        return self.allowance.taken[rank] < self.allowance.most
+
     def _may_take(self, rank: int, coming: int, going: int) -> bool:
         """Return whether a rank may fetch one more expert."""
         if self.spare is None:
             return True
         first = self.first[rank]
-        fresh = set(self.placed[rank]) - first - {going}
-        if coming not in first:
+        fresh = self.fresh(rank) - {going}
+        if coming not in first and coming != self.empty:
             fresh.add(coming)
-        return len(fresh - {self.empty}) <= self.spare
+        if len(fresh) > self.spare:
+            return False
+        if self.allowance is None:
+            return True
+        added = len(fresh) - len(self.fresh(rank))
+        return self.allowance.taken[rank] + added <= self.allowance.most
+
+    def fresh(self, rank: int) -> set[int]:
+        """Return the experts that are new to a rank."""
+        return set(self.placed[rank]) - self.first[rank] - {self.empty}
+
+    def is_allowed(self, change: Change) -> bool:
+        """Return whether a change found earlier still fits."""
+        going = self.placed[change.hot][change.hot_slot]
+        coming = self.placed[change.cold][change.cold_slot]
+        if not self._may_take(change.cold, going, coming):
+            return False
+        return not change.is_swap or self._may_take(change.hot, coming, going)
 
     def best(self) -> tuple[float, Change] | None:
         """Return the change that gains most for each expert moved."""
@@ -246,6 +281,7 @@
             self.powers[which] = sum(
                 (x / mean) ** POWER for x in self.each[which]
             )
+        before = len(self.fresh(change.hot)), len(self.fresh(change.cold))
         going = self.placed[change.hot][change.hot_slot]
         coming = self.placed[change.cold][change.cold_slot]
         self.placed[change.cold][change.cold_slot] = going
@@ -258,6 +294,10 @@
         else:
             self.copies[going] += 1
             self.copies[coming] -= 1
+        if self.allowance is not None:
+            for rank, known in zip((change.hot, change.cold), before):
+                added = len(self.fresh(rank)) - known
+                self.allowance.taken[rank] += added
 
 
 def plan(current: ExpertMap, loads: Loads, weights: Weights) -> Plan | None:
@@ -289,35 +329,59 @@
 
 
 def spread(
-    placed: ExpertMap,
-    load: list[float],
+    placed: list[ExpertMap],
+    load: list[list[float]],
     places: int,
     spare: int,
+    most_new: int,
     least_gain: float,
-    paces: list[float] | None = None,
-    first: ExpertMap | None = None,
-) -> ExpertMap:
-    """Return a map whose ranks share ``load`` more evenly.
-
-    A rank holds at most ``places`` experts, of which at most ``spare`` are
-    new to it. Each copy must lower the norm of the ranks' loads by
-    ``least_gain``. An empty place stands in the search as an expert that
-    nobody chooses. A rank of infinite pace gets nothing and gives nothing.
-    What is new to a rank is told by ``first``, the map in use, where
-    ``placed`` differs from it.
+    paces: list[float],
+    first: list[ExpertMap],
+) -> list[ExpertMap]:
+    """Return maps, by set of layers, whose ranks share ``load`` more evenly.
+
+    A rank holds at most ``places`` experts of a set. At most ``spare`` of
+    them are new to it, and at most ``most_new`` over all sets. The copies
+    that lower the norm of the ranks' loads most come first, whatever their
+    set; each must lower it by ``least_gain``. An empty place stands in the
+    search as an expert that nobody chooses. A rank of infinite pace gets
+    nothing and gives nothing. What is new to a rank is told by ``first``,
+    the maps in use, where ``placed`` differs from them.
     """
-    empty = len(load)
-    full = tuple(
-        tuple(held) + (empty,) * (places - len(held)) for held in placed
-    )
-    loads = Loads(load + [0.0], load + [0.0])
-    search = Search(full, loads, spare, empty, paces, first)
-    for _ in range(MAX_MOVES):
-        best = search.best()
-        if best is None or best[0] < least_gain:
-            break
-        search.take(best[1])
-    return tuple(
-        tuple(expert for expert in held if expert != empty)
-        for held in search.placed
-    )
+    empty = len(load[0])
+    allowance = Allowance(len(paces), most_new)
+    searches = []
+    for held, asked, known in zip(placed, load, first):
+        full = tuple(
+            tuple(slots) + (empty,) * (places - len(slots)) for slots in held
+        )
+        loads = Loads(asked + [0.0], asked + [0.0])
+        search = Search(full, loads, spare, empty, paces, known, allowance)
+        for rank in range(len(paces)):
+            allowance.taken[rank] += len(search.fresh(rank))
+        searches.append(search)
+    _take_best(searches, least_gain)
+    return [
+        tuple(
+            tuple(expert for expert in held if expert != empty)
+            for held in search.placed
+        )
+        for search in searches
+    ]
+
+
+def _take_best(searches: list[Search], least_gain: float) -> None:
+    """Make the best change of any search, until none is good enough."""
+    best = [search.best() for search in searches]
+    for _ in range(MAX_MOVES * len(searches)):
+        gain, number = max(
+            (found[0] if found else 0.0, number)
+            for number, found in enumerate(best)
+        )
+        if gain < least_gain:
+            return
+        search = searches[number]
+        change = best[number][1]
+        if search.is_allowed(change):
+            search.take(change)
+        best[number] = search.best()
--- a/mountridge/routes.py
+++ b/mountridge/routes.py
@@ -67,7 +67,8 @@
     memory_tokens: int
     experts: int = 0  # of one set of layers; 0: not in a group
     places: int = 0  # experts that a rank holds at most, by set
-    spare: int = 0  # experts new to a rank in one change of the map
+    spare: int = 0  # experts new to a rank, by set, in one change of the map
+    copy_s: float = 0.0  # to copy one expert to a rank; 0: not known
 
 
 class Service(typing.NamedTuple):
