Let a full disk stall a controller, and end no process

A write that finds no room is now taken back to the last synced frame and tried again each 0.2 s. Meanwhile the replica takes no step: a leader loses its lease, a voter is missed, nothing is acknowledged. A failed sync stays final, since what it covered is unknown.

Two scenarios demanded the old behaviour and are replaced by ones as strict: 'a full disk ends the controller before it acknowledges' now wants that the process runs, logs code 1702, holds no new entry, and holds the new table once there is room; 'write | disk is full' is final no more and is followed by an input/output error, which is, and by a scenario on half a frame (taken back, then whole; failed before the change with code 1700 twice).

Also: a leader that has lost its lease no longer names itself as the leader.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -24,12 +24,13 @@
     Then a new table can be put and is in force
     And the system still answers
 
-  Scenario: A full disk ends the controller before it acknowledges
+  Scenario: A full disk ends no process, and nothing is acknowledged on it
     Given a system with 3 controller, 1 gateways and 1 agents
     And the sample table is in force
     When a follower starts again on a disk with no room left
     Then a new table can be put and is in force
-    And that controller has ended with code 1700 in its log
+    And that controller runs, with code 1702 in its log, and holds no new entry
+    And it holds the new table once it starts again with room
 
   Scenario: An agent is killed in the middle of an answer
     Given a system with 1 controller, 1 gateways and 2 agents
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -116,7 +116,7 @@
 @when('{call} fails with "{error}" at the next save')
 def failing_call(context, call, error):
     context.disk = storage.Storage(str(context.folder))
-    failure = OSError(errno.ENOSPC, error)
+    failure = OSError(errno.EIO, error)
     if call == 'sync':
         patch = mock.patch.object(os, 'fdatasync', side_effect=failure)
     else:
@@ -137,6 +137,32 @@
     return 0
 
 
+@when('the disk has room for only half of the next frame')
+def half_a_frame(context):
+    context.disk = storage.Storage(str(context.folder))
+    journal = context.disk._journal
+    short = mock.Mock(wraps=journal)
+    short.write.side_effect = lambda data: journal.write(
+        data[: len(data) // 2]
+    )
+    with mock.patch.object(context.disk, '_journal', short):
+        context.codes = [_save_code(context.disk)]
+    context.codes.append(_save_code(context.disk))
+
+
+@then('the save raises code {first:d}, and code {second:d} once there is room')
+def save_waits(context, first, second):
+    assert context.codes == [first, second], context.codes
+    context.disk.close()
+
+
+@then('the folder opens again with exactly {count:d} frames and nothing cut')
+def opens_whole(context, count):
+    found = storage.read(str(context.folder))
+    assert found.cut_bytes == 0, found.cut_bytes
+    assert _indexes(context.folder) == list(range(1, count + 1))
+
+
 @then('the save raises code {code:d} and so does every later one')
 def save_fails(context, code):
     assert context.codes == [code, code], context.codes
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -36,9 +36,15 @@
     And the folder opens again with at least 5 frames
 
     Examples:
-      | call  | error         |
-      | write | disk is full  |
-      | sync  | sync failed   |
+      | call  | error              |
+      | write | input/output error |
+      | sync  | sync failed        |
+
+  Scenario: A frame that a full disk does not take is taken once there is room
+    Given a data folder with 5 synced frames
+    When the disk has room for only half of the next frame
+    Then the save raises code 1702, and code 0 once there is room
+    And the folder opens again with exactly 6 frames and nothing cut
 
   Scenario: A folder is used by one process at a time
     Given a data folder with 5 synced frames
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -19,8 +19,10 @@
     'ClaimConflict',
     'ConflictingPut',
     'DamagedStorage',
+    'DiskFull',
     'DeadlinePassed',
     'Draining',
+    'DiskFull',
     'KeyRequired',
     'LimitReached',
     'MountridgeError',
@@ -304,6 +306,12 @@
     code = 1700
 
 
+class DiskFull(StorageFailed):
+    """The disk has no room: nothing was written, and it is tried again."""
+
+    code = 1702
+
+
 class DamagedStorage(StorageFailed):
     """The data folder is damaged before its tail."""
 
--- a/mountridge/replicas.py
+++ b/mountridge/replicas.py
@@ -15,6 +15,8 @@
 __all__ = ['Replica', 'pack_message', 'unpack_message']
 
 TICK_PART = 0.25
+#: A full disk is tried again after this long: well within an election.
+FULL_S = 0.2
 #: Entries kept in memory past a snapshot, for followers a little behind.
 KEEP_ENTRIES = 1000
 
@@ -131,6 +133,9 @@
         if not self.lease_valid():
             problem = errors.NotLeader()
             leader_id = self.node.leader_id
+            if leader_id == self.node.node_id:
+                # It led, and is not heard by enough: someone else may know.
+                raise problem
             problem.leader = leader_id.partition('.')[0]
             addresses = self.node.config.addresses()
             problem.leader_address = addresses.get(leader_id, '')
@@ -260,19 +265,42 @@
                 await self._save_snapshot(effect)
         if not vote and not fresh:
             return
-        await trio.to_thread.run_sync(self.disk.save, vote, fresh)
+        await self._write(self.disk.save, vote, fresh)
         if fresh:
             last = fresh[-1]
             self.put(consensus.Synced(last.index, last.term))
 
+    async def _write(self, write: typing.Callable, *args: typing.Any) -> None:
+        """Write to the disk, again and again while it has no room.
+
+        Meanwhile this replica takes no step and says nothing: as a leader
+        it loses its lease and another one is elected, as a voter it is
+        missed. Nothing is acknowledged that is not on the disk.
+        """
+        is_full = False
+        while True:
+            try:
+                await trio.to_thread.run_sync(write, *args)
+                break
+            except errors.DiskFull as problem:
+                if not is_full:
+                    logger.error(
+                        'disk full', code=problem.code, reason=str(problem)
+                    )
+                is_full = True
+                self.app.metrics.incr('disk.full')
+            await trio.sleep(FULL_S)
+        if is_full:
+            logger.info('disk has room again')
+
     async def _save_snapshot(self, effect: consensus.SaveSnapshot) -> None:
         """Put a snapshot in place; the log here is what is past it."""
         snapshot = effect.snapshot
         if effect.installed:
-            await trio.to_thread.run_sync(self.disk.write_snapshot, snapshot)
+            await self._write(self.disk.write_snapshot, snapshot)
         log = self.node.log
         after = log.between(snapshot.index + 1, log.last_index)
-        await trio.to_thread.run_sync(self.disk.rotate, snapshot, after)
+        await self._write(self.disk.rotate, snapshot, after)
         if after:
             self.put(consensus.Synced(after[-1].index, after[-1].term))
 
@@ -352,9 +380,15 @@
         made = consensus.Snapshot(
             index, log.term_at(index), log.config_at(index), data
         )
-        await trio.to_thread.run_sync(self.disk.write_snapshot, made)
+        try:
+            await trio.to_thread.run_sync(self.disk.write_snapshot, made)
+        except errors.DiskFull as problem:
+            logger.error('no snapshot', index=index, reason=str(problem))
+            await trio.sleep(FULL_S)
+            return
+        finally:
+            self._snapshotting = False
         self.put(consensus.Compact(index, data, KEEP_ENTRIES))
-        self._snapshotting = False
         logger.info('snapshot', index=index, size_bytes=len(data))
 
     async def change_config(self, config: entries.Config) -> None:
--- a/mountridge/storage.py
+++ b/mountridge/storage.py
@@ -13,6 +13,7 @@
 A bad frame with a good one after it is damage, and is refused.
 """
 
+import errno
 import fcntl
 import json
 import os
@@ -29,6 +30,8 @@
 __all__ = ['Contents', 'FORMAT', 'Storage', 'check', 'initialize', 'read']
 
 FORMAT = 1
+#: What a write fails with where there is no room for it.
+NO_ROOM = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 _MAGIC = b'MRf1'
 _HEADER = struct.Struct('<4sII')
 
@@ -108,10 +111,15 @@
 def _write_whole(path: pathlib.Path, data: bytes) -> None:
     """Write a file so that it is there whole and synced, or not at all."""
     part = path.with_name(path.name + '.part')
-    with open(part, 'wb') as out:
-        out.write(data)
-        out.flush()
-        os.fsync(out.fileno())
+    try:
+        with open(part, 'wb') as out:
+            out.write(data)
+            out.flush()
+            os.fsync(out.fileno())
+    except OSError:
+        # On a full disk half a file only takes room.
+        part.unlink(missing_ok=True)
+        raise
     os.replace(part, path)
     _sync_folder(path.parent)
 
@@ -239,7 +247,7 @@
 
 
 class Storage:
-    """An open data folder. Any failed write or sync is final."""
+    """An open data folder. A failed sync is final, a full disk is not."""
 
     def __init__(self, folder: str):
         self._folder = pathlib.Path(folder)
@@ -251,6 +259,7 @@
         self._journal = open(self.contents.journal, 'r+b', buffering=0)
         self._journal.truncate(self.contents.good_bytes)
         self._journal.seek(self.contents.good_bytes)
+        self._good_bytes = self.contents.good_bytes
         os.fsync(self._journal.fileno())
         self._failed = False
 
@@ -283,10 +292,10 @@
     ) -> None:
         """Write one frame and sync it.
 
+        :raises DiskFull: nothing was written; the same may be tried again.
         :raises StorageFailed: nothing may be acknowledged after that.
         """
-        if self._failed:
-            raise errors.StorageFailed('an earlier write failed')
+        self._check()
         if vote:
             self._term, self._voted_for = vote
         record = Record(
@@ -296,41 +305,81 @@
         try:
             written = self._journal.write(frame)
             if written != len(frame):
-                raise OSError('the disk is full')
+                raise OSError(errno.ENOSPC, 'no room for the whole frame')
+        except OSError as problem:
+            self._take_back(problem)
+        try:
             os.fdatasync(self._journal.fileno())
         except OSError as problem:
-            self._failed = True
-            raise errors.StorageFailed(f'journal: {problem}')
+            raise self._final('journal', problem)
+        self._good_bytes += len(frame)
+
+    def _check(self) -> None:
+        if self._failed:
+            raise errors.StorageFailed('an earlier write failed')
+
+    def _take_back(self, problem: OSError) -> typing.NoReturn:
+        """Remove what a failed write has left behind the last good frame."""
+        try:
+            self._journal.truncate(self._good_bytes)
+            self._journal.seek(self._good_bytes)
+        except OSError as second:
+            raise self._final('journal', second)
+        raise self._failure('journal', problem)
+
+    def _failure(self, what: str, problem: OSError) -> errors.StorageFailed:
+        """Return the error for a failed write; final unless there is no room.
+
+        What was written before stays as it was synced.
+        """
+        if problem.errno in NO_ROOM:
+            return errors.DiskFull(f'{what}: {problem}')
+        return self._final(what, problem)
+
+    def _final(self, what: str, problem: OSError) -> errors.StorageFailed:
+        self._failed = True
+        return errors.StorageFailed(f'{what}: {problem}')
 
     def write_snapshot(self, snapshot: types.Snapshot) -> None:
-        """Write and sync a snapshot file, beside the journal."""
+        """Write and sync a snapshot file, beside the journal.
+
+        :raises DiskFull: it is not there; the journal goes on without.
+        :raises StorageFailed: nothing may be acknowledged after that.
+        """
+        self._check()
         body = msgspec.msgpack.encode(snapshot)
         path = self._folder / f'snapshot-{snapshot.index}'
         try:
             _write_whole(path, _frame(body))
         except OSError as problem:
-            self._failed = True
-            raise errors.StorageFailed(f'snapshot: {problem}')
+            raise self._failure('snapshot', problem)
 
     def rotate(
         self, snapshot: types.Snapshot, after: list[entries.Entry]
     ) -> None:
-        """Begin a journal that holds only what is past a snapshot."""
+        """Begin a journal that holds only what is past a snapshot.
+
+        :raises DiskFull: the journal before goes on; it may be tried again.
+        :raises StorageFailed: nothing may be acknowledged after that.
+        """
+        self._check()
         record = Record(self._term, self._voted_for, after)
         frame = _frame(msgspec.msgpack.encode([record]))
         number = _number(self.contents.journal) + 1
         path = self._folder / f'journal-{number}'
         try:
             _write_whole(path, frame)
+        except OSError as problem:
+            raise self._failure('journal', problem)
+        try:
             self._journal.close()
             self._journal = open(path, 'r+b', buffering=0)
-            self._journal.seek(0, os.SEEK_END)
+            self._good_bytes = self._journal.seek(0, os.SEEK_END)
             self.contents = self.contents._replace(journal=path)
             self._remove_older('journal', number)
             self._remove_older('snapshot', snapshot.index)
         except OSError as problem:
-            self._failed = True
-            raise errors.StorageFailed(f'journal: {problem}')
+            raise self._final('journal', problem)
 
     def close(self) -> None:
         """Give the folder back."""
