Tell a shift of demand, and forget what was asked for before it

Cause: the first plan after a shift was made from counts with a time constant of 0.6 s, half of them from before; its map still had 2.1 to 2.4 times the mean on one rank, and a second change of 1.7 s followed.

--- /dev/null
+++ b/features/demand.feature
@@ -0,0 +1,17 @@
+Feature: Counts of choices forget what was asked for before a shift
+
+  Scenario: A shift is told within two spans, and the mean holds nothing else
+    Given the choices of 96 experts, reported each 0.12 s by 12 ranks
+    When demand keeps for 4 s and then shifts for good
+    Then one shift was told, at most 0.5 s after it
+    And once settled the mean is within 0.15 of what is asked for now
+
+  Scenario: Single prompts tell no shift
+    Given the choices of 96 experts, reported each 0.12 s by 12 ranks
+    When demand keeps for 30 s
+    Then no shift was told
+
+  Scenario: A report after a pause in the work tells no shift
+    Given the choices of 96 experts, reported each 0.12 s by 12 ranks
+    When demand keeps for 4 s, rests for 3 s, and keeps for 4 s
+    Then no shift was told
--- /dev/null
+++ b/features/steps/demand_steps.py
@@ -0,0 +1,96 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on how shifts of demand are told from counts of choices."""
+
+import random
+
+from behave import given, then, when
+
+from mountridge import demand
+
+EXPERTS, RANKS, REPORT_S = 96, 12, 0.12
+#: Choices in the report of a rank that reads a prompt, and of one that
+#: only writes. A tenth of the reports have a prompt.
+READING, WRITING = 20000, 2000
+#: Part of a prompt's choices that is its own, whatever is asked for most.
+OWN_PART = 0.2
+
+
+def _likes(rng):
+    likes = [1 / (1 + n) ** 1.3 for n in range(EXPERTS)]
+    rng.shuffle(likes)
+    return [like / sum(likes) for like in likes]
+
+
+@given('the choices of 96 experts, reported each 0.12 s by 12 ranks')
+def make_demand(context):
+    context.rng = random.Random(5)
+    context.demand = demand.Demand()
+    context.likes = _likes(context.rng)
+    context.now_s = 0.0
+    context.told_s = []
+
+
+def _report(context):
+    rng = context.rng
+    amount = READING if rng.random() < 0.1 else WRITING
+    own = _likes(rng)
+    counts = [
+        round(amount * ((1 - OWN_PART) * like + OWN_PART * its))
+        for like, its in zip(context.likes, own)
+    ]
+    if context.demand.take(counts, context.now_s):
+        context.told_s.append(context.now_s)
+
+
+def _keep(context, span_s, idle=False):
+    until_s = context.now_s + span_s
+    while context.now_s < until_s:
+        if idle:
+            context.demand.take([0] * EXPERTS, context.now_s)
+        else:
+            _report(context)
+        context.now_s += REPORT_S / RANKS
+
+
+@when('demand keeps for 4 s and then shifts for good')
+def keep_and_shift(context):
+    _keep(context, 4)
+    context.shifted_s = context.now_s
+    context.likes = _likes(context.rng)
+    _keep(context, 1.0)
+
+
+@when('demand keeps for 30 s')
+def keep_long(context):
+    _keep(context, 30)
+
+
+@when('demand keeps for 4 s, rests for 3 s, and keeps for 4 s')
+def keep_and_rest(context):
+    _keep(context, 4)
+    _keep(context, 3, idle=True)
+    _keep(context, 4)
+
+
+@then('one shift was told, at most {most_s:g} s after it')
+def check_one_shift(context, most_s):
+    assert len(context.told_s) == 1, context.told_s
+    late_s = context.told_s[0] - context.shifted_s
+    assert 0 <= late_s <= most_s, late_s
+
+
+@then('once settled the mean is within {most:g} of what is asked for now')
+def check_mean(context, most):
+    assert context.demand.is_settled
+    total = sum(context.demand.mean)
+    away = 0.5 * sum(
+        abs(mean / total - like)
+        for mean, like in zip(context.demand.mean, context.likes)
+    )
+    assert away <= most, away
+
+
+@then('no shift was told')
+def check_no_shift(context):
+    assert not context.told_s, context.told_s
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -11,8 +11,8 @@
 
 from loguru import logger
 
-from mountridge import application, commands, mapchanges, mapplans
-from mountridge import messages, ranks, replicas
+from mountridge import application, commands, demand, mapchanges
+from mountridge import mapplans, messages, ranks, replicas
 
 __all__ = ['Group', 'Groups']
 
@@ -24,13 +24,10 @@
 #: Span of the passes by which the length of one is told. Longer than some
 #: passes, shorter than a slow rank takes to be noticed.
 PASSES_S = 0.5
-#: Time constant of the mean of expert counts. What is asked for shifts
-#: within seconds; a second of passes holds thousands of choices.
-COUNTS_S = 0.6
 #: Least time between the end of a change and the next plan.
 PAUSE_S = 0.2
-#: Work seen within COUNTS_S, in choices of an expert, below which no plan
-#: is made: an idle group gains nothing from one.
+#: Work seen since demand shifted, in choices of an expert, below which no
+#: plan is made: an idle group gains nothing from one.
 LEAST_CHOICES = 10000
 
 
@@ -42,8 +39,7 @@
         #: When each rank's own sidecar was last heard.
         self.sidecar_s: dict[int, float] = {}
         self.epoch = ranks.NO_VERSION
-        self.counts: list[float] = []
-        self.counted_s = 0.0
+        self.demand = demand.Demand()
         self.change: mapchanges.Change | None = None
         self.changed_s = 0.0
         self.planning = False
@@ -63,12 +59,13 @@
             self.epoch = state.epoch
             self.reports.clear()
             self.sidecar_s.clear()
-            self.counts = []
+            self.demand = demand.Demand()
             self.change = None
             self._passes.clear()
         self.reports[state.rank] = (report, now_s)
         self._time_passes(state.step, now_s)
-        self._count(report.counts, now_s)
+        if report.counts and self.demand.take(report.counts, now_s):
+            logger.info('demand shifted', group=state.group, step=state.step)
 
     def _time_passes(self, step: int, now_s: float) -> None:
         passes = self._passes
@@ -86,19 +83,6 @@
         # The pass under way may be the first slow one.
         return max(lasted_s, now_s - last_s, mapchanges.USUAL_PASS_S / 4)
 
-    def _count(self, counts: list[int], now_s: float) -> None:
-        if not counts:
-            return
-        if len(self.counts) != len(counts):
-            self.counts = [0.0] * len(counts)
-            self.counted_s = now_s
-        span_s = now_s - self.counted_s
-        if span_s > 0.1 * COUNTS_S:
-            kept = max(0.0, 1 - span_s / COUNTS_S)
-            self.counts = [kept * count for count in self.counts]
-            self.counted_s = now_s
-        self.counts = [a + b for a, b in zip(self.counts, counts)]
-
     def whole(self, now_s: float) -> list[ranks.RankState] | None:
         """Return all ranks' states where each has reported of late."""
         fresh = [
@@ -254,10 +238,10 @@
         if group.change is not None:
             logger.info('map change found', **_told(group.change))
             return
-        if now_s - group.changed_s < PAUSE_S:
+        if now_s - group.changed_s < PAUSE_S or not group.demand.is_settled:
             return
         sheet = self._sheet(instance_id)
-        if sheet is None or sum(group.counts) < LEAST_CHOICES:
+        if sheet is None or sum(group.demand.mean) < LEAST_CHOICES:
             return
         group.changed_s = now_s
         paces = [state.pace for state in states]
@@ -266,7 +250,7 @@
             planned = await self.offload(
                 mapplans.plan,
                 group.placed(),
-                list(group.counts),
+                list(group.demand.mean),
                 paces,
                 sheet,
             )
