Let a change of the map give way to a newer plan, and keep demand over a reform

Cause: a follow-up plan for 13 in 100 less waiting began 0.2 s before a shift of demand; the plan that the shift asked for had to wait 0.65 s for its end. A change whose experts are being copied now gives way to a plan made after a shift, until a pass is held for it. And what is asked for outlives an epoch, so the first plan of a group that formed anew needs no new counts.

Tried with it and reverted: streams wait at the gateway while a pass takes over 0.85 of the promised pause (up to 0.8 s, urgent first).

--- a/features/demand.feature
+++ b/features/demand.feature
@@ -20,3 +20,17 @@
     Given the choices of 96 experts, reported each 0.12 s by 12 ranks
     When counts are packed and read again
     Then they took 96 bytes, and each count is within a 500th of the largest
+
+  Scenario: A change gives way to a newer plan until a pass is held for it
+    Given the choices of 96 experts, reported each 0.12 s by 12 ranks
+    And a group of 12 ranks that copies the experts of a change
+    When demand keeps for 4 s and then shifts for good
+    Then a newer plan may take the place of the change
+    And none may once a pass is held for it
+
+  Scenario: What is asked for is known when a group opens again
+    Given the choices of 96 experts, reported each 0.12 s by 12 ranks
+    And a group of 12 ranks that copies the experts of a change
+    When demand keeps for 4 s
+    And the group forms anew
+    Then no change is under way, and what is asked for is known
--- a/features/steps/demand_steps.py
+++ b/features/steps/demand_steps.py
@@ -3,10 +3,11 @@
 """Steps on how shifts of demand are told from counts of choices."""
 
 import random
+import types
 
 from behave import given, then, when
 
-from mountridge import demand
+from mountridge import demand, groups, mapchanges, messages, ranks
 
 EXPERTS, RANKS, REPORT_S = 96, 12, 0.12
 #: Choices in the report of a rank that reads a prompt, and of one that
@@ -61,6 +62,11 @@
     _keep(context, 1.0)
 
 
+@when('demand keeps for 4 s')
+def keep_some(context):
+    _keep(context, 4)
+
+
 @when('demand keeps for 30 s')
 def keep_long(context):
     _keep(context, 30)
@@ -112,3 +118,52 @@
     largest = max(context.counts)
     for sent, read in zip(context.counts, demand.unpack(context.packed)):
         assert abs(sent - read) <= largest / part, (sent, read)
+
+
+def _rank_report(context, epoch, counts=()):
+    state = ranks.RankState(
+        'g', epoch, 0, 12, True, 7, 3, 3, ranks.NO_VERSION,
+        ranks.NO_VERSION, ranks.NO_VERSION, 4, 0, 1000, 1.0,
+    )  # fmt: skip
+    return messages.RankReport('i-0', state, [[1]], demand.pack(list(counts)))
+
+
+@given('a group of 12 ranks that copies the experts of a change')
+def make_group(context):
+    context.group = groups.Group()
+    context.group.take(_rank_report(context, 1), 0.0)
+    context.group.change = mapchanges.Change('g', 1, 9, [[[1], [2]]])
+    # The group's own counts stand in for those of the steps above.
+    context.demand = types.SimpleNamespace(take=_taker(context))
+
+
+def _taker(context):
+    def take(counts, now_s):
+        before = context.group.outdated
+        context.group.take(_rank_report(context, 1, counts), now_s)
+        return context.group.outdated and not before
+
+    return take
+
+
+@then('a newer plan may take the place of the change')
+def check_gives_way(context):
+    assert context.told_s and context.group.is_open_to_plans
+
+
+@then('none may once a pass is held for it')
+def check_held(context):
+    group = context.group
+    group.change = group.change._replace(step=12)
+    assert not group.is_open_to_plans
+
+
+@when('the group forms anew')
+def form_anew(context):
+    context.group.take(_rank_report(context, 2), context.now_s)
+
+
+@then('no change is under way, and what is asked for is known')
+def check_known(context):
+    assert context.group.change is None
+    assert context.group.demand.is_settled
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -42,6 +42,8 @@
         self.demand = demand.Demand()
         self.change: mapchanges.Change | None = None
         self.changed_s = 0.0
+        #: Whether demand has shifted since the change under way was planned.
+        self.outdated = False
         self.planning = False
         #: The pass whose hold was last given by another box, and when.
         self.remote_hold = (ranks.NO_VERSION, 0.0)
@@ -59,13 +61,15 @@
             self.epoch = state.epoch
             self.reports.clear()
             self.sidecar_s.clear()
-            self.demand = demand.Demand()
+            # What is asked for outlives the map, so that the first change
+            # of the new epoch is planned as soon as the group is open.
             self.change = None
             self._passes.clear()
         self.reports[state.rank] = (self._with_experts(report), now_s)
         self._time_passes(state.step, now_s)
         counts = demand.unpack(report.counts)
         if counts and self.demand.take(counts, now_s):
+            self.outdated = True
             logger.info('demand shifted', group=state.group, step=state.step)
 
     def _with_experts(
@@ -116,6 +120,18 @@
             self.change is not None or self.planning or self.demand.is_shifting
         )
 
+    @property
+    def is_open_to_plans(self) -> bool:
+        """Return whether a new change may begin.
+
+        A change whose copies are under way gives way to one that fits what
+        is asked for since; once a pass is held for it, it goes on.
+        """
+        if self.change is None:
+            return True
+        is_held = self.change.step != ranks.NO_VERSION
+        return self.outdated and not is_held and bool(self.change.placed)
+
     def knows_experts(self, rank: int) -> bool:
         """Return whether it is known what a rank holds now."""
         known = self.reports.get(rank)
@@ -207,7 +223,7 @@
             return messages.RankReply(term, None, False, False)
         group = self.by_name.setdefault(state.group, Group())
         group.take(report, now_s)
-        if group.change is None and not group.planning:
+        if group.is_open_to_plans and not group.planning:
             await self._plan(report.instance_id, group, now_s)
         order = self._next_order(group, state, now_s)
         if order is not None and order.kind == ranks.HOLD:
@@ -261,9 +277,10 @@
         states = group.whole(now_s)
         if states is None:
             return
-        group.change = mapchanges.find_change(states)
-        if group.change is not None:
-            logger.info('map change found', **_told(group.change))
+        found = mapchanges.find_change(states)
+        if found is not None and group.change is None:
+            group.change = found
+            logger.info('map change found', **_told(found))
             return
         if now_s - group.changed_s < PAUSE_S or not group.demand.is_settled:
             return
@@ -297,8 +314,9 @@
         """Give a plan its version, which no other plan ever has."""
         command = commands.NextVersion(self.app.wall_s())
         version = await self.replica.propose(commands.encode(command))
-        if group.epoch != state.epoch or group.change is not None:
+        if group.epoch != state.epoch or not group.is_open_to_plans:
             return
+        group.outdated = False
         group.change = mapchanges.Change(
             state.group, state.epoch, version, planned.placed
         )
