Wait for a first runner, spare tries that met another runner, split forwarding

Cause: after all power was lost callers were refused with 503 within 10 ms where the two runners tried had been replaced (421, so they ran nothing), or where none had registered yet; many come back only once. A 421 now uses up no try, up to three times; where no runner is known a request waits up to 1.2 s (0.4 of its time at most) for one to register.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -39,6 +39,22 @@
     When a safe request is sent twice
     Then the first runner has seen 1 of them
 
+  Scenario: Runners that were replaced do not use up a request's tries
+    Given four runners of which all but the last say that another runner was meant
+    When a unsafe request is sent
+    Then its answer is 200 and whole
+    And the runners ran it 1 times
+
+  Scenario Outline: A request that comes before any runner has registered
+    Given two runners of which the first answers well
+    When a <kind> request is sent <early> s before they register
+    Then its answer is <answer>
+
+    Examples:
+      | kind   | early | answer        |
+      | unsafe | 0.5   | 200 and whole |
+      | unsafe | 2.0   | 503           |
+
   Scenario Outline: A stream whose runner becomes <pace> times slow
     Given two runners of which the first stops after 2 events for a while
     When a streaming request is sent and that runner takes <pace> times its time
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -136,8 +136,8 @@
 class World:
     """A forwarder with its server, and two runners."""
 
-    def __init__(self, fault, other='answers well'):
-        self.runners = [Runner(fault), Runner(other)]
+    def __init__(self, *faults):
+        self.runners = [Runner(fault) for fault in faults]
         bounds = {
             'retry_ratio': 0.2,
             'retry_slack': 96.0,
@@ -177,8 +177,11 @@
                 )  # fmt: skip
             )
         self.known.follow(registered)
-        # So that the first one is taken first.
-        self.known.by_id['i-1'].heard(3, 0, trio.current_time())
+        # So that the first one is taken first, and the last one last.
+        for number in range(1, len(registered)):
+            known = self.known.by_id[f'i-{number}']
+            known.heard(2 + number, 0, trio.current_time())
+        self.registered = registered
         (front,) = await trio.open_tcp_listeners(0, host=HOST)
         self.port = front.socket.getsockname()[1]
         serve = self.server.serve_connection
@@ -243,7 +246,32 @@
 
 @given('two runners of which the first {fault}')
 def two_runners(context, fault):
-    context.world = World(fault)
+    context.world = World(fault, 'answers well')
+
+
+@given(
+    'four runners of which all but the last say that another runner was meant'
+)
+def replaced_runners(context):
+    replaced = 'says that another runner was meant'
+    context.world = World(replaced, replaced, replaced, 'answers well')
+
+
+@when('a {kind} request is sent {early_s:g} s before they register')
+def send_early(context, kind, early_s):
+    async def script(world):
+        world.known.follow([])
+
+        async def register():
+            await trio.sleep(early_s)
+            world.known.follow(world.registered)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(register)
+            await _ask(context, world, kind)
+
+    context.kind = kind
+    _play(context, script)
 
 
 @given('a runner that {fault}, and one that {other}')
--- a/mountridge/backends.py
+++ b/mountridge/backends.py
@@ -12,6 +12,8 @@
 import random
 import typing
 
+import trio
+
 from mountridge import instances
 
 __all__ = ['Backend', 'Backends', 'LEAVE_PACE', 'Picked', 'SLOW_PACE']
@@ -116,6 +118,8 @@
     def __init__(self) -> None:
         self.by_id: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
+        #: Replaced by a new one, and set, when runners come or go.
+        self.changed = trio.Event()
         #: When requests of late were placed, by service.
         self._placed_s: dict[str, collections.deque[float]] = {}
 
@@ -135,6 +139,8 @@
             self.by_id[instance.instance_id] = backend
             listed = self._by_service.setdefault(instance.service, [])
             listed.append(backend)
+        self.changed.set()
+        self.changed = trio.Event()
         after = {b.instance.address for b in self.by_id.values()}
         return sorted(before - after)
 
--- a/mountridge/forwarding.py
+++ b/mountridge/forwarding.py
@@ -15,12 +15,12 @@
 import trio
 
 from mountridge import application, backends, budgets, dialects, errors
-from mountridge import events, httpserver, lasthop, routedexchanges, routes
-from mountridge import utils
+from mountridge import httpserver, lasthop, routedanswers
+from mountridge import routedexchanges, routefilters, routes, utils
 
 __all__ = ['Exchange', 'Forwarder']
 
-Answer, Exchange = routedexchanges.Answer, routedexchanges.Exchange
+Exchange = routedexchanges.Exchange
 _told, _ms = routedexchanges.told, routedexchanges.ms
 
 #: Past its time a request is ended this much later, so that an answer that
@@ -31,6 +31,14 @@
 #: took 0.4 to 0.9 s from the start on the bench. A caller that has come back
 #: once will not do so again, so this serves it where a refusal would not.
 ROUTES_WAIT_S = 1.5
+#: How long a request waits for a runner where none is known, and the part
+#: of its time. After a loss of all power new runners register within 1.2 s;
+#: a caller that is refused may come back only once, and later than that.
+RUNNER_WAIT_S = 1.2
+RUNNER_WAIT_PART = 0.4
+#: Tries of one request that may meet another runner than the one meant and
+#: so ran nowhere; more than that and the known runners are worth nothing.
+MOST_MISDIRECTED = 3
 #: Least time left in which another try makes sense.
 LEAST_LEFT_S = 0.05
 #: When refused callers come back, spread to 1.5 times. Many callers come
@@ -59,9 +67,6 @@
 )
 
 
-Filter = typing.Callable[[Exchange, float], None]
-
-
 class Forwarder:
     """Takes requests through the filters and to runners."""
 
@@ -90,12 +95,7 @@
             bounds['retry_slack'],
             bounds['retry_window_s'],
         )
-        self.filters: list[Filter] = [
-            self._read,
-            self._find_route,
-            self._find_team,
-            self._bound_time,
-        ]
+        self.filters = routefilters.chain(index, dialect.headers, self.rng)
 
     async def handle(
         self, request: httpserver.Request, responder: httpserver.Responder
@@ -156,46 +156,11 @@
             output_tokens=call.output_tokens if call else 0,
             tries=exchange.tries,
             events=exchange.events_sent,
+            longest_gap_ms=_ms(exchange.longest_gap_s),
             first_ms=_ms(first_s and first_s - exchange.begun_s),
             took_ms=_ms(now_s - exchange.begun_s),
         )
 
-    # Filters.
-
-    def _read(self, exchange: Exchange, now_s: float) -> None:
-        call = dialects.read_call(exchange.request, self.dialect.headers)
-        exchange.call = call
-        if call.last_event_id is not None:
-            try:
-                exchange.last_event_id = int(call.last_event_id)
-            except ValueError:
-                exchange.last_event_id = None
-
-    def _find_route(self, exchange: Exchange, now_s: float) -> None:
-        index = self._index()
-        if index is None:
-            raise errors.NoRoutes()
-        exchange.table_version = index.table.version
-        call = exchange.call
-        exchange.route = index.match(call.host, call.path)
-        if exchange.route is None:
-            raise errors.NoRoute(f'{call.host}{call.path}')
-        exchange.service = routes.draw_service(exchange.route, self.rng)
-
-    def _find_team(self, exchange: Exchange, now_s: float) -> None:
-        index = self._index()
-        if index.table.teams is None or exchange.route.public:
-            return
-        exchange.team = index.team(exchange.call.key)
-        if exchange.team is None:
-            raise errors.UnknownKey()
-
-    def _bound_time(self, exchange: Exchange, now_s: float) -> None:
-        limit_ms = exchange.route.timeout_ms
-        if exchange.call.deadline_ms is not None:
-            limit_ms = min(limit_ms, exchange.call.deadline_ms)
-        exchange.until_s = exchange.begun_s + limit_ms / 1000
-
     # Tries.
 
     async def _run(self, exchange: Exchange) -> None:
@@ -221,7 +186,7 @@
 
     async def _try_runners(self, exchange: Exchange) -> None:
         while True:
-            picked = self._pick(exchange)
+            picked = await self._pick(exchange)
             try:
                 await self._try(exchange, picked)
                 return
@@ -231,12 +196,36 @@
                     continue
                 if exchange.failure is None or exchange.responder.started:
                     raise
-                await self._send_whole(exchange, exchange.failure)
+                await routedanswers.send_whole(
+                    exchange, exchange.failure, self.app.now_s()
+                )
                 return
 
-    def _pick(self, exchange: Exchange) -> backends.Picked:
+    async def _pick(self, exchange: Exchange) -> backends.Picked:
+        """Return a runner, once there is one.
+
+        :raises NoRunner: there is none, or none registers in time.
+        """
         now_s = self.app.now_s()
-        picked = self.known.pick(
+        left_s = exchange.until_s - now_s
+        wait_s = min(RUNNER_WAIT_S, RUNNER_WAIT_PART * left_s)
+        picked = self._choose(exchange, now_s)
+        with trio.move_on_after(max(0.0, wait_s)):
+            while picked is None and not self._known(exchange):
+                await self.known.changed.wait()
+                picked = self._choose(exchange, self.app.now_s())
+        if picked is None:
+            raise errors.NoRunner(f'no runner of {exchange.service} is left')
+        exchange.picked = picked
+        return picked
+
+    def _known(self, exchange: Exchange) -> list[backends.Backend]:
+        return self.known.of_service(exchange.service)
+
+    def _choose(
+        self, exchange: Exchange, now_s: float
+    ) -> backends.Picked | None:
+        return self.known.pick(
             exchange.service,
             self.app.settings['hall'],
             exchange.tried,
@@ -244,10 +233,6 @@
             self.rng,
             now_s,
         )
-        if picked is None:
-            raise errors.NoRunner(f'no runner of {exchange.service} is left')
-        exchange.picked = picked
-        return picked
 
     def _note_failure(
         self,
@@ -278,7 +263,10 @@
             exchange.next_allowed = False
             return True
         route = exchange.route
-        if exchange.tries >= route.most_attempts:
+        if isinstance(problem, errors.RunnerReplaced):
+            exchange.misdirected += 1
+        spared = min(exchange.misdirected, MOST_MISDIRECTED)
+        if exchange.tries - spared >= route.most_attempts:
             return False
         now_s = self.app.now_s()
         if exchange.until_s - now_s < LEAST_LEFT_S:
@@ -348,57 +336,14 @@
         if head.not_run:
             raise errors.RunnerRefused(f'the runner answered {head.status}')
         exchange.may_have_run = True
-        if exchange.route.kind == routes.STREAMING and head.status < 300:
-            await self._give_stream(exchange, backend, reply)
-        else:
-            await self._give_whole(exchange, reply)
+        await routedanswers.give(
+            exchange,
+            reply,
+            self.app.now_s,
+            lambda: self._leave_slow(exchange, backend),
+        )
         backend.succeeded()
 
-    async def _give_whole(
-        self, exchange: Exchange, reply: lasthop.Reply
-    ) -> None:
-        body = await reply.whole()
-        status = reply.head.status
-        if exchange.responder.started:
-            raise errors.RunnerFailed(f'resuming was answered {status}')
-        headers = dialects.reply_headers(reply.headers, False)
-        answer = Answer(status, headers, body)
-        if status >= 500:
-            exchange.failure = answer
-            raise errors.RunnerFailed(f'the runner answered {status}')
-        await self._send_whole(exchange, answer)
-
-    async def _send_whole(self, exchange: Exchange, answer: Answer) -> None:
-        exchange.first_data_s = self.app.now_s()
-        exchange.status = answer.status
-        await exchange.responder.send_whole(*answer)
-
-    async def _give_stream(
-        self,
-        exchange: Exchange,
-        backend: backends.Backend,
-        reply: lasthop.Reply,
-    ) -> None:
-        """Pass whole events on as they come, each number once."""
-        responder = exchange.responder
-        if not responder.started:
-            headers = dialects.reply_headers(reply.headers, False)
-            exchange.status = reply.head.status
-            await responder.start(reply.head.status, headers)
-        splitter = events.Splitter()
-        async for piece in reply.pieces():
-            fresh = [
-                event
-                for event in splitter.feed(piece)
-                if _is_next(exchange, event)
-            ]
-            if fresh:
-                await self._send_events(exchange, fresh)
-                self._leave_slow(exchange, backend)
-        if splitter.rest:
-            await responder.send(splitter.rest)
-        await responder.finish()
-
     def _leave_slow(
         self, exchange: Exchange, backend: backends.Backend
     ) -> None:
@@ -411,34 +356,10 @@
         """
         if backend.pace < backends.LEAVE_PACE:
             return
-        others = self.known.of_service(exchange.service)
+        others = self._known(exchange)
         if all(other.pace >= backends.SLOW_PACE for other in others):
             return
         problem = errors.RunnerSlow(f'at {backend.pace:.1f} times its time')
         if self._may_go_on(exchange, problem):
             exchange.next_allowed = True
             raise problem
-
-    async def _send_events(
-        self, exchange: Exchange, fresh: list[events.Event]
-    ) -> None:
-        if exchange.first_data_s is None:
-            exchange.first_data_s = self.app.now_s()
-        await exchange.responder.send(b''.join(e.data for e in fresh))
-        exchange.events_sent += len(fresh)
-
-
-def _is_next(exchange: Exchange, event: events.Event) -> bool:
-    """Return whether an event is new to the caller, and count it.
-
-    :raises BadAnswer: one before it is missing.
-    """
-    last = exchange.last_event_id
-    if event.event_id is None:
-        return True
-    if last is not None and event.event_id <= last:
-        return False
-    if last is not None and event.event_id > last + 1:
-        raise errors.BadAnswer(f'event {event.event_id} came after {last}')
-    exchange.last_event_id = event.event_id
-    return True
--- a/mountridge/routedexchanges.py
+++ b/mountridge/routedexchanges.py
@@ -37,11 +37,16 @@
         self.until_s = now_s
         self.tries = 0
         self.tried: set[str] = set()
+        #: Tries that met another runner than the one that was meant.
+        self.misdirected = 0
         #: Whether any try may have run.
         self.may_have_run = False
         self.last_event_id: int | None = None
         self.events_sent = 0
         self.first_data_s: float | None = None
+        self.last_data_s = now_s
+        #: Longest pause between two messages with events.
+        self.longest_gap_s = 0.0
         self.status = 0
         self.picked: backends.Picked | None = None
         #: Whether the next try has been counted and allowed already.
@@ -49,6 +54,16 @@
         #: A runner's own failure, given where no other runner is tried.
         self.failure: Answer | None = None
 
+    def note_events(self, count: int, now_s: float) -> None:
+        """Note that events are given to the caller now."""
+        if self.first_data_s is None:
+            self.first_data_s = now_s
+        else:
+            gap_s = now_s - self.last_data_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_data_s = now_s
+        self.events_sent += count
+
 
 def told(picked: backends.Picked | None, now_s: float) -> dict:
     """Return the fields of a log line on the runner that was taken."""
