Let all ranks copy alike what a slow rank gives away

Cause: the experts of a slow rank went to the least loaded rank of each set, up to the spare number a set; with copies of 0.4 s a change that relieves a rank of 24 experts could take 4.8 s at one rank while others copied nothing. They now go to those with the fewest to copy over all sets.

The scenario fails without the change.

--- a/features/mapplans.feature
+++ b/features/mapplans.feature
@@ -41,6 +41,13 @@
     Then at most 1 experts are new to a rank over all sets
     And the slowest rank's time is at most 0.5 of what it was
 
+  Scenario: What a slow rank gives away is copied by all others alike
+    Given a group of 12 ranks with 96 experts in 3 sets, whose copies take 0.4 s
+    And rank 3 takes 12 times its usual time
+    When a map is planned
+    Then at most 3 experts are new to a rank over all sets
+    And rank 3 holds at most 0 experts in each set
+
   Scenario: Requests go past a slow runner while there is another
     Given 3 gateways and 4 runners of 6 slots
     And the first runner takes 5 times its usual time
--- a/mountridge/mapplans.py
+++ b/mountridge/mapplans.py
@@ -113,8 +113,9 @@
     weighed = [
         math.inf if rank in slow else pace for rank, pace in enumerate(paces)
     ]
+    taken: collections.Counter[int] = collections.Counter()
     relieved = [
-        _relieve(by_rank, asked, slow, sheet)
+        _relieve(by_rank, asked, slow, sheet, taken)
         for by_rank, asked in zip(placed, load)
     ]
     return maps.spread(
@@ -134,12 +135,15 @@
     load: list[float],
     slow: set[int],
     sheet: Sheet,
+    taken_by_all: collections.Counter[int],
 ) -> list[list[int]]:
     """Return a map in which the slow ranks hold as little as can be.
 
-    What others hold too is dropped; the rest goes to the least loaded of
-    those that may take one more new expert and have a place, or can drop
-    an expert that others hold too.
+    What others hold too is dropped; the rest goes to ranks that may take one
+    more new expert and have a place, or can drop an expert that others hold
+    too. Those that have the fewest to copy, over all sets of layers, come
+    first, since a change waits for the rank that copies longest.
+    ``taken_by_all`` counts these copies and is added to.
     """
     new = [list(held) for held in placed]
     copies = collections.Counter(e for held in placed for e in held)
@@ -147,11 +151,21 @@
     for rank in sorted(slow):
         for expert in sorted(placed[rank], key=lambda e: -load[e]):
             if copies[expert] == 1:
-                target = _who_takes(new, load, slow, sheet, copies, taken)
+                able = [
+                    other
+                    for other in range(len(new))
+                    if other not in slow and taken[other] < sheet.spare
+                ]
+                fewest = min((taken_by_all[r] for r in able), default=0)
+                first = [r for r in able if taken_by_all[r] == fewest]
+                target = _who_takes(new, load, first, sheet, copies)
+                if target is None:
+                    target = _who_takes(new, load, able, sheet, copies)
                 if target is None:
                     continue
                 new[target].append(expert)
                 taken[target] += 1
+                taken_by_all[target] += 1
                 copies[expert] += 1
             new[rank].remove(expert)
             copies[expert] -= 1
@@ -161,18 +175,12 @@
 def _who_takes(
     new: list[list[int]],
     load: list[float],
-    slow: set[int],
+    able: list[int],
     sheet: Sheet,
     copies: collections.Counter[int],
-    taken: collections.Counter[int],
 ) -> int | None:
-    """Return a rank with a free place, made where there is none."""
+    """Return a rank of ``able`` with a free place, made where none is."""
     each = maps.rank_loads(new, load)
-    able = [
-        rank
-        for rank in range(len(new))
-        if rank not in slow and taken[rank] < sheet.spare
-    ]
     free = [rank for rank in able if len(new[rank]) < sheet.places]
     if free:
         return min(free, key=lambda rank: (each[rank], rank))
