Reset connections of abandoned requests, so that no runner reads them later

Ruled out: a gateway that sends late (its log shows the sends at once), and the waits added before (they are 1.2 s at most).

A connection that is given up before its answer is whole is now reset (SO_LINGER of 0), which drops what the other side has not read. The scenario on a caller that leaves now wants the reset and failed before; its stand-in takes a reset for an end.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -86,6 +86,7 @@
     Given two runners of which the first never answers
     When a safe request is sent and its caller leaves after 0.2 s
     Then the runner's connection is closed within 0.5 s
+    And it is reset, so that what the runner has not read is dropped
 
   Scenario Outline: What a caller may not do is refused with a code
     Given two runners of which the first answers well
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -56,6 +56,7 @@
         self.runs = 0
         self.seen = []
         self.closed = trio.Event()
+        self.was_reset = False
         #: Called when a request has come, before its answer.
         self.on_request = lambda: None
 
@@ -66,7 +67,7 @@
             self.on_request()
             data, keep = self._answer(request)
             if data is None:
-                await stream.receive_some(1)
+                self.was_reset = await _read_to_end(stream)
                 self.closed.set()
                 return
             await stream.send_all(data)
@@ -80,7 +81,11 @@
     async def _read(self, stream):
         data = b''
         while b'\r\n\r\n' not in data:
-            more = await stream.receive_some(4096)
+            try:
+                more = await stream.receive_some(4096)
+            except trio.BrokenResourceError:
+                # The gateway has reset the connection: no request comes.
+                return None
             if not more:
                 return None
             data += more
@@ -120,6 +125,15 @@
         return _whole(200, request, b'whole'), True
 
 
+async def _read_to_end(stream):
+    """Return whether the connection ends with a reset."""
+    try:
+        await stream.receive_some(1)
+    except trio.BrokenResourceError:
+        return True
+    return False
+
+
 def _table():
     made = [
         routes.Route(
@@ -399,6 +413,11 @@
     _play(context, script)
 
 
+@then('it is reset, so that what the runner has not read is dropped')
+def check_reset(context):
+    assert context.world.runners[0].was_reset
+
+
 @then("the runner's connection is closed within 0.5 s")
 def check_closed(context):
     assert context.world.runners[0].closed.is_set()
--- a/mountridge/lasthop.py
+++ b/mountridge/lasthop.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import socket
+import struct
 import typing
 
 import h11
@@ -55,6 +56,15 @@
             return True
         return True
 
+    def reset_on_close(self) -> None:
+        """Let the close drop what the runner has not read yet.
+
+        A runner whose box stands still would else begin, seconds later, on
+        a request whose caller has left.
+        """
+        linger = struct.pack('ii', 1, 0)
+        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def event(self) -> typing.Any:
         """Return the next event of the answer."""
         while True:
@@ -213,6 +223,8 @@
             connection.idle_since_s = self._now_s()
             idle.append(connection)
             return
+        if not whole:
+            connection.reset_on_close()
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(connection.stream)
 
