--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,6 @@
 
 bench-placing: setup
 	$(PY) -m bench.placing
+
+bench-shifts: setup
+	$(PY) -m bench.shifts
--- a/bench/shifts.py
+++ b/bench/shifts.py
@@ -24,6 +24,8 @@
 STEP_S = 0.02
 #: From the end of the copies to the first pass with the new map.
 ORDERS_S = 0.25
+#: Least time between the end of a change and the next look for a plan.
+PAUSE_S = 0.05
 #: Time constant of the counts of the policy that does not tell shifts.
 COUNTS_S = 0.6
 #: Part of a report's choices that single prompts bring, whatever is liked.
@@ -75,9 +77,14 @@
             self.rng.sample(range(experts), experts) for _ in range(made.sets)
         ]
         self.coming: Plan | None = None
-
-    def likes(self) -> list[float]:
-        """Return the part of choices of each expert, set by set."""
+        #: Part of the choices of each expert, set by set.
+        self.likes = self._likes()
+        #: The likes of the time since the last report, added up.
+        self._since = [0.0] * len(self.likes)
+        self._skew: float | None = None
+        self.next_plan_s = 0.0
+
+    def _likes(self) -> list[float]:
         found = []
         for order in self.order:
             likes = [0.0] * len(order)
@@ -95,27 +102,48 @@
             self.rng.shuffle(moved)
             for place, expert in zip(places, moved):
                 order[place] = expert
+        self.likes = self._likes()
+        self._skew = None
+
+    def use(self, placed: mapplans.Placed) -> None:
+        """Take a map into use."""
+        self.placed, self.coming = placed, None
+        self._skew = None
+
+    def tick(self) -> None:
+        """Let requests choose experts for one step."""
+        self._since = [a + b for a, b in zip(self._since, self.likes)]
 
     def report(self) -> list[float]:
-        """Return the choices of one span, with what chance adds."""
+        """Return the choices since the last report, with what chance adds."""
         counts = []
-        for like in self.likes():
+        steps = demand.SPAN_S / STEP_S
+        for like in self._since:
             own = self.rng.expovariate(self.made.sheet.experts)
-            part = (1 - OWN_PART) * like + OWN_PART * own
+            part = (1 - OWN_PART) * like / steps + OWN_PART * own
             counts.append(CHOICES * part)
+        self._since = [0.0] * len(self.likes)
         return counts
 
     def skew(self) -> float:
         """Return the most loaded rank over the mean, over all sets."""
-        likes, experts = self.likes(), self.made.sheet.experts
+        if self._skew is None:
+            self._skew = self._most_loaded()
+        return self._skew
+
+    def _most_loaded(self) -> float:
+        experts = self.made.sheet.experts
         found = []
         for number, by_rank in enumerate(self.placed):
-            load = likes[number * experts : (number + 1) * experts]
+            load = self.likes[number * experts : (number + 1) * experts]
             found.append(max(maps.rank_loads(by_rank, load)))
         return self.made.ranks * statistics.mean(found)
 
     def begin(self, counts: list[float], sheet, now_s: float) -> None:
         """Plan from counts, and begin to copy where that pays."""
+        if self.coming is None and now_s < self.next_plan_s:
+            return
+        self.next_plan_s = now_s + PAUSE_S
         paces = [1.0] * self.made.ranks
         planned = mapplans.plan(self.placed, counts, paces, sheet)
         if planned is None:
@@ -143,7 +171,7 @@
 def oracle(world: World, counts, shifted: bool, now_s: float) -> None:
     """Know demand at once, and copy as today."""
     if shifted or world.coming is None:
-        world.begin(world.likes(), world.made.sheet, now_s)
+        world.begin(world.likes, world.made.sheet, now_s)
 
 
 def decaying(bounded: bool) -> Policy:
@@ -165,15 +193,18 @@
     return policy
 
 
-def today() -> Policy:
-    """Plan as the product does."""
+def telling(waits: bool) -> Policy:
+    """Tell shifts of demand; plan at once, or as the product does.
+
+    The product waits for counts that hold nothing of before the shift.
+    """
     known = demand.Demand()
     outdated = [False]
 
     def policy(world: World, counts, shifted: bool, now_s: float) -> None:
         if counts is not None and known.take(counts, now_s):
             outdated[0] = True
-        if not known.is_settled:
+        if not (known.is_settled if waits else known.mean):
             return
         copying = world.coming and now_s < world.coming.from_s - ORDERS_S
         if world.coming is None or (outdated[0] and copying):
@@ -187,7 +218,8 @@
     'never move': lambda: never,
     'decaying counts, any number of copies': lambda: decaying(False),
     'decaying counts, copies bounded': lambda: decaying(True),
-    'today': today,
+    'shifts told, planned at once': lambda: telling(False),
+    'today: shifts told, counts of after': lambda: telling(True),
     'demand known at once': lambda: oracle,
 }
 
@@ -196,14 +228,16 @@
     """Return the mean skew, and the part of the time with over twice."""
     world = World(made, seed)
     skews = []
-    now_s, shift_s, report_s = 0.0, made.shift_s, 0.0
+    now_s, shift_s = 0.0, made.shift_s
+    report_s = world.rng.random() * demand.SPAN_S
     while now_s < span_s:
         shifted = now_s >= shift_s
         if shifted:
             world.shift()
             shift_s += made.shift_s
         if world.coming and now_s >= world.coming.from_s:
-            world.placed, world.coming = world.coming.placed, None
+            world.use(world.coming.placed)
+        world.tick()
         counts = None
         if now_s >= report_s:
             counts = world.report()
