--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -20,8 +20,8 @@
 __all__ = ['Controller', 'build', 'run']
 
 WATCH_S = 0.1
-#: Interval at which gateways get loads. On the bench 0.25 s (with reports
-#: each 0.3 s) served 0.68 of a busy day, 0.1 s (each 0.25 s) 0.78.
+#: Interval at which gateways get loads. Played on busy days, 0.25 s (with
+#: reports each 0.3 s) served 0.68 of the requests, 0.1 s (each 0.25 s) 0.78.
 LOADS_S = 0.05
 EXPIRE_S = 30.0
 
--- a/mountridge/engines.py
+++ b/mountridge/engines.py
@@ -18,7 +18,7 @@
 #: The engine is on the same box and answers within a few milliseconds.
 CALL_S = 0.5
 #: An order that is not answered by then is given again; twice does no harm.
-#: Answers take 3 to 10 ms on the bench. While a pass is held all ranks wait
+#: Answers took 3 to 10 ms in played days. While a pass is held all ranks wait
 #: for the last one that is armed, so this is short.
 ORDER_S = 0.06
 STATE = b'/v1/state'
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -29,8 +29,8 @@
 #: Callers keep an answer for up to this many times its time to live.
 KEPT_TTLS = 3
 #: Most of a planned stop that new requests are taken in; the rest is for
-#: answers. On a busy day of the bench streams took 1.7 s on average, and 95
-#: in 100 of them less than 4.0 s.
+#: answers. On a busy played day streams took 1.7 s on average, and 95 in 100
+#: of them less than 4.0 s.
 KEPT_PART = 0.4
 DRAIN_POLL_S = 0.05
 #: Left of the time that a planned stop may take, for closing down.
--- a/mountridge/mapchanges.py
+++ b/mountridge/mapchanges.py
@@ -25,7 +25,7 @@
 #: reports, 0.025 s apart, and their ways: 0.12 s. A group that gets there
 #: sooner stands still.
 AHEAD_S = 0.22
-#: What a pass takes while none has been timed: 40 to 90 ms on the bench.
+#: What a pass takes while none has been timed: 40 to 90 ms in played days.
 USUAL_PASS_S = 0.07
 #: After this many passes without a confirmed hold another one is held.
 PAST_PASSES = 1
