--- a/mountridge/forwarding.py
+++ b/mountridge/forwarding.py
@@ -28,8 +28,8 @@
 LATE_S = 0.05
 #: How long a request may wait in a process that has just started and knows
 #: no routes yet. After a loss of all power an election and a first lease
-#: took 0.4 to 0.9 s from the start, in played days. A caller that has come back
-#: once will not do so again, so this serves it where a refusal would not.
+#: took 0.4 to 0.9 s from the start, in played days. A caller that has come
+#: back once will not do so again, so this serves it where a refusal would not.
 ROUTES_WAIT_S = 1.5
 #: How long a request waits for a runner where none is known, and the part
 #: of its time. After a loss of all power new runners register within 1.2 s;
