--- a/mountridge/demand.py
+++ b/mountridge/demand.py
@@ -17,7 +17,7 @@
 SPAN_S = 0.2
 #: Part of the choices that must have gone to other experts, and how many
 #: times the usual part, for the newest counts to tell a shift. With these
-#: all 9 shifts of a day were told, in 0.2 s on average, and nothing else.
+#: all 9 shifts of a played day were told, and nothing else.
 LEAST_DISTANCE = 0.2
 TIMES_USUAL = 1.7
 #: Weight of the newest distance in the usual one.
