--- a/mountridge/mapplans.py
+++ b/mountridge/mapplans.py
@@ -12,7 +12,7 @@
 import math
 import typing
 
-from mountridge import maps
+from mountridge import maps, mapsearch
 
 __all__ = ['Planned', 'Sheet', 'plan']
 
@@ -118,7 +118,7 @@
         _relieve(by_rank, asked, slow, sheet, taken)
         for by_rank, asked in zip(placed, load)
     ]
-    return maps.spread(
+    return mapsearch.spread(
         relieved,
         load,
         sheet.places,
