Let a copy's least gain fall with the ranks that share it

Cause: a plan took a copy only where it lowered the 16-norm of all ranks by 0.02.

Ruled out: the bound on steps (640, 130 used) and on new experts (20 a rank). Scenario: The load of <ranks> ranks is evened out in one change (72 and 192 fail without it).

--- a/features/mapplans.feature
+++ b/features/mapplans.feature
@@ -41,6 +41,19 @@
     Then at most 1 experts are new to a rank over all sets
     And the slowest rank's time is at most 0.5 of what it was
 
+  Scenario Outline: The load of <ranks> ranks is evened out in one change
+    Given a group of <ranks> ranks with <experts> experts in <sets> sets and <places> places
+    And the experts' shares fall by their place in the order to the power <power>
+    When a map is planned
+    Then the most loaded rank has at most <most> times the mean
+    And at most <copies> experts are new to all ranks together
+
+    Examples: the power is that of played days
+      | ranks | experts | sets | places | power | most | copies |
+      | 16    | 64      | 4    | 5      | 1.1   | 1.4  | 50     |
+      | 72    | 144     | 12   | 3      | 0.7   | 1.4  | 700    |
+      | 192   | 384     | 10   | 3      | 0.42  | 1.35 | 1000   |
+
   Scenario: What a slow rank gives away is copied by all others alike
     Given a group of 12 ranks with 96 experts in 3 sets, whose copies take 0.4 s
     And rank 3 takes 12 times its usual time
--- a/features/steps/mapplans_steps.py
+++ b/features/steps/mapplans_steps.py
@@ -9,6 +9,8 @@
 from mountridge import mapplans, maps
 
 RANKS, EXPERTS, SETS = 16, 64, 4
+#: Choices of the most chosen expert.
+CHOICES = 10000
 SHEET = mapplans.Sheet(places=5, spare=2, experts=EXPERTS)
 
 
@@ -26,6 +28,28 @@
     _make_group(context, 12, 3, sheet)
 
 
+@given(
+    'a group of {ranks:d} ranks with {experts:d} experts in {sets:d} sets '
+    'and {places:d} places'
+)
+def make_sized_group(context, ranks, experts, sets, places):
+    sheet = mapplans.Sheet(places, spare=2, experts=experts, copy_s=0.0026)
+    _make_group(context, ranks, sets, sheet)
+
+
+@given(
+    "the experts' shares fall by their place in the order to the power "
+    '{power:g}'
+)
+def falling_shares(context, power):
+    rng = random.Random(5)
+    experts = context.sheet.experts
+    shares = [CHOICES / (1 + place) ** power for place in range(experts)]
+    context.counts = []
+    for _ in context.placed:
+        context.counts += rng.sample(shares, experts)
+
+
 def _make_group(context, ranks, sets, sheet):
     rng = random.Random(3)
     context.sheet = sheet
@@ -128,6 +152,22 @@
     assert min(held) >= least, held
 
 
+@then('the most loaded rank has at most {most:g} times the mean')
+def check_skew(context, most):
+    ranks = len(context.paces)
+    skew = _time(context, context.placed) * ranks / sum(context.counts)
+    assert skew <= most, skew
+
+
+@then('at most {most:d} experts are new to all ranks together')
+def check_copies(context, most):
+    copies = sum(
+        maps.moved_experts(before, after)
+        for before, after in zip(context.before, context.placed)
+    )
+    assert copies <= most, copies
+
+
 def _time(context, placed):
     total = 0.0
     for number, by_rank in enumerate(placed):
--- a/mountridge/mapplans.py
+++ b/mountridge/mapplans.py
@@ -19,8 +19,13 @@
 #: Part by which the passes' slowest ranks must get faster, set by set, for
 #: a change to pay for its copies and its orders.
 LEAST_GAIN = 0.1
-#: Gain per expert copied, in the norm of `maps`, below which it stays.
-LEAST_MOVE_GAIN = 0.02
+#: Gain per expert copied below which it stays where it is, times the ranks.
+#: One copy lowers the norm of `mapsearch` by less the more ranks share it,
+#: and its price is shared by as many requests. In a model with 192 ranks, 10
+#: sets of 384 experts and 3 places, a gain of 0.02 a copy whatever the ranks
+#: left the most loaded rank at 1.8 times the mean after 130 copies; with
+#: this it has 1.26 after 840, which take 0.01 s a rank (`bench.shifts`).
+LEAST_MOVE_GAIN = 0.24
 #: A rank at this many times its usual time is relieved of all experts that
 #: others have places for. Below, weighing its load by its pace is enough.
 RELIEVE_PACE = 2.0
@@ -124,7 +129,7 @@
         sheet.places,
         sheet.spare,
         sheet.most_new(len(placed)),
-        LEAST_MOVE_GAIN,
+        LEAST_MOVE_GAIN / len(paces),
         weighed,
         placed,
     )
--- a/mountridge/mapsearch.py
+++ b/mountridge/mapsearch.py
@@ -30,8 +30,9 @@
 #: Steps of one search, and for each rank: enough for each rank to take a new
 #: expert, which is what is left to gain where there are many ranks.
 LEAST_STEPS = 64
-#: Gain of the norm below which a change is noise.
-LEAST_GAIN = 1e-3
+#: Gain of the norm below which a change is noise: a tenth of the least that
+#: a plan for 192 ranks takes.
+LEAST_GAIN = 1e-4
 
 
 class Loads(typing.NamedTuple):
