--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -23,9 +23,10 @@
 #: Interval at which gateways get loads. Played on busy days, 0.25 s (with
 #: reports each 0.3 s) served 0.68 of the requests, 0.1 s (each 0.25 s) 0.78.
 LOADS_S = 0.05
-#: Messages of loads a second, whatever the number of gateways. With 103 of
-#: them and 192 runners each 0.05 s they were 2,060 of 4.4 KB: 80 Mbit/s.
-LOADS_PER_S = 400
+#: Messages of loads a second, whatever the number of gateways: 0.5 s apart
+#: for 103 of them. Each 0.05 s they were 2,060 of 4.4 KB, 80 Mbit/s at 192
+#: runners; gateways also know the loads that their own answers tell.
+LOADS_PER_S = 200
 EXPIRE_S = 30.0
 
 
--- a/mountridge/rankgroups.py
+++ b/mountridge/rankgroups.py
@@ -26,9 +26,9 @@
 PASSES_S = 0.5
 #: Ranks of a group that tell which experts their requests choose. What is
 #: asked for is a matter of all requests alike, and counts are most of a
-#: report's bytes: 3.8 KB at 10 sets of 384 experts. Shifts were told on
-#: groups of 12 ranks, whose requests are as many as those of 24 ranks here.
-MOST_COUNTING = 24
+#: report's bytes: 3.8 KB at 10 sets of 384 experts. On groups of 12 and 16
+#: ranks, which all tell theirs, every shift of played days was told.
+MOST_COUNTING = 16
 #: Ranks whose reports tell the newest pass while a change is under way.
 WATCHING = 2
 
