Scenarios of the leader's load at 192 ranks; a map cut at its end is refused

The pattern, and the bounds that the figures come from, stand in the feature. Found by them: a packed map that lacks its checksum was taken.

--- /dev/null
+++ b/features/manyranks.feature
@@ -0,0 +1,54 @@
+Feature: What the leader sends and takes does not grow with ranks times boxes
+
+  Pattern: a group of 192 ranks changes its map each second or two, beside 103
+  gateways. The bounds are those of its leader's box: one thread, and a link
+  of 100 Mbit/s.
+
+  Scenario: A map is packed against the one before it
+    Given a map of 192 ranks with 384 experts in 10 sets and 3 places
+    When 700 of its experts change, and it is packed
+    Then it takes at most 4000 bytes, and 9000 where nothing is known
+    And what is unpacked is the new map, in both forms
+
+  Scenario Outline: A packed map that <fault> is refused, and nothing is kept
+    Given a map of 192 ranks with 384 experts in 10 sets and 3 places
+    When a packed map comes that <fault>
+    Then the map is refused with code 1600
+
+    Examples:
+      | fault                          |
+      | is cut short                   |
+      | tells a size of nothing        |
+      | tells a size beyond all bounds |
+      | holds more than it tells       |
+      | is based on another group      |
+
+  Scenario: A sidecar that lacks the base of a map says so and gets it whole
+    Given a sidecar that knows no map
+    When an order to prepare comes that builds on map 7
+    Then the order is not carried out, and the sidecar reports at once
+    When the order comes again with the whole map
+    Then the order is carried out with that map
+
+  Scenario Outline: Few of <ranks> ranks tell choices, and the others rest
+    Given a leader that <ranks> ranks have reported to
+    Then <counting> ranks are asked for counts
+    And reports come at most <per_s> times a second while no map changes
+
+    Examples:
+      | ranks | counting | per_s |
+      | 12    | 12       | 100   |
+      | 16    | 16       | 134   |
+      | 24    | 12       | 201   |
+      | 72    | 15       | 200   |
+      | 192   | 16       | 450   |
+
+  Scenario: A change of 192 ranks takes few looks at all of them
+    Given a leader that 192 ranks have reported to
+    When all ranks go through a change one after the other
+    Then the phases were told in the order prepare, hold, arm, go
+    And all ranks were looked at together at most 12 times
+
+  Scenario: Loads go to any number of gateways within a bound
+    Given leases of 103 gateways at a leader
+    Then loads are told at most 200 times a second together
--- /dev/null
+++ b/features/steps/manyranks_steps.py
@@ -0,0 +1,262 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on what the leader of many ranks sends, takes and looks at."""
+
+import random
+import types
+
+from behave import given, then, when
+import trio
+
+from mountridge import application, controller, demand, errors, groups
+from mountridge import mapchanges, mapdeltas, messages, ranks, sidecar
+
+SETS, RANKS, EXPERTS, PLACES = 10, 192, 384, 3
+PEER = application.Peer(b'route', 0, '')
+
+
+def _first_map():
+    rng = random.Random(3)
+    return [
+        [[rank, rank + RANKS, rng.randrange(EXPERTS)] for rank in range(RANKS)]
+        for _ in range(SETS)
+    ]
+
+
+@given('a map of 192 ranks with 384 experts in 10 sets and 3 places')
+def make_map(context):
+    context.known = _first_map()
+
+
+@when('{count:d} of its experts change, and it is packed')
+def change_map(context, count):
+    rng = random.Random(4)
+    context.placed = [
+        [list(held) for held in by_rank] for by_rank in context.known
+    ]
+    for place in rng.sample(range(SETS * RANKS), count):
+        held = context.placed[place % SETS][place // SETS]
+        held[-1] = (held[-1] + 7) % EXPERTS
+    context.packed = mapdeltas.pack(context.placed, 7, context.known)
+    context.whole = mapdeltas.pack(context.placed, ranks.NO_VERSION, [])
+
+
+@then('it takes at most {most:d} bytes, and {whole:d} where nothing is known')
+def check_packed_size(context, most, whole):
+    size = len(context.packed.data), len(context.whole.data)
+    assert size[0] <= most and size[1] <= whole, size
+
+
+@then('what is unpacked is the new map, in both forms')
+def check_unpacked(context):
+    found = mapdeltas.unpack(context.packed, context.known)
+    assert found == context.placed
+    assert mapdeltas.unpack(context.whole, []) == context.placed
+
+
+@when('a packed map comes that {fault}')
+def spoil_map(context, fault):
+    packed = mapdeltas.pack(context.known, 7, context.known)
+    known = context.known
+    if fault == 'is cut short':
+        packed = packed._replace(data=packed.data[:-4])
+    elif fault == 'tells a size of nothing':
+        packed = packed._replace(places=0)
+    elif fault == 'tells a size beyond all bounds':
+        packed = packed._replace(ranks=10**9)
+    elif fault == 'holds more than it tells':
+        packed = packed._replace(places=2)
+    else:
+        known = [by_rank[:-1] for by_rank in known]
+    try:
+        mapdeltas.unpack(packed, known)
+        context.problem = None
+    except errors.MountridgeError as problem:
+        context.problem = problem
+
+
+@then('the map is refused with code {code:d}')
+def check_refused(context, code):
+    assert context.problem is not None and context.problem.code == code
+
+
+class _Engine:
+    """Takes any order, and keeps it."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def follow(self, order):
+        self.orders.append(order)
+
+
+@given('a sidecar that knows no map')
+def make_sidecar(context):
+    context.tasks = []
+    app = types.SimpleNamespace(
+        settings={
+            'sidecar': {'report_s': 0.12},
+            'controllers': {'c': 'tcp://127.0.0.1:1'},
+            'entry': {'seeds': []},
+            'bind': 'tcp://127.0.0.1:1',
+        },
+        now_s=lambda: 100.0,
+        start_task=lambda task, *args: context.tasks.append((task, args)),
+    )
+    context.engine = _Engine()
+    context.sidecar = sidecar.Sidecar(app, context.engine)
+    context.known = _first_map()
+
+
+def _push(context, packed):
+    order = ranks.RankOrder(ranks.PREPARE, 1, 9, ranks.NO_VERSION, [])
+    context.sidecar.take_push(messages.RankPush(1, order, packed))
+
+    async def run():
+        for task, args in context.tasks:
+            await task(*args)
+
+    trio.run(run)
+    context.tasks.clear()
+
+
+@when('an order to prepare comes that builds on map {base:d}')
+def push_on_base(context, base):
+    # As after a report: nothing is new.
+    context.sidecar._told = 'told'
+    _push(context, mapdeltas.pack(context.known, base, context.known))
+
+
+@then('the order is not carried out, and the sidecar reports at once')
+def check_not_followed(context):
+    assert not context.engine.orders
+    assert context.sidecar._told is None and context.sidecar._wake.is_set()
+
+
+@when('the order comes again with the whole map')
+def push_whole(context):
+    _push(context, mapdeltas.pack(context.known, ranks.NO_VERSION, []))
+
+
+@then('the order is carried out with that map')
+def check_followed(context):
+    assert [order.placed for order in context.engine.orders] == [context.known]
+
+
+def _state(rank, size, **fields):
+    state = ranks.RankState(
+        'g', 1, rank, size, True, 50, 3, 3, ranks.NO_VERSION,
+        ranks.NO_VERSION, ranks.NO_VERSION, 4, 0, 1000, 1.0,
+    )  # fmt: skip
+    return state._replace(**fields)
+
+
+class _Leader:
+    """What the leader's planning needs; counts what it sends."""
+
+    def __init__(self):
+        self.at_s = 10.0
+        self.sent = []
+        self.node = types.SimpleNamespace(term=1)
+        self.groups = groups.Groups(self, self, lambda _: None)
+
+    def now_s(self):
+        return self.at_s
+
+    def check_leader(self):
+        """Lead always."""
+
+    def send(self, route, message):
+        self.sent.append(message.order.kind)
+        return True
+
+    def report(self, rank, size, **fields):
+        state = _state(rank, size, **fields)
+        report = messages.RankReport(
+            f'i-{rank}', state, [[1]], demand.NO_CHOICES, ranks.NO_VERSION
+        )
+
+        async def take():
+            return await self.groups.on_report(PEER, report)
+
+        return trio.run(take)
+
+
+@given('a leader that {size:d} ranks have reported to')
+def make_leader(context, size):
+    context.leader, context.size = _Leader(), size
+    for rank in range(size):
+        context.leader.report(rank, size)
+    context.replies = [context.leader.report(r, size) for r in range(size)]
+
+
+@then('{count:d} ranks are asked for counts')
+def check_counting(context, count):
+    asked = [reply for reply in context.replies if reply.wants_counts]
+    assert len(asked) == count, len(asked)
+
+
+@then('reports come at most {most:d} times a second while no map changes')
+def check_report_rate(context, most):
+    per_s = sum(1 / (reply.report_s or 0.12) for reply in context.replies)
+    assert per_s <= most, per_s
+
+
+@when('all ranks go through a change one after the other')
+def go_through_change(context):
+    leader, size = context.leader, context.size
+    group = leader.groups.by_name['g']
+    whole, context.looks = group.whole, 0
+
+    def counted(now_s):
+        context.looks += 1
+        return whole(now_s)
+
+    group.whole = counted
+    states = [report.state for report, _ in group.reports.values()]
+    change = mapchanges.Change('g', 1, 9, _first_map())
+    group.maps[9] = change.placed
+    group.progress = mapchanges.Progress(change, states)
+    context.kinds = []
+    fields = {'prepared': 9}
+    while group.progress is not None:
+        step = group.change.step
+        if step != ranks.NO_VERSION:
+            fields.update(armed=9, armed_step=step)
+        for rank in range(size):
+            leader.at_s += 0.0005
+            held = {'held_step': step} if rank == 0 else {}
+            done = context.kinds[-1:] == [ranks.GO]
+            if done:
+                held = {'map_version': 9, 'armed': ranks.NO_VERSION}
+            reply = leader.report(rank, size, **{**fields, **held})
+            sent = leader.sent + ([reply.order.kind] if reply.order else [])
+            leader.sent = []
+            for kind in sent:
+                if context.kinds[-1:] != [kind]:
+                    context.kinds.append(kind)
+
+
+@then('the phases were told in the order prepare, hold, arm, go')
+def check_phases(context):
+    kinds = list(dict.fromkeys(context.kinds))
+    assert kinds == [
+        ranks.PREPARE, ranks.HOLD, ranks.ARM, ranks.GO,
+    ], context.kinds  # fmt: skip
+
+
+@then('all ranks were looked at together at most {most:d} times')
+def check_looks(context, most):
+    assert context.looks <= most, context.looks
+
+
+@given('leases of {count:d} gateways at a leader')
+def make_leases(context, count):
+    context.interval_s = controller.loads_interval_s(count)
+    context.gateways = count
+
+
+@then('loads are told at most {most:d} times a second together')
+def check_loads_rate(context, most):
+    assert context.gateways / context.interval_s <= most + 1e-6
+    assert controller.loads_interval_s(1) == controller.LOADS_S
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -17,7 +17,7 @@
 from mountridge import messages, registry, replicas, statemachine
 from mountridge import storage, utils, views
 
-__all__ = ['Controller', 'build', 'run']
+__all__ = ['Controller', 'build', 'loads_interval_s', 'run']
 
 WATCH_S = 0.1
 #: Interval at which gateways get loads. Played on busy days, 0.25 s (with
@@ -190,7 +190,7 @@
         """Tell gateways what sidecars have reported, while leading."""
         while True:
             routes = self._gateway_routes()
-            await trio.sleep(max(LOADS_S, len(routes) / LOADS_PER_S))
+            await trio.sleep(loads_interval_s(len(routes)))
             if not self.replica.lease_valid():
                 continue
             told = self.groups.take_loads()
@@ -324,6 +324,11 @@
         }
 
 
+def loads_interval_s(gateways: int) -> float:
+    """Return the time between two messages of loads to each gateway."""
+    return max(LOADS_S, gateways / LOADS_PER_S)
+
+
 def _told(remote: messages.RemoteOrder) -> dict:
     """Return the fields of a log line on an order."""
     order = remote.order
--- a/mountridge/mapdeltas.py
+++ b/mountridge/mapdeltas.py
@@ -65,10 +65,11 @@
     if not 0 < size <= MOST_BYTES:
         raise errors.BadMessage(f'a map of {size} bytes')
     try:
-        data = zlib.decompressobj().decompress(packed.data, size + 1)
+        stream = zlib.decompressobj()
+        data = stream.decompress(packed.data, size + 1)
     except zlib.error as problem:
         raise errors.BadMessage(f'a map that is cut: {problem}')
-    if len(data) != size:
+    if len(data) != size or not stream.eof:
         raise errors.BadMessage(f'{len(data)} bytes of a map of {size}')
     if known:
         if (len(known), len(known[0])) != (packed.sets, packed.ranks):
