--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -324,7 +324,7 @@
 
 def _add_controller(app: application.Application, entry: Entry) -> None:
     made = controller.build(app)
-    made.groups.offload = trio.to_thread.run_sync
+    made.groups.planner.offload = trio.to_thread.run_sync
 
     def sheet(instance_id: str) -> mapplans.Sheet | None:
         """Return what a runner's engine allows, by the routes in force."""
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from mountridge import application, commands, mapchanges, mapdeltas
+from mountridge import application, mapchanges, mapdeltas, mapplanning
 from mountridge import mapplans, messages, rankgroups, ranks, replicas
 
 __all__ = ['Groups']
@@ -25,15 +25,6 @@
 #: answers within 0.01 s, and a sidecar reports right after; copies take
 #: longer, and are only asked for again.
 REPEAT_S = 0.15
-#: Least time between the end of a change and the next plan.
-PAUSE_S = 0.05
-#: And after a search that found none that pays. A search keeps the leader's
-#: core for 0.02 s at 12 ranks and 0.1 s at 192; demand is known a little
-#: better with each span of 0.2 s.
-FUTILE_S = 0.25
-#: Work seen since demand shifted, in choices of an expert, below which no
-#: plan is made: an idle group gains nothing from one.
-LEAST_CHOICES = 10000
 #: Ranks that may all report at the interval of the settings.
 FEW_RANKS = 32
 #: Interval of reports of more ranks: of those that tell counts, so that a
@@ -42,8 +33,8 @@
 #: second then instead of 1,600.
 COUNTING_S = 0.2
 RESTING_S = 0.5
-#: Newest maps that are kept, since sidecars build on them, and packed forms.
-KEPT_MAPS = 3
+#: Packed forms of maps that are kept: of the newest, for the few versions
+#: that sidecars hold.
 KEPT_PACKED = 6
 
 
@@ -58,10 +49,7 @@
     ):
         self.app = app
         self.replica = replica
-        self._sheet = sheet
-        #: Runs the search for a plan; a process that serves requests gives
-        #: one that runs it in a thread.
-        self.offload: typing.Callable = _at_once
+        self.planner = mapplanning.Planner(app, replica, sheet)
         #: Lets another box give an order; tells whether one was found.
         self.give_elsewhere: typing.Callable[[messages.RemoteOrder], bool] = (
             lambda _: False
@@ -134,7 +122,7 @@
         group = self.by_name.setdefault(state.group, rankgroups.Group())
         group.take(report, now_s)
         if group.is_open_to_plans:
-            await self._plan(report.instance_id, group, now_s)
+            await self.planner.look(report.instance_id, group, now_s)
         self._advance(group, state.rank, now_s)
         return group
 
@@ -193,9 +181,9 @@
         progress.choose_step(group.newest_step, group.pass_s(now_s))
         change, phase = progress.change, progress.phase
         if phase == mapchanges.Phase.DONE:
-            logger.info('map in use', **_told(change))
+            logger.info('map in use', **mapplanning.told(change))
             group.progress = None
-            group.plan_from_s = now_s + PAUSE_S
+            group.plan_from_s = now_s + mapplanning.PAUSE_S
             return
         if group.told != (phase, change.version, change.step):
             group.told = (phase, change.version, change.step)
@@ -284,84 +272,3 @@
                 order.placed, base, group.maps.get(base, [])
             )
         return self._packed[key]
-
-    # Plans.
-
-    async def _plan(
-        self, instance_id: str, group: rankgroups.Group, now_s: float
-    ) -> None:
-        """Begin a change where one was left under way, or where one pays."""
-        may_plan = now_s >= group.plan_from_s and group.demand.is_settled
-        if not (may_plan or group.is_held) or not group.is_whole(now_s):
-            return
-        states = group.whole(now_s)
-        if states is None:
-            return
-        found = mapchanges.find_change(states)
-        if found is not None and group.change is None:
-            group.progress = mapchanges.Progress(found, states)
-            logger.info('map change found', **_told(found))
-            return
-        sheet = self._sheet(instance_id)
-        if not may_plan or not group.knows_all_experts():
-            return
-        if sheet is None or sum(group.demand.mean) < LEAST_CHOICES:
-            return
-        paces = [state.pace for state in states]
-        group.planning = True
-        # A shift that is told during the search makes its plan outdated.
-        group.outdated = False
-        try:
-            planned = await self.offload(
-                mapplans.plan,
-                group.placed(),
-                list(group.demand.mean),
-                paces,
-                sheet,
-            )
-            if planned is not None:
-                await self._begin(group, states[0], planned)
-        finally:
-            group.planning = False
-            if group.change is None and not group.outdated:
-                group.plan_from_s = self.app.now_s() + FUTILE_S
-
-    async def _begin(
-        self,
-        group: rankgroups.Group,
-        state: ranks.RankState,
-        planned: mapplans.Planned,
-    ) -> None:
-        """Give a plan its version, which no other plan ever has."""
-        command = commands.NextVersion(self.app.wall_s())
-        version = await self.replica.propose(commands.encode(command))
-        change = group.change
-        is_held = change is not None and change.step != ranks.NO_VERSION
-        if group.epoch != state.epoch or is_held or group.is_held:
-            return
-        while len(group.maps) >= KEPT_MAPS:
-            del group.maps[next(iter(group.maps))]
-        group.maps[version] = planned.placed
-        states = [report.state for report, _ in group.reports.values()]
-        group.progress = mapchanges.Progress(
-            mapchanges.Change(
-                state.group, state.epoch, version, planned.placed
-            ),
-            states,
-        )
-        logger.info(
-            'map planned', **_told(group.change), reason=planned.reason
-        )
-
-
-async def _at_once(function: typing.Callable, *args: typing.Any):
-    return function(*args)
-
-
-def _told(change: mapchanges.Change) -> dict[str, typing.Any]:
-    return {
-        'group': change.group,
-        'epoch': change.epoch,
-        'version': change.version,
-        'step': change.step,
-    }
--- /dev/null
+++ b/mountridge/mapplanning.py
@@ -0,0 +1,119 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""When a group's map is planned anew, and how a plan becomes a change."""
+
+import typing
+
+from loguru import logger
+
+from mountridge import application, commands, mapchanges, mapplans
+from mountridge import rankgroups, ranks, replicas
+
+__all__ = ['PAUSE_S', 'Planner', 'told']
+
+#: Least time between the end of a change and the next plan.
+PAUSE_S = 0.05
+#: And after a search that found none that pays. A search keeps the leader's
+#: core for 0.02 s at 12 ranks and 0.1 s at 192; demand is known a little
+#: better with each span of 0.2 s.
+FUTILE_S = 0.25
+#: Work seen since demand shifted, in choices of an expert, below which no
+#: plan is made: an idle group gains nothing from one.
+LEAST_CHOICES = 10000
+#: Newest maps that are kept, since sidecars build the next one on them.
+KEPT_MAPS = 3
+
+
+async def _at_once(function: typing.Callable, *args: typing.Any):
+    return function(*args)
+
+
+def told(change: mapchanges.Change) -> dict[str, typing.Any]:
+    """Return the fields of a log line on a change."""
+    return {
+        'group': change.group,
+        'epoch': change.epoch,
+        'version': change.version,
+        'step': change.step,
+    }
+
+
+class Planner:
+    """Looks for maps that pay, and begins their changes."""
+
+    def __init__(
+        self,
+        app: application.Application,
+        replica: replicas.Replica,
+        sheet: typing.Callable[[str], mapplans.Sheet | None],
+    ):
+        self.app = app
+        self.replica = replica
+        self._sheet = sheet
+        #: Runs the search for a plan; a process that serves requests gives
+        #: one that runs it in a thread.
+        self.offload: typing.Callable = _at_once
+
+    async def look(
+        self, instance_id: str, group: rankgroups.Group, now_s: float
+    ) -> None:
+        """Begin a change where one was left under way, or where one pays."""
+        may_plan = now_s >= group.plan_from_s and group.demand.is_settled
+        if not (may_plan or group.is_held) or not group.is_whole(now_s):
+            return
+        states = group.whole(now_s)
+        if states is None:
+            return
+        found = mapchanges.find_change(states)
+        if found is not None and group.change is None:
+            group.progress = mapchanges.Progress(found, states)
+            logger.info('map change found', **told(found))
+            return
+        sheet = self._sheet(instance_id)
+        if not may_plan or not group.knows_all_experts():
+            return
+        if sheet is None or sum(group.demand.mean) < LEAST_CHOICES:
+            return
+        paces = [state.pace for state in states]
+        group.planning = True
+        # A shift that is told during the search makes its plan outdated.
+        group.outdated = False
+        try:
+            planned = await self.offload(
+                mapplans.plan,
+                group.placed(),
+                list(group.demand.mean),
+                paces,
+                sheet,
+            )
+            if planned is not None:
+                await self._begin(group, states[0], planned)
+        finally:
+            group.planning = False
+            if group.change is None and not group.outdated:
+                group.plan_from_s = self.app.now_s() + FUTILE_S
+
+    async def _begin(
+        self,
+        group: rankgroups.Group,
+        state: ranks.RankState,
+        planned: mapplans.Planned,
+    ) -> None:
+        """Give a plan its version, which no other plan ever has."""
+        command = commands.NextVersion(self.app.wall_s())
+        version = await self.replica.propose(commands.encode(command))
+        change = group.change
+        is_held = change is not None and change.step != ranks.NO_VERSION
+        if group.epoch != state.epoch or is_held or group.is_held:
+            return
+        while len(group.maps) >= KEPT_MAPS:
+            del group.maps[next(iter(group.maps))]
+        group.maps[version] = planned.placed
+        states = [report.state for report, _ in group.reports.values()]
+        group.progress = mapchanges.Progress(
+            mapchanges.Change(
+                state.group, state.epoch, version, planned.placed
+            ),
+            states,
+        )
+        logger.info('map planned', **told(group.change), reason=planned.reason)
--- a/mountridge/messages.py
+++ b/mountridge/messages.py
@@ -12,7 +12,34 @@
 
 import msgspec
 
-from mountridge import demand, errors, instances, mapdeltas, ranks
+from mountridge import errors
+from mountridge.attemptmessages import (
+    Attach,
+    Barred,
+    Cancel,
+    Frame,
+    Frames,
+    Greet,
+    Load,
+    Revoke,
+    Ticket,
+)
+from mountridge.rankmessages import (
+    Loads,
+    RankPush,
+    RankReply,
+    RankReport,
+    RemoteOrder,
+    RunnerLoad,
+)
+from mountridge.routemessages import (
+    Heartbeat,
+    Leave,
+    PutRoutes,
+    ReadRoutes,
+    Registered,
+    RoutesReply,
+)
 
 __all__ = [
     'Ask',
@@ -78,93 +105,6 @@
     index: int
 
 
-class Ticket(typing.NamedTuple):
-    """Gateway to agent: run one attempt of a request."""
-
-    request_id: str
-    attempt_id: str
-    incarnation: str  # of the agent that is meant
-    team: str
-    service: str
-    path: str  # on the runner
-    body: bytes
-    priority: int  # 0 goes first
-    weight: float  # share among teams of one priority
-    queue_s: float  # longest time in the agent's queue
-    deadline_s: float  # time left in all
-    claim_key: str  # '' where the call may be repeated
-    agent_s: float  # the agent's own clock, as the gateway reckons it
-    reason: str  # the placing decision, kept by the agent too
-    seq: int  # counts the tickets from this gateway to this agent
-
-
-class Frame(typing.NamedTuple):
-    """One piece of an answer. ``position`` counts bytes before it."""
-
-    attempt_id: str
-    position: int
-    data: bytes
-    end: bool
-    status: int  # HTTP status from the runner; 0 until known
-    code: int  # error code; 0 while all is well
-    message: str
-    retry_after_s: float
-
-
-class Load(typing.NamedTuple):
-    """An agent's load at the time of sending."""
-
-    name: str
-    incarnation: str
-    running: int
-    waiting: int
-    slots: int
-    draining: bool  # it takes nothing new: leaving, or without a lease
-    at_s: float  # the agent's monotonic clock
-    frames_seq: int  # `Frames` sent to this gateway, this one included
-    ticket_seq: int  # newest ticket that came from this gateway
-    ticket_count: int  # tickets that came from this gateway
-
-
-class Frames(typing.NamedTuple):
-    """Agent to gateway: frames of many answers in one message."""
-
-    frames: list[Frame]
-    load: Load
-
-
-class Greet(typing.NamedTuple):
-    """Gateway to agent: tell me your load now and for a while."""
-
-
-class Cancel(typing.NamedTuple):
-    """Gateway to agent: the caller has gone, stop the attempt."""
-
-    attempt_id: str
-
-
-class Revoke(typing.NamedTuple):
-    """Gateway to agent: bar the attempt for good if it has not run."""
-
-    attempt_id: str
-    incarnation: str
-
-
-class Barred(typing.NamedTuple):
-    """Answer to `Revoke`: ``outcome`` is ran, not run or unknown."""
-
-    attempt_id: str
-    outcome: str
-
-
-class Attach(typing.NamedTuple):
-    """Gateway to agent: send the answer of an attempt again, from 0."""
-
-    attempt_id: str
-    incarnation: str
-    as_attempt_id: str
-
-
 class Share(typing.NamedTuple):
     """A part of one row's limits, held by one gateway for a lease."""
 
@@ -371,97 +311,6 @@
     addresses: dict[str, str]
 
 
-class PutRoutes(typing.NamedTuple):
-    """Operator to leader: hold these routes if no newer ones are held."""
-
-    version: int
-    source: bytes  # the document as it came, compressed
-
-
-class ReadRoutes(typing.NamedTuple):
-    """Operator to leader: the newest routes, confirmed by a quorum."""
-
-
-class RoutesReply(typing.NamedTuple):
-    """The version held after a put, or the document that was read."""
-
-    version: int
-    source: bytes
-
-
-class Heartbeat(typing.NamedTuple):
-    """A runner is alive; ``seq`` rises with each heartbeat of its life."""
-
-    instance: instances.Instance
-    seq: int
-
-
-class Leave(typing.NamedTuple):
-    """A runner has left for good; its id never comes back."""
-
-    instance_id: str
-
-
-class Registered(typing.NamedTuple):
-    """What a heartbeat or leave said is in the replicated state."""
-
-
-class RankReport(typing.NamedTuple):
-    """Sidecar to leader: its engine's state, and what was chosen since."""
-
-    instance_id: str
-    state: ranks.RankState
-    #: Held now, by set of layers; [] where the leader has been told.
-    experts: list[list[int]]
-    #: Choices of each expert since they were last told.
-    counts: demand.Choices
-    #: Version of the newest map that the sidecar has whole, or NO_VERSION.
-    known_map: int
-
-
-class RankReply(typing.NamedTuple):
-    """Leader to sidecar: the next order, and when to report again."""
-
-    term: int
-    #: Without the map; `packed` has it, for PREPARE.
-    order: ranks.RankOrder | None
-    packed: mapdeltas.PackedMap
-    report_s: float  # longest rest between reports; 0: as the settings say
-    hurry: bool  # the leader wants to know each pass
-    wants_experts: bool  # the leader does not know what the rank holds
-    wants_counts: bool
-
-
-class RankPush(typing.NamedTuple):
-    """Leader to sidecar: an order that does not wait for a report."""
-
-    term: int
-    order: ranks.RankOrder
-    packed: mapdeltas.PackedMap
-
-
-class RunnerLoad(typing.NamedTuple):
-    """What one runner has to do, by its sidecar's newest report."""
-
-    instance_id: str
-    running: int
-    waiting: int
-    pace_percent: int  # over 100: it is slow; a byte where it is not
-
-
-class Loads(typing.NamedTuple):
-    """Leader to gateways: loads that were reported since the last ones."""
-
-    loads: list[RunnerLoad]
-
-
-class RemoteOrder(typing.NamedTuple):
-    """Leader to a gateway: give an order to a runner's engine."""
-
-    instance_id: str
-    order: ranks.RankOrder
-
-
 _KINDS: tuple[type, ...] = (
     Ticket,
     Frames,
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -397,6 +397,39 @@
         'return own_per_s * unseen_s * max(0, gateways - 1)', 'return 0.0',
         'placement',
     ),
+    Mutant(
+        'placing: no part of its own', 'backends',
+        'if self.rest_s <= SELDOM_S:', 'if True:', 'placement', 'seldom',
+    ),
+    Mutant(
+        'placing: parts of all halls', 'backends',
+        'if backend.instance.hall == hall', 'if True', 'placement', 'Parts',
+    ),
+    Mutant(
+        'maps: a map is sent whole each time', 'groups',
+        'base = known if known in group.maps else ranks.NO_VERSION',
+        'base = ranks.NO_VERSION', 'manyranks', '',
+    ),
+    Mutant(
+        'maps: all ranks tell choices', 'rankgroups',
+        'return rank % math.ceil(max(1, self.size) / MOST_COUNTING) == 0',
+        'return True', 'manyranks',
+    ),
+    Mutant(
+        'maps: each report looks at all ranks', 'rankgroups',
+        'if now_s < self._whole_until_s:', 'if False:', 'manyranks',
+        'takes few looks',
+    ),
+    Mutant(
+        'maps: a cut map is taken', 'mapdeltas',
+        'if len(data) != size or not stream.eof:', 'if False:', 'manyranks',
+        'refused',
+    ),
+    Mutant(
+        'maps: least gain of a copy whatever the ranks', 'mapplans',
+        'LEAST_MOVE_GAIN / len(paces),', 'LEAST_MOVE_GAIN / 12,', 'mapplans',
+        'evened out',
+    ),
     Mutant(
         'placing: slow runners like others', 'backends',
         'sound = [b for b in sound if b.pace < SLOW_PACE] or sound', '',
