--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -158,6 +158,7 @@
         self.at_s = 10.0
         self.sent = []
         self.node = types.SimpleNamespace(term=1)
+        self.metrics = types.SimpleNamespace(incr=lambda _: None)
         self.groups = groups.Groups(self, self, lambda _: None)
 
     def now_s(self):
--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -31,6 +31,7 @@
     def __init__(self, world):
         self.world = world
         self.node = types.SimpleNamespace(term=world.term)
+        self.metrics = types.SimpleNamespace(incr=lambda _: None)
         sheet = mapplans.Sheet(SHEET.places, SHEET.spare, SHEET.experts)
         self.groups = groups.Groups(self, self, lambda _: sheet)
         if not world.alone:
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -78,6 +78,7 @@
     ) -> messages.RankReply:
         """Take a report and answer with the rank's next order."""
         self.replica.check_leader()
+        self.app.metrics.incr('rank.reports')
         now_s = self.app.now_s()
         state = report.state
         group = await self._take(report, now_s)
@@ -196,6 +197,7 @@
             if group.progress is None or now_s - group.told_s < REPEAT_S:
                 continue
             if group.is_whole(now_s):
+                self.app.metrics.incr('rank.repeated')
                 self._tell(group, ranks.NO_VERSION, now_s)
 
     def _tell(
@@ -217,6 +219,7 @@
                 self._map_for(group, order, report.known_map),
             )
             self.app.send(contact.route, pushed)
+            self.app.metrics.incr('rank.pushed')
 
     def _order_for(
         self,
