--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -49,6 +49,16 @@
     Then the phases were told in the order prepare, hold, arm, go
     And all ranks were looked at together at most 12 times
 
+  Scenario: A shift that is told during a search makes its plan outdated
+    Given a leader that 192 ranks have reported to
+    When demand shifts while a plan is searched for
+    Then the plan is begun, and a newer one may take its place
+
+  Scenario: After a search that found nothing the leader's core has a rest
+    Given a leader that 192 ranks have reported to
+    When searches find nothing for 1 s of reports, 0.005 s apart
+    Then at most 5 searches were made
+
   Scenario: Loads go to any number of gateways within a bound
     Given leases of 103 gateways at a leader
     Then loads are told at most 400 times a second together
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -9,7 +9,8 @@
 import trio
 
 from mountridge import application, controller, demand, errors, groups
-from mountridge import mapchanges, mapdeltas, messages, ranks, sidecar
+from mountridge import mapchanges, mapdeltas, mapplanning, mapplans, messages
+from mountridge import ranks, sidecar
 
 SETS, RANKS, EXPERTS, PLACES = 10, 192, 384, 3
 PEER = application.Peer(b'route', 0, '')
@@ -161,6 +162,9 @@
         self.metrics = types.SimpleNamespace(incr=lambda _: None)
         self.groups = groups.Groups(self, self, lambda _: None)
 
+    def wall_s(self):
+        return self.at_s
+
     def now_s(self):
         return self.at_s
 
@@ -251,6 +255,56 @@
     assert context.looks <= most, context.looks
 
 
+def _make_plannable(context, search):
+    """Let a group's demand be known, and searches be those of a step."""
+    group = context.leader.groups.by_name['g']
+    group.demand.mean = [1.0 * mapplanning.LEAST_CHOICES]
+    planner = context.leader.groups.planner
+    planner._sheet = lambda _: mapplans.Sheet(PLACES, 2, EXPERTS)
+    planner.offload = search
+    return group
+
+
+@when('demand shifts while a plan is searched for')
+def shift_in_search(context):
+    async def search(*_args):
+        # What `Group.take` notes of a shift.
+        context.group.outdated = True
+        return mapplans.Planned(_first_map(), 'better')
+
+    async def propose(_payload):
+        return 12
+
+    context.group = _make_plannable(context, search)
+    context.leader.propose = propose
+    context.leader.at_s += 1.0
+    context.leader.report(0, context.size)
+
+
+@then('the plan is begun, and a newer one may take its place')
+def check_outdated(context):
+    assert context.group.change.version == 12
+    assert context.group.outdated and context.group.is_open_to_plans
+
+
+@when('searches find nothing for 1 s of reports, 0.005 s apart')
+def search_in_vain(context):
+    context.searches = 0
+
+    async def search(*_args):
+        context.searches += 1
+
+    _make_plannable(context, search)
+    for number in range(200):
+        context.leader.at_s += 0.005
+        context.leader.report(number % context.size, context.size)
+
+
+@then('at most {most:d} searches were made')
+def check_searches(context, most):
+    assert 1 <= context.searches <= most, context.searches
+
+
 @given('leases of {count:d} gateways at a leader')
 def make_leases(context, count):
     context.interval_s = controller.loads_interval_s(count)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -420,6 +420,18 @@
         'if now_s < self._whole_until_s:', 'if False:', 'manyranks',
         'takes few looks',
     ),
+    Mutant(
+        'maps: shifts during a search forgotten', 'mapplanning',
+        'if group.epoch != state.epoch or is_held or group.is_held:',
+        'group.outdated = False\n'
+        '        if group.epoch != state.epoch or is_held or group.is_held:',
+        'manyranks', 'shift that is told',
+    ),
+    Mutant(
+        'maps: no rest after a search in vain', 'mapplanning',
+        'group.plan_from_s = self.app.now_s() + FUTILE_S', 'pass',
+        'manyranks', 'search that found',
+    ),
     Mutant(
         'maps: a cut map is taken', 'mapdeltas',
         'if len(data) != size or not stream.eof:', 'if False:', 'manyranks',
