--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -49,6 +49,18 @@
     Then the phases were told in the order prepare, hold, arm, go
     And all ranks were looked at together at most 12 times
 
+  Scenario Outline: A map is sent as it differs from the one that a rank knows
+    Given a leader that 192 ranks have reported to
+    And maps 9 and 11 of which 11 is to be prepared
+    When rank 5 reports that it knows map <known>
+    Then the map that it gets builds on <base>
+
+    Examples: map 4 is of before this leader
+      | known | base |
+      | 9     | 9    |
+      | 4     | -1   |
+      | -1    | -1   |
+
   Scenario: A shift that is told during a search makes its plan outdated
     Given a leader that 192 ranks have reported to
     When demand shifts while a plan is searched for
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -14,6 +14,8 @@
 
 SETS, RANKS, EXPERTS, PLACES = 10, 192, 384, 3
 PEER = application.Peer(b'route', 0, '')
+#: Rounds of reports in which a change must have ended.
+MOST_ROUNDS = 20
 
 
 def _first_map():
@@ -175,10 +177,10 @@
         self.sent.append(message.order.kind)
         return True
 
-    def report(self, rank, size, **fields):
+    def report(self, rank, size, known_map=ranks.NO_VERSION, **fields):
         state = _state(rank, size, **fields)
         report = messages.RankReport(
-            f'i-{rank}', state, [[1]], demand.NO_CHOICES, ranks.NO_VERSION
+            f'i-{rank}', state, [[1]], demand.NO_CHOICES, known_map
         )
 
         async def take():
@@ -224,7 +226,9 @@
     group.progress = mapchanges.Progress(change, states)
     context.kinds = []
     fields = {'prepared': 9}
-    while group.progress is not None:
+    for _ in range(MOST_ROUNDS):
+        if group.progress is None:
+            break
         step = group.change.step
         if step != ranks.NO_VERSION:
             fields.update(armed=9, armed_step=step)
@@ -244,6 +248,7 @@
 
 @then('the phases were told in the order prepare, hold, arm, go')
 def check_phases(context):
+    assert context.leader.groups.by_name['g'].progress is None
     kinds = list(dict.fromkeys(context.kinds))
     assert kinds == [
         ranks.PREPARE, ranks.HOLD, ranks.ARM, ranks.GO,
@@ -255,6 +260,27 @@
     assert context.looks <= most, context.looks
 
 
+@given('maps 9 and 11 of which 11 is to be prepared')
+def make_two_maps(context):
+    group = context.leader.groups.by_name['g']
+    group.maps = {9: _first_map(), 11: _first_map()}
+    states = [report.state for report, _ in group.reports.values()]
+    change = mapchanges.Change('g', 1, 11, group.maps[11])
+    group.progress = mapchanges.Progress(change, states)
+
+
+@when('rank {rank:d} reports that it knows map {known:d}')
+def report_known(context, rank, known):
+    context.reply = context.leader.report(rank, context.size, known)
+
+
+@then('the map that it gets builds on {base:d}')
+def check_base(context, base):
+    assert context.reply.order.kind == ranks.PREPARE
+    assert context.reply.packed.base == base, context.reply.packed.base
+    assert context.reply.order.placed == []
+
+
 def _make_plannable(context, search):
     """Let a group's demand be known, and searches be those of a step."""
     group = context.leader.groups.by_name['g']
