Search for plans beside the report that gave rise to it

Cause: the report on which a search begins was answered after it. A sidecar waits 0.4 s for an answer, then takes the leader as gone and passes it over for 2 s; searches of 0.53 s (192 ranks, before) outlasted that, and still may on a busy box.

Scenario: A shift that is told during a search (the report is answered before the search ends; fails without).

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -72,7 +72,8 @@
   Scenario: A shift that is told during a search makes its plan outdated
     Given a leader that 192 ranks have reported to
     When demand shifts while a plan is searched for
-    Then the plan is begun, and a newer one may take its place
+    Then the report is answered before the search ends
+    And the plan is begun, and a newer one may take its place
 
   Scenario: After a search that found nothing the leader's core has a rest
     Given a leader that 192 ranks have reported to
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -183,7 +183,9 @@
 
     def __init__(self):
         self.at_s = 10.0
-        self.sent = []
+        self.sent, self.tasks = [], []
+        #: Whether the newest report was answered before a search ended.
+        self.replies_first = False
         self.node = types.SimpleNamespace(term=1)
         self.metrics = types.SimpleNamespace(incr=lambda _: None)
         self.groups = groups.Groups(self, self, lambda _: None)
@@ -207,10 +209,15 @@
             f'i-{rank}', state, [[1]], demand.NO_CHOICES, known_map
         )
 
-        async def take():
-            return await self.groups.on_report(PEER, report)
+        reply = self.groups.on_report(PEER, report)
+        self.replies_first = bool(self.tasks)
+        while self.tasks:
+            task, args = self.tasks.pop()
+            trio.run(task, *args)
+        return reply
 
-        return trio.run(take)
+    def start_task(self, task, *args):
+        self.tasks.append((task, args))
 
 
 @given('a leader that {size:d} ranks have reported to')
@@ -331,6 +338,11 @@
     context.leader.report(0, context.size)
 
 
+@then('the report is answered before the search ends')
+def check_answered_first(context):
+    assert context.leader.replies_first
+
+
 @then('the plan is begun, and a newer one may take its place')
 def check_outdated(context):
     assert context.group.change.version == 12
--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -48,6 +48,9 @@
     def wall_s(self):
         return trio.current_time()
 
+    def start_task(self, task, *args):
+        self.world.nursery.start_soon(task, *args)
+
     def check_leader(self):
         if self.world.leader is not self:
             raise errors.NotLeader()
@@ -130,7 +133,7 @@
         await trio.sleep(0.002)
         self.world.reports += 1
         groups = self.world.leader.groups
-        reply = await groups.on_report(self.peer, report)
+        reply = groups.on_report(self.peer, report)
         await trio.sleep(0.002)
         return reply
 
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -46,6 +46,9 @@
         self.app = app
         self.replica = replica
         self.planner = mapplanning.Planner(app, replica, sheet)
+        self.planner.begun = lambda group: self._advance(
+            group, ranks.NO_VERSION, app.now_s()
+        )
         #: Lets another box give an order; tells whether one was found.
         self.give_elsewhere: typing.Callable[[messages.RemoteOrder], bool] = (
             lambda _: False
@@ -69,7 +72,7 @@
 
     # Reports.
 
-    async def on_report(
+    def on_report(
         self, peer, report: messages.RankReport
     ) -> messages.RankReply:
         """Take a report and answer with the rank's next order."""
@@ -77,7 +80,7 @@
         self.app.metrics.incr('rank.reports')
         now_s = self.app.now_s()
         state = report.state
-        group = await self._take(report, now_s)
+        group = self._take(report, now_s)
         term = self.replica.node.term
         if group is None:
             return messages.RankReply(
@@ -95,16 +98,16 @@
             group.is_counting(state.rank),
         )
 
-    async def on_remote_report(
+    def on_remote_report(
         self, report: messages.RankReport
     ) -> ranks.RankOrder | None:
         """Take what this process has read of a rank itself."""
         self.replica.check_leader()
         now_s = self.app.now_s()
-        group = await self._take(report, now_s)
+        group = self._take(report, now_s)
         return group and self._order_for(group, report, now_s)
 
-    async def _take(
+    def _take(
         self, report: messages.RankReport, now_s: float
     ) -> rankgroups.Group | None:
         state = report.state
@@ -119,7 +122,7 @@
         group = self.by_name.setdefault(state.group, rankgroups.Group())
         group.take(report, now_s)
         if group.is_open_to_plans:
-            await self.planner.look(report.instance_id, group, now_s)
+            self.planner.look(report.instance_id, group, now_s)
         self._advance(group, state.rank, now_s)
         return group
 
--- a/mountridge/mapplanning.py
+++ b/mountridge/mapplanning.py
@@ -6,8 +6,8 @@
 
 from loguru import logger
 
-from mountridge import application, commands, mapchanges, mapplans
-from mountridge import rankgroups, ranks, replicas
+from mountridge import application, commands, errors, mapchanges
+from mountridge import mapplans, rankgroups, ranks, replicas
 
 __all__ = ['PAUSE_S', 'Planner', 'told']
 
@@ -53,11 +53,20 @@
         #: Runs the search for a plan; a process that serves requests gives
         #: one that runs it in a thread.
         self.offload: typing.Callable = _at_once
+        #: Called when a change has begun, so that its orders go out at once.
+        self.begun: typing.Callable[[rankgroups.Group], None] = (
+            lambda group: None
+        )
 
-    async def look(
+    def look(
         self, instance_id: str, group: rankgroups.Group, now_s: float
     ) -> None:
-        """Begin a change where one was left under way, or where one pays."""
+        """Begin a change where one was left under way, or look for one.
+
+        The search runs beside: the report that gave rise to it is answered
+        at once. A search may take longer than a sidecar waits for an answer,
+        0.4 s, and would then look like a leader that is gone.
+        """
         may_plan = now_s >= group.plan_from_s and group.demand.is_settled
         if not (may_plan or group.is_held) or not group.is_whole(now_s):
             return
@@ -74,10 +83,19 @@
             return
         if sheet is None or sum(group.demand.mean) < LEAST_CHOICES:
             return
-        paces = [state.pace for state in states]
         group.planning = True
         # A shift that is told during the search makes its plan outdated.
         group.outdated = False
+        self.app.start_task(self._search, group, states, sheet)
+
+    async def _search(
+        self,
+        group: rankgroups.Group,
+        states: list[ranks.RankState],
+        sheet: mapplans.Sheet,
+    ) -> None:
+        """Look for a map that pays, and begin its change."""
+        paces = [state.pace for state in states]
         try:
             planned = await self.offload(
                 mapplans.plan,
@@ -88,6 +106,9 @@
             )
             if planned is not None:
                 await self._begin(group, states[0], planned)
+        except errors.MountridgeError as problem:
+            # Another leader plans from now on, or this one plans again.
+            logger.info('no change begun', reason=str(problem))
         finally:
             group.planning = False
             if group.change is None and not group.outdated:
@@ -117,3 +138,4 @@
             states,
         )
         logger.info('map planned', **told(group.change), reason=planned.reason)
+        self.begun(group)
--- a/mountridge/remoteranks.py
+++ b/mountridge/remoteranks.py
@@ -78,7 +78,7 @@
             demand.NO_CHOICES,
             last.known_map,
         )
-        order = await self.known.on_remote_report(report)
+        order = self.known.on_remote_report(report)
         if order is not None:
             told = await sidecar.follow(engine, order)
             logger.info('remote order', runner=last.instance_id, **told)
