--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -43,7 +43,8 @@
         """Give all gateways a report that is already old."""
         for known in self.known:
             for key, load in loads.items():
-                known.report(key, load, 0, 1.0, now_s)
+                pace = known.by_id[key].pace
+                known.report(key, load, 0, pace, now_s)
 
     def send(self, number, now_s):
         """Send a request of one gateway and return its runner's id."""
--- a/mountridge/mapplans.py
+++ b/mountridge/mapplans.py
@@ -24,7 +24,8 @@
 #: and its price is shared by as many requests. In a model with 192 ranks, 10
 #: sets of 384 experts and 3 places, a gain of 0.02 a copy whatever the ranks
 #: left the most loaded rank at 1.8 times the mean after 130 copies; with
-#: this it has 1.26 after 840, which take 0.01 s a rank (`bench.shifts`).
+#: this it has 1.26 after 840, which take 0.01 s a rank
+#: (model of plans on invented demand).
 LEAST_MOVE_GAIN = 0.24
 #: A rank at this many times its usual time is relieved of all experts that
 #: others have places for. Below, weighing its load by its pace is enough.
--- a/mountridge/mapsearch.py
+++ b/mountridge/mapsearch.py
@@ -6,7 +6,7 @@
 takes the change that lowers the norm of the ranks' loads most. What a step
 costs hardly grows with the ranks: at 192 ranks, 10 sets of 384 experts and 3
 places a whole search takes 0.1 to 0.2 s where looking at all ranks for each
-candidate took 0.35 s for a fifth of the steps (bench.shifts, one core).
+candidate took 0.35 s for a fifth of the steps (one core, invented demand).
 """
 
 import collections
