--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # One process a feature, four at a time; each scenario is on its own.
 test: setup
 	printf '%s\n' $(FEATURES) | xargs -P 4 -n 1 \
-		$(PY) -m behave --no-color --no-capture -f progress
+		$(PY) -m behave --no-color --no-capture -f progress3
 
 demo: setup
 	$(PY) -m standins.demo
