--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,13 @@
 format: setup
 	$(PY) -m black -q mountridge platform standins bench features tools
 
-# One process a feature, four at a time; each scenario is on its own.
+# One process a feature, four at a time; each scenario is on its own. What one
+# prints comes as a whole, so that no line of another stands within it.
 test: setup
-	printf '%s\n' $(FEATURES) | xargs -P 4 -n 1 \
-		$(PY) -m behave --no-color --no-capture -f progress3
+	printf '%s\n' $(FEATURES) | xargs -P 4 -I FEATURE sh -c '\
+		out=$$(mktemp); \
+		$(PY) -m behave --no-color --no-capture -f progress3 FEATURE \
+			> $$out 2>&1; code=$$?; cat $$out; rm $$out; exit $$code'
 
 demo: setup
 	$(PY) -m standins.demo
