--- a/features/start.feature
+++ b/features/start.feature
@@ -13,6 +13,23 @@
       | entry   |
       | sidecar |
 
+  Scenario: A caller that comes while libraries are loaded is answered
+    Given a settings file in JSON that names a callers' address
+    When a socket listens there early and a caller sends a request
+    And a server is run on that socket
+    Then the caller gets the whole answer
+
+  Scenario Outline: No early socket is opened for <file>
+    Given a settings file that is <file>
+    Then no socket listens early
+
+    Examples:
+      | file                      |
+      | not there                 |
+      | written in YAML           |
+      | without callers' address  |
+      | with an address that is taken |
+
   Scenario: Settings read the same in JSON and in YAML
     Given the settings of an entry in both forms
     Then both are checked to the same settings
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -4,14 +4,16 @@
 
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
 
 from behave import given, then, when
+import trio
 import yaml
 
-from mountridge import errors, settings
+from mountridge import errors, httpserver, listening, routes, settings
 
 #: Each takes 20 ms or more to import, and no entry or sidecar needs it.
 COSTLY = {
@@ -44,6 +46,12 @@
     assert not context.loaded & COSTLY, context.loaded & COSTLY
 
 
+def _free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
 def _write(context, text):
     folder = context.folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -51,9 +59,70 @@
     context.path.write_text(text)
 
 
-@given('a settings file that is broken')
-def broken_file(context):
-    _write(context, '{"role": [')
+@given("a settings file in JSON that names a callers' address")
+def json_file(context):
+    context.address = _free_address()
+    _write(context, json.dumps({'entry': {'front': context.address}}))
+
+
+@when('a socket listens there early and a caller sends a request')
+def caller_sends(context):
+    context.early = listening.listen_early(str(context.path))
+    host, _, port = context.address.rpartition(':')
+    context.caller = socket.create_connection((host, int(port)))
+    context.add_cleanup(context.caller.close)
+    context.caller.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+
+
+@when('a server is run on that socket')
+def run_server(context):
+    async def answer(request, responder):
+        await responder.send_whole(200, [], b'whole')
+
+    async def serve():
+        server = httpserver.Server(answer, routes.Limits, lambda: True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run, context.address, context.early)
+            context.answer = await trio.to_thread.run_sync(_read_all, context)
+            nursery.cancel_scope.cancel()
+
+    trio.run(serve)
+
+
+def _read_all(context):
+    found = b''
+    while data := context.caller.recv(4096):
+        found += data
+    return found
+
+
+@then('the caller gets the whole answer')
+def whole_answer(context):
+    assert context.answer.startswith(b'HTTP/1.1 200'), context.answer
+    assert context.answer.endswith(b'whole'), context.answer
+
+
+@given('a settings file that is {what}')
+def other_file(context, what):
+    context.address = _free_address()
+    fields = {'entry': {'front': context.address}}
+    _write(context, json.dumps(fields))
+    if what == 'not there':
+        context.path.unlink()
+    elif what == 'written in YAML':
+        context.path.write_text(yaml.safe_dump(fields))
+    elif what == 'broken':
+        context.path.write_text('{"role": [')
+    elif what.startswith('without'):
+        context.path.write_text('{"entry": {}}')
+    elif what.startswith('with an address'):
+        taken = listening.listen(context.address)
+        context.add_cleanup(taken.close)
+
+
+@then('no socket listens early')
+def no_socket(context):
+    assert listening.listen_early(str(context.path)) is None
 
 
 @given('the settings of an entry in both forms')
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -8,15 +8,15 @@
 """
 
 import pathlib
+import socket
 import typing
 
 import trio
 
 from mountridge import application, backends, controller, dialects, entries
 from mountridge import engines, entryapi, errors, formation, forwarding
-from mountridge import httpserver, leases
+from mountridge import httpserver, leases, mapplans, members, messages
 from mountridge.logs import logger
-from mountridge import mapplans, members, messages
 from mountridge import remoteranks, routes, sidecar, signals, storage
 from mountridge import settingswatch, statemachine, utils, views
 
@@ -369,19 +369,28 @@
     return entry
 
 
-def serve(entry: Entry, handlers: entryapi.Handlers) -> list[typing.Callable]:
-    """Return the tasks that listen on all addresses of the settings."""
+def serve(
+    entry: Entry,
+    handlers: entryapi.Handlers,
+    early: socket.socket | None = None,
+) -> list[typing.Callable]:
+    """Return the tasks that listen on all addresses of the settings.
+
+    ``early`` is a socket that listens on the callers' address already.
+    """
 
     def listener(
-        place: str, server: httpserver.Server
+        place: str,
+        server: httpserver.Server,
+        made: socket.socket | None = None,
     ) -> typing.Callable[[], typing.Awaitable[None]]:
         async def listen() -> None:
-            await server.run(entry.settings[place])
+            await server.run(entry.settings[place], made)
 
         return listen
 
     return [
-        listener('front', entry.front),
+        listener('front', entry.front, early),
         listener('readiness', entry.make_server(handlers.readiness)),
         listener('control', entry.make_server(handlers.control)),
         listener('directory', entry.make_server(handlers.directory)),
@@ -394,13 +403,17 @@
     dialect: dialects.Dialect = dialects.NATIVE,
     spelling: entryapi.Spelling = entryapi.NATIVE,
     connect: Connect = engines.connect_to,
+    early: socket.socket | None = None,
 ) -> None:
-    """Run an entry until it is stopped; ``path`` is its settings file."""
+    """Run an entry until it is stopped; ``path`` is its settings file.
+
+    ``early`` is a socket that listens on the callers' address already.
+    """
     if settings['controller']['data']:
         _begin_storage(settings)
     app = application.Application(settings)
     entry = build(app, dialect, connect)
-    app.tasks += serve(entry, entryapi.handlers(entry, spelling))
+    app.tasks += serve(entry, entryapi.handlers(entry, spelling), early)
     app.tasks.append(httpserver.metrics_task(app))
     app.tasks.append(settingswatch.task(app, path, entry.leader.follow_seeds))
     trio.run(app.run)
--- a/mountridge/httpserver.py
+++ b/mountridge/httpserver.py
@@ -9,12 +9,13 @@
 """
 
 import json
+import socket
 import typing
 
 import h11
 import trio
 
-from mountridge import errors, routes
+from mountridge import errors, listening, routes
 from mountridge.logs import logger
 
 __all__ = [
@@ -150,10 +151,16 @@
         self._idle: set[trio.CancelScope] = set()
         self.open_requests = 0
 
-    async def run(self, address: str) -> None:
-        """Listen on IP:PORT until cancelled."""
-        host, _, port = address.rpartition(':')
-        await trio.serve_tcp(self.serve_connection, int(port), host=host)
+    async def run(
+        self, address: str, early: socket.socket | None = None
+    ) -> None:
+        """Serve on IP:PORT until cancelled.
+
+        ``early`` is a socket that listens there already.
+        """
+        made = early or listening.listen(address)
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(made))
+        await trio.serve_listeners(self.serve_connection, [listener])
 
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
