--- a/features/consensus.feature
+++ b/features/consensus.feature
@@ -158,9 +158,11 @@
     Then it gives no vote before <event>
 
     Examples:
-      | event                                               |
-      | all others have said that they don't lead           |
-      | they have said so to this start, not an earlier one |
+      | event                                                         |
+      | the last leader has said that it does not lead                |
+      | the last leader has said so to this start, not an earlier one |
+      | silence tells it, where its log ends in an earlier term       |
+      | all voters have said so, where a snapshot hides who led       |
 
   Scenario: A leader never says that it does not lead
     Given 3 controllers
--- a/mountridge/consensustypes.py
+++ b/mountridge/consensustypes.py
@@ -281,8 +281,10 @@
         #: When this process began, and a number that no earlier start had.
         self.started_s = 0.0
         self.start_id = rng.getrandbits(START_ID_BITS)
-        #: Who may still lead, as far as is known since the start.
+        #: Who may be the leader that was followed before the start, and
+        #: whether it must be one of them.
         self.may_lead: set[str] = set()
+        self.knows_leader = False
         self.ask_at_s = 0.0
         self.election_at_s = 0.0
         self.votes: set[str] = set()
--- a/mountridge/elections.py
+++ b/mountridge/elections.py
@@ -6,17 +6,22 @@
 so after a silence of the election time. After a start of all controllers it
 is known sooner, without a clock: a lease that rests on what this process
 said before its start is held by a leader that still leads. So a voter that
-has just started asks each voter of the configurations in its log whether it
-leads, and once all have said no, it may vote and stand for election at once.
-
-Why that suffices: a leader's lease is good only once its first entry is on a
-quorum. A candidate's quorum shares a voter with that one, and this voter has
-the entry, and so the configuration by which the leader was elected; it has
-asked that leader. The leader did not lead when it answered, after this start,
-and can lead later only by votes and answers given later still.
+has just started asks whoever may be that leader, and once it is told that it
+does not lead, it may vote and stand for election at once.
+
+Who may be it: this voter answers a leader only once it has saved the leader's
+term. Where its log ends in that term, it has all entries up to the leader's
+first one, which names the leader. Where that entry has gone into a snapshot,
+the leader is a voter of the snapshot's configuration or of a later one, or
+its removal is committed and it has stepped down. Where the log ends in an
+earlier term than the saved one, nothing tells, and only silence counts.
+Leaders of earlier terms hold no lease: their successor was elected without.
+
+Why its answer suffices: it did not lead when it answered, after this start,
+and can lead later only by votes and answers that are given later still.
 """
 
-from mountridge import replication
+from mountridge import entries, replication
 from mountridge.consensustypes import (
     AskVote, CANDIDATE, Campaign, Effect, FOLLOWER, Node, PRE_CANDIDATE,
     LEADER, NotLeading, SaveVote, Send, Started, Vote,
@@ -43,11 +48,24 @@
 def begin_anew(node: Node, now_s: float) -> None:
     """Begin a start of this process, in which no leader was heard yet."""
     node.started_s = node.heard_s = node.ask_at_s = now_s
-    node.may_lead = node.log.all_voters() - {node.node_id}
+    node.knows_leader = node.term == node.log.last_term
+    node.may_lead = _may_lead(node.log) - {node.node_id}
     restart_timer(node, now_s)
-    if not node.may_lead:
-        # The only voter there is, or none.
-        node.election_at_s = now_s
+    if node.knows_leader and not node.may_lead:
+        _stand_soon(node, now_s)
+
+
+def _may_lead(log: entries.Log) -> set[str]:
+    """Return who may be the leader of the term in which a log ends."""
+    leader_id = log.leader_of_last_term()
+    return {leader_id} if leader_id else log.all_voters()
+
+
+def _stand_soon(node: Node, now_s: float) -> None:
+    order = sorted(node.config.voters)
+    if node.node_id in order:
+        wait_s = STAGGER_S * order.index(node.node_id)
+        node.election_at_s = min(node.election_at_s, now_s + wait_s)
 
 
 def _heard_nobody(node: Node) -> bool:
@@ -58,7 +76,7 @@
     """Return whether no leader's lease can rest on this voter."""
     if node.leader_id == node.node_id:
         return False
-    if _heard_nobody(node) and not node.may_lead:
+    if _heard_nobody(node) and node.knows_leader and not node.may_lead:
         return True
     return now_s - node.heard_s >= node.timing.election_s
 
@@ -90,15 +108,12 @@
 def on_not_leading(
     node: Node, sender: str, message: NotLeading, now_s: float
 ) -> list[Effect]:
-    """Stand for election soon, once nobody is left that may lead."""
+    """Stand for election soon, where nobody is left that may lead."""
     if message.start_id != node.start_id or sender not in node.may_lead:
         return []
     node.may_lead.discard(sender)
-    if not node.may_lead and _heard_nobody(node):
-        order = sorted(node.config.voters)
-        if node.node_id in order:
-            wait_s = STAGGER_S * order.index(node.node_id)
-            node.election_at_s = min(node.election_at_s, now_s + wait_s)
+    if not node.may_lead and node.knows_leader and _heard_nobody(node):
+        _stand_soon(node, now_s)
     return []
 
 
--- a/mountridge/entries.py
+++ b/mountridge/entries.py
@@ -8,7 +8,8 @@
 
 __all__ = ['COMMAND', 'CONFIG', 'Config', 'EMPTY', 'Entry', 'Log']
 
-#: Kinds of entry: a leader's first one, a command, a set of controllers.
+#: Kinds of entry: a leader's first one, which names the leader, a command,
+#: a set of controllers.
 EMPTY, COMMAND, CONFIG = range(3)
 
 
@@ -99,6 +100,17 @@
                 found.update(unpack_config(entry.payload).voters)
         return found
 
+    def leader_of_last_term(self) -> str:
+        """Return whose first entry began the last term, '' if unknown."""
+        first = None
+        for entry in reversed(self.entries):
+            if entry.term != self.last_term:
+                break
+            first = entry
+        if first is None or first.kind != EMPTY:
+            return ''
+        return first.payload.decode()
+
     def config_at(self, index: int) -> Config:
         """Return the configuration in use up to ``index``."""
         for entry in reversed(self.between(self.base_index + 1, index)):
--- a/mountridge/replication.py
+++ b/mountridge/replication.py
@@ -60,7 +60,8 @@
     node.led_s = now_s
     node.term_start = node.log.last_index + 1
     _follow_config(node)
-    entry = entries.Entry(node.term, node.term_start, entries.EMPTY, b'')
+    name = node.node_id.encode()
+    entry = entries.Entry(node.term, node.term_start, entries.EMPTY, name)
     role = Role(LEADER, node.term, node.node_id)
     return [role] + append_own(node, [entry], now_s)
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -55,9 +55,19 @@
         'if sender not in node.may_lead:', 'consensus',
     ),
     Mutant(
-        'a vote before all have said that they do not lead', 'elections',
-        'if _heard_nobody(node) and not node.may_lead:',
-        'if _heard_nobody(node):', 'consensus',
+        'a vote before the leader has said that it does not lead',
+        'elections', 'and node.knows_leader and not node.may_lead:',
+        'and node.knows_leader:', 'consensus',
+    ),
+    Mutant(
+        'a vote where nothing tells who led', 'elections',
+        'node.knows_leader = node.term == node.log.last_term',
+        'node.knows_leader = True', 'consensus',
+    ),
+    Mutant(
+        'who led is guessed behind a snapshot', 'elections',
+        'return {leader_id} if leader_id else log.all_voters()',
+        'return {leader_id} if leader_id else set()', 'consensus',
     ),
     Mutant(
         'one that starts anew does not ask who leads', 'elections',
@@ -71,7 +81,7 @@
     ),
     Mutant(
         'a vote at once after a restart', 'elections',
-        'node.may_lead = node.log.all_voters() - {node.node_id}',
+        'node.may_lead = _may_lead(node.log) - {node.node_id}',
         'node.may_lead = set()',
         'consensus',
     ),
