Let requests wait for a closed group, and one request find out for all

Up to 13 requests a gateway go out at once, each gets two or three 421, and 40 end with 503 (code 1209) within 10 ms each; the budget of repeated sends (5 a gateway) allows no more. Later ones meet 503 "not run": the group is not open.

Changed: sidecars' reports carry whether the group is open, the leader passes it on with the loads; a rank that refuses with room, or whose address another runner has, closes its group for 0.3 s or until something newer is known (closures.py). Requests wait up to 1.5 s for a group to open, at most 0.4 of their time (picking.py, split from forwarding.py); those that were refused once wait for a sign and don't try blindly. In a view of which nothing is known yet one request finds out. A group closed for 4 s is not waited for: refused at once (code 1210) with a time to come back.

Shown: closedgroups.feature, with the wave after a start of all as one of its rows (15 gateways, 13 ranks; without network), forwarding.feature "closed group"; 6 mutants caught.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -82,6 +82,24 @@
       | 0.2      | 200 and whole |
       | 5        | 503           |
 
+  Scenario: A request that a closed group refuses waits until it opens
+    Given two ranks of a group that is closed
+    When a streaming request is sent and a report says that it has opened
+    Then its answer is 200 and whole
+    And the runners ran it 1 times
+
+  Scenario Outline: A request to a group that has been closed for <closed_s> s
+    Given two ranks of a group that is closed
+    When a streaming request is sent after reports of that for <closed_s> s
+    Then its answer is 503
+    And it came <when> and tells when to come back
+    And no runner has seen it
+
+    Examples:
+      | closed_s | when            |
+      | 0.5      | after some wait |
+      | 5        | at once         |
+
   Scenario: A caller that leaves ends the work
     Given two runners of which the first never answers
     When a safe request is sent and its caller leaves after 0.2 s
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -6,9 +6,10 @@
 
 from behave import given, then, when
 import trio
+import trio.testing
 
 from mountridge import backends, dialects, forwarding, httpserver, instances
-from mountridge import metrics, routes
+from mountridge import messages, metrics, routes
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 HOST = '127.0.0.1'
@@ -19,6 +20,8 @@
     'breaks off inside an event': 2.5,
     PAUSES: 2,
 }
+#: A rank that refuses since its group is not open.
+CLOSED = 'refuses while its group is closed'
 #: Lets the gateway read the first events before the rest comes.
 PAUSE_S = 0.1
 LIMITS = routes.Limits(8192, 2000, 300.0, 2000.0)
@@ -98,6 +101,8 @@
     def _answer(self, request):
         """Return (bytes, whether the connection goes on)."""
         fault = self.fault
+        if fault == CLOSED:
+            return _whole(503, request, b'', b'X-Not-Run: 1\r\n'), True
         if fault == 'says that it has not run it':
             return _whole(503, request, b'', b'X-Not-Run: 1\r\n'), True
         if fault == 'says that another runner was meant':
@@ -134,7 +139,7 @@
     return False
 
 
-def _table():
+def _table(engine):
     made = [
         routes.Route(
             kind, 'a.example', f'/{kind}/', kind, 3000.0, 100.0, 1,
@@ -142,7 +147,7 @@
         )  # fmt: skip
         for kind in routes.KINDS
     ]
-    services = [routes.Service('s', '/h', 8, None)]
+    services = [routes.Service('s', '/h', 8, engine)]
     teams = [routes.Team('crews', ['key'], None)]
     return routes.RouteTable(1, made, services, LIMITS, teams)
 
@@ -150,7 +155,7 @@
 class World:
     """A forwarder with its server, and two runners."""
 
-    def __init__(self, *faults):
+    def __init__(self, *faults, engine=None):
         self.runners = [Runner(fault) for fault in faults]
         bounds = {
             'retry_ratio': 0.2,
@@ -164,7 +169,7 @@
             metrics=metrics.Metrics(None),
         )
         self.known = backends.Backends()
-        self.index = routes.index(_table())
+        self.index = routes.index(_table(engine))
         self.forwarder = forwarding.Forwarder(
             app, dialects.NATIVE, lambda: self.index, self.known, lambda: 1
         )
@@ -271,6 +276,66 @@
     context.world = World(replaced, replaced, replaced, 'answers well')
 
 
+@given('two ranks of a group that is closed')
+def closed_ranks(context):
+    engine = routes.Engine(4, 1000, experts=8)
+    context.world = World(CLOSED, CLOSED, engine=engine)
+
+
+def _report(world, is_open, now_s):
+    for instance_id in world.known.by_id:
+        load = messages.RunnerLoad(instance_id, 0, 0, 100, 1, is_open)
+        world.known.report(load, now_s)
+
+
+@when('a streaming request is sent and a report says that it has opened')
+def send_and_open(context):
+    async def script(world):
+        refused = trio.Event()
+
+        async def open_group():
+            await refused.wait()
+            # After the answer to the try, which is not on its way yet.
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            for runner in world.runners:
+                runner.fault = 'answers well'
+            _report(world, True, trio.current_time())
+
+        world.runners[0].on_request = refused.set
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(open_group)
+            await _ask(context, world, 'streaming')
+
+    context.kind = 'streaming'
+    _play(context, script)
+
+
+@when('a streaming request is sent after reports of that for {closed_s:g} s')
+def send_to_closed(context, closed_s):
+    async def script(world):
+        now_s = trio.current_time()
+        _report(world, False, now_s - closed_s)
+        world.known.closed_for_s('s', now_s - closed_s)
+        _report(world, False, now_s)
+        await _ask(context, world, 'streaming')
+        context.took_s = trio.current_time() - now_s
+
+    context.kind = 'streaming'
+    _play(context, script)
+
+
+@then('it came {when} and tells when to come back')
+def check_when(context, when):
+    waited = context.took_s > 0.2
+    assert waited == (when == 'after some wait'), context.took_s
+    assert b'retry-after' in context.data.lower(), context.data
+
+
+@then('no runner has seen it')
+def check_unseen(context):
+    assert not any(runner.seen for runner in context.world.runners)
+
+
 @when('a {kind} request is sent {early_s:g} s before they register')
 def send_early(context, kind, early_s):
     async def script(world):
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from mountridge import backends, instances
+from mountridge import backends, instances, messages
 
 #: As on the bench: a report each 0.12 s, 0.05 s old when it comes.
 REPORT_S, WAY_S = 0.12, 0.05
@@ -43,8 +43,9 @@
         """Give all gateways a report that is already old."""
         for known in self.known:
             for key, load in loads.items():
-                pace = known.by_id[key].pace
-                known.report(key, load, 0, pace, now_s)
+                percent = round(100 * known.by_id[key].pace)
+                told = messages.RunnerLoad(key, load, 0, percent, 1, True)
+                known.report(told, now_s)
 
     def send(self, number, now_s):
         """Send a request of one gateway and return its runner's id."""
--- a/mountridge/backends.py
+++ b/mountridge/backends.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from mountridge import instances
+from mountridge import closures, instances, messages
 
 __all__ = ['Backend', 'Backends', 'LEAVE_PACE', 'Picked', 'SLOW_PACE']
 
@@ -73,6 +73,9 @@
         self.told_s = float('-inf')
         #: How many times its usual time its work takes, by its sidecar.
         self.pace = 1.0
+        #: Number of its group, 0 where that is not known.
+        self.group = 0
+        self.closure = closures.Closure()
         self.failures = 0
         self.ejections = 0
         self.ejected_until_s = 0.0
@@ -144,7 +147,9 @@
         self._own_part: set[str] = set()
         self.by_id: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
-        #: Replaced by a new one, and set, when runners come or go.
+        #: Since when all runners of a service are closed.
+        self._closed_s: dict[str, float] = {}
+        #: Replaced by a new one, and set, when runners come, go or open.
         self.changed = trio.Event()
         #: Usual time between two reports of one runner, as they come.
         self.rest_s = LEAST_REST_S
@@ -168,21 +173,13 @@
             listed = self._by_service.setdefault(instance.service, [])
             listed.append(backend)
         self._share_out()
-        self.changed.set()
-        self.changed = trio.Event()
+        self._announce()
         after = {b.instance.address for b in self.by_id.values()}
         return sorted(before - after)
 
-    def report(
-        self,
-        instance_id: str,
-        running: int,
-        waiting: int,
-        pace: float,
-        now_s: float,
-    ) -> None:
+    def report(self, load: messages.RunnerLoad, now_s: float) -> None:
         """Take what the sidecar of a runner has reported."""
-        backend = self.by_id.get(instance_id)
+        backend = self.by_id.get(load.instance_id)
         if backend is None:
             return
         rested_s = now_s - backend.told_s
@@ -190,8 +187,65 @@
             rest_s = self.rest_s + SMOOTHING * (rested_s - self.rest_s)
             self.rest_s = max(LEAST_REST_S, rest_s)
         backend.told_s = now_s
-        backend.heard(running, waiting, now_s)
-        backend.pace = pace
+        backend.heard(load.running, load.waiting, now_s)
+        backend.pace = load.pace_percent / 100
+        backend.group = load.group
+        if backend.closure.tell(load.is_open, now_s):
+            self._opened(backend)
+
+    def refused(self, backend: Backend, now_s: float) -> None:
+        """Note that a rank did not run a request.
+
+        With room it refused since its group is closed, or since another
+        runner has its address, which closes the group until that one has
+        joined. So it is with all other ranks of that group, or all of whose
+        groups nothing is known.
+        """
+        is_full = backend.reported >= backend.instance.slots
+        if is_full and not backend.replaced:
+            return
+        for other in self._ranks_with(backend):
+            other.closure.refused(now_s)
+
+    def accepted(self, backend: Backend, now_s: float) -> None:
+        """Note that a rank has taken a request: its group is open."""
+        closure = backend.closure
+        if closure.is_proved and not closure.is_closed(now_s, True):
+            return
+        for other in self._ranks_with(backend):
+            other.closure.tell(True, now_s)
+        self._opened(backend)
+
+    def _opened(self, backend: Backend) -> None:
+        self._closed_s.pop(backend.instance.service, None)
+        self._announce()
+
+    def is_proving(self, service: str) -> bool:
+        """Return whether one request is finding out about a service's ranks.
+
+        A process that has just started holds a view that may be older than
+        all runners: after a loss of all power each of those in the view has
+        ended. So one request is sent, and others wait for what becomes of
+        it, or for a report: sent together, their second tries alone would
+        take up the budget of repeated sends for all gateways.
+        """
+        listed = self.of_service(service)
+        if any(backend.closure.is_proved for backend in listed):
+            return False
+        return any(backend.own for backend in listed)
+
+    def _ranks_with(self, backend: Backend) -> list[Backend]:
+        """Return the ranks of a rank's group, as far as is known."""
+        return [
+            other
+            for other in self.of_service(backend.instance.service)
+            if other.group == backend.group
+        ]
+
+    def _announce(self) -> None:
+        """Wake those that wait for a runner."""
+        self.changed.set()
+        self.changed = trio.Event()
 
     def follow_gateways(self, halls: dict[str, str]) -> None:
         """Follow the view: the hall of each gateway by its name."""
@@ -228,6 +282,20 @@
             and not backend.replaced
         ]
 
+    def closed_for_s(self, service: str, now_s: float) -> float | None:
+        """Return for how long no rank of a service has taken requests.
+
+        None where one does, or where there is none.
+        """
+        listed = self.of_service(service)
+        if not listed or not all(
+            backend.closure.is_closed(now_s, was_refused=True)
+            for backend in listed
+        ):
+            self._closed_s.pop(service, None)
+            return None
+        return now_s - self._closed_s.setdefault(service, now_s)
+
     def pick(
         self,
         service: str,
@@ -236,10 +304,14 @@
         gateways: int,
         rng: random.Random,
         now_s: float,
+        was_refused: bool = False,
     ) -> Picked | None:
         """Return the runner for a request; None where there is none.
 
-        Those in ``tried`` have had the request and are not taken again.
+        Those in ``tried`` have had the request and are not taken again, and
+        those whose group is closed would refuse it. Where a rank has done so
+        with this request, ``was_refused``, only groups that are known to be
+        open get it.
         Runners left out for failures are taken only where all are.
 
         The ``gateways`` all see the same reports, and would all take the
@@ -250,6 +322,7 @@
             backend
             for backend in self.of_service(service)
             if backend.instance.instance_id not in tried
+            and not backend.closure.is_closed(now_s, was_refused)
         ]
         sound = [b for b in fit if b.ejected_until_s <= now_s] or fit
         sound = [b for b in sound if b.pace < SLOW_PACE] or sound
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -109,13 +109,7 @@
         elif isinstance(message, messages.Loads):
             now_s = self.app.now_s()
             for load in message.loads:
-                self.backends.report(
-                    load.instance_id,
-                    load.running,
-                    load.waiting,
-                    load.pace_percent / 100,
-                    now_s,
-                )
+                self.backends.report(load, now_s)
         elif isinstance(message, messages.RemoteOrder):
             self.app.start_task(self._give_order, message)
 
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -210,6 +210,13 @@
     status = 503
 
 
+class GroupClosed(MountridgeError):
+    """No group of the service takes requests now."""
+
+    code = 1210
+    status = 503
+
+
 class TimedOut(MountridgeError):
     """The time for the request ran out while it may have been running."""
 
--- a/mountridge/forwarding.py
+++ b/mountridge/forwarding.py
@@ -14,9 +14,10 @@
 import trio
 
 from mountridge import application, backends, budgets, dialects, errors
-from mountridge import httpserver, lasthop, routedanswers
+from mountridge import httpserver, lasthop
 from mountridge.logs import logger
-from mountridge import routedexchanges, routefilters, routes, utils
+from mountridge import picking, routedanswers, routedexchanges, routefilters
+from mountridge import routes, utils
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -31,11 +32,6 @@
 #: took 0.4 to 0.9 s from the start, in played days. A caller that has come
 #: back once will not do so again, so this serves it where a refusal would not.
 ROUTES_WAIT_S = 1.5
-#: How long a request waits for a runner where none is known, and the part
-#: of its time. After a loss of all power new runners register within 1.2 s;
-#: a caller that is refused may come back only once, and later than that.
-RUNNER_WAIT_S = 1.2
-RUNNER_WAIT_PART = 0.4
 #: Tries of one request that may meet another runner than the one meant and
 #: so ran nowhere; more than that and the known runners are worth nothing.
 MOST_MISDIRECTED = 3
@@ -53,6 +49,7 @@
     errors.NoRunner: 1.8,
     errors.RunnerRefused: 1.2,
     errors.RunnerReplaced: 1.8,
+    errors.GroupClosed: 1.8,
 }
 #: For causes that are not listed.
 COME_BACK_ELSE_S = 1.0
@@ -95,6 +92,7 @@
             bounds['retry_slack'],
             bounds['retry_window_s'],
         )
+        self.picker = picking.Picker(app, index, known, gateways, self.rng)
         self.filters = routefilters.chain(index, dialect.headers, self.rng)
 
     async def handle(
@@ -186,7 +184,7 @@
 
     async def _try_runners(self, exchange: Exchange) -> None:
         while True:
-            picked = await self._pick(exchange)
+            picked = await self.picker.pick(exchange)
             try:
                 await self._try(exchange, picked)
                 return
@@ -201,39 +199,6 @@
                 )
                 return
 
-    async def _pick(self, exchange: Exchange) -> backends.Picked:
-        """Return a runner, once there is one.
-
-        :raises NoRunner: there is none, or none registers in time.
-        """
-        now_s = self.app.now_s()
-        left_s = exchange.until_s - now_s
-        wait_s = min(RUNNER_WAIT_S, RUNNER_WAIT_PART * left_s)
-        picked = self._choose(exchange, now_s)
-        with trio.move_on_after(max(0.0, wait_s)):
-            while picked is None and not self._known(exchange):
-                await self.known.changed.wait()
-                picked = self._choose(exchange, self.app.now_s())
-        if picked is None:
-            raise errors.NoRunner(f'no runner of {exchange.service} is left')
-        exchange.picked = picked
-        return picked
-
-    def _known(self, exchange: Exchange) -> list[backends.Backend]:
-        return self.known.of_service(exchange.service)
-
-    def _choose(
-        self, exchange: Exchange, now_s: float
-    ) -> backends.Picked | None:
-        return self.known.pick(
-            exchange.service,
-            self.app.settings['hall'],
-            exchange.tried,
-            self._gateways(),
-            self.rng,
-            now_s,
-        )
-
     def _note_failure(
         self,
         exchange: Exchange,
@@ -332,10 +297,15 @@
             backend.heard(head.running, head.waiting, now_s)
         if head.status == MISDIRECTED:
             backend.replaced = True
+            if self.picker.has_ranks(exchange.service):
+                self.known.refused(backend, now_s)
             raise errors.RunnerReplaced(f'it answered {head.status}')
         if head.not_run:
+            if self.picker.has_ranks(exchange.service):
+                self.known.refused(backend, now_s)
             raise errors.RunnerRefused(f'the runner answered {head.status}')
         exchange.may_have_run = True
+        self.known.accepted(backend, now_s)
         await routedanswers.give(
             exchange,
             reply,
@@ -356,7 +326,7 @@
         """
         if backend.pace < backends.LEAVE_PACE:
             return
-        others = self._known(exchange)
+        others = self.known.of_service(exchange.service)
         if all(other.pace >= backends.SLOW_PACE for other in others):
             return
         problem = errors.RunnerSlow(f'at {backend.pace:.1f} times its time')
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -111,15 +111,19 @@
         self, report: messages.RankReport, now_s: float
     ) -> rankgroups.Group | None:
         state = report.state
+        group = None
+        if state.group:
+            group = self.by_name.setdefault(state.group, rankgroups.Group())
         self._loads[report.instance_id] = messages.RunnerLoad(
             report.instance_id,
             state.running,
             state.waiting,
             round(100 * state.pace),
+            list(self.by_name).index(state.group) + 1 if group else 0,
+            state.is_open or group is None,
         )
-        if not state.group:
+        if group is None:
             return None
-        group = self.by_name.setdefault(state.group, rankgroups.Group())
         group.take(report, now_s)
         if group.is_open_to_plans:
             self.planner.look(report.instance_id, group, now_s)
--- a/mountridge/rankmessages.py
+++ b/mountridge/rankmessages.py
@@ -57,6 +57,8 @@
     running: int
     waiting: int
     pace_percent: int  # over 100: it is slow; a byte where it is not
+    group: int  # a number that all ranks of a group share; 0: in none
+    is_open: bool  # its group makes passes, or it is in none
 
 
 class Loads(typing.NamedTuple):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -556,6 +556,35 @@
         'with trio.move_on_after(ROUTES_WAIT_S):',
         'with trio.move_on_after(0):', 'forwarding', 'knows no routes',
     ),
+    Mutant(
+        'picking: a closed group is not waited for', 'picking',
+        'closed_for_s is not None and closed_for_s < closures.HOPE_S',
+        'False', 'forwarding', 'closed',
+    ),
+    Mutant(
+        'picking: a group without hope is waited for', 'picking',
+        'closed_for_s is not None and closed_for_s < closures.HOPE_S',
+        'closed_for_s is not None', 'forwarding', 'closed',
+    ),
+    Mutant(
+        'picking: all requests find out about a view', 'picking',
+        'return self.has_ranks(service) and self.known.is_proving(service)',
+        'return False', 'closedgroups',
+    ),
+    Mutant(
+        'closures: a refusal closes one rank alone', 'backends',
+        'if other.group == backend.group', 'if other is backend',
+        'closedgroups',
+    ),
+    Mutant(
+        'closures: a full rank closes its group', 'backends',
+        'if is_full and not backend.replaced:', 'if False:', 'closedgroups',
+    ),
+    Mutant(
+        'closures: who was refused tries again blindly', 'closures',
+        'return was_refused or now_s - self._refused_s < REFUSED_S',
+        'return now_s - self._refused_s < REFUSED_S', 'closedgroups',
+    ),
     Mutant(
         'forwarding: no 421 is understood', 'forwarding',
         'if head.status == MISDIRECTED:', 'if False:', 'forwarding',
