Let a box that lost its disk answer for its former identity

Changed: a box that is asked under a former identity of its own name, at its address, says that this does not lead. The process of that identity has ended, or the address were not free. Scenario and mutant.

--- a/features/consensus.feature
+++ b/features/consensus.feature
@@ -169,6 +169,16 @@
     When commands are committed
     Then the leader does not answer one that has just started
 
+  Scenario Outline: A box that has lost its disk speaks for <whom>
+    Given a replica on box "c1" with a fresh identity
+    When one that has started anew asks "<asked>" at its address
+    Then the answer is <answer>
+
+    Examples:
+      | whom                       | asked  | answer                  |
+      | its former identity        | c1.old | that this does not lead |
+      | no other box's identity    | c2.old | none                    |
+
   Scenario: Random schedules keep the log whole
     Given 40 random schedules of faults over 3 and 5 controllers
     Then in each of them nothing acknowledged is lost, doubled or reordered
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -2,12 +2,16 @@
 
 """Steps on the consensus core under a scripted network."""
 
+import tempfile
+import types
+
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import Phase, settings, strategies
 
 from features.worlds.consensus import consensus_lease, World
-from mountridge import consensus, entries, errors
+from mountridge import consensus, entries, errors, messages, metrics
+from mountridge import replicas, storage
 
 MOMENTS = {
     'before it sends': 'before',
@@ -715,3 +719,57 @@
     follower = next(n for n in world.nodes if n != leader)
     told = consensus.step(world.nodes[follower], event, world.now_s)
     assert [effect.message for effect in told] == [consensus.NotLeading(7)]
+
+
+@given('a replica on box "{name}" with a fresh identity')
+def fresh_replica(context, name):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    storage.initialize(folder.name, f'{name}.new', entries.Config({}, {}))
+    context.sent = []
+
+    def connect(address, peer):
+        def send(message):
+            context.sent.append(message)
+            return True
+
+        return types.SimpleNamespace(send=send)
+
+    app = types.SimpleNamespace(
+        name=name,
+        incarnation='1',
+        settings={
+            'controllers': {},
+            'bind': 'tcp://10.0.0.1:1',
+            'controller': {
+                'data': folder.name,
+                'heartbeat_s': 0.1,
+                'election_s': 0.5,
+            },
+        },
+        metrics=metrics.Metrics(None),
+        now_s=lambda: 0.0,
+        connect=connect,
+    )
+    context.replica = replicas.Replica(app, None, lambda role: None)
+
+
+@when('one that has started anew asks "{asked}" at its address')
+def ask_former(context, asked):
+    body = replicas.pack_message(consensus.Started(7))
+    message = messages.Raft('c3.x', asked, body, 'tcp://10.0.0.3:1')
+    peer = types.SimpleNamespace(name='')
+    context.replica.on_raft(peer, message)
+
+
+@then('the answer is that this does not lead')
+def former_answered(context):
+    (told,) = context.sent
+    assert (told.sender, told.to) == ('c1.old', 'c3.x'), told
+    answer = replicas.unpack_message(told.body)
+    assert answer == consensus.NotLeading(7), answer
+
+
+@then('the answer is none')
+def former_silent(context):
+    assert not context.sent
--- a/mountridge/elections.py
+++ b/mountridge/elections.py
@@ -17,6 +17,9 @@
 earlier term than the saved one, nothing tells, and only silence counts.
 Leaders of earlier terms hold no lease: their successor was elected without.
 
+A box that has lost its disk has a new identity, and answers for its former
+one: the process of that one has ended, or its address were not free.
+
 Why its answer suffices: it did not lead when it answered, after this start,
 and can lead later only by votes and answers that are given later still.
 """
--- a/mountridge/replicas.py
+++ b/mountridge/replicas.py
@@ -174,17 +174,33 @@
         if peer.name and peer.name != message.sender.partition('.')[0]:
             self.app.metrics.incr('raft.wrong_sender')
             return
-        if message.to != self.node.node_id:
-            self.app.metrics.incr('raft.wrong_identity')
-            return
         try:
             inner = unpack_message(message.body)
         except errors.BadMessage:
             self.app.metrics.incr('message.malformed')
             return
         self._senders[message.sender] = message.address
+        if message.to != self.node.node_id:
+            self.app.metrics.incr('raft.wrong_identity')
+            self._answer_for_former(message, inner)
+            return
         self.put(consensus.Received(message.sender, inner))
 
+    def _answer_for_former(
+        self, message: messages.Raft, inner: consensus.Message
+    ) -> None:
+        """Tell a voter that a former identity of this box does not lead.
+
+        The box has lost its disk, and with it the identity, but it was asked
+        at the address of the former one, whose process must have ended for
+        this one to listen there. Without the answer voters that start anew
+        would wait for 0.5 to 1.0 s where the leader's disk is lost.
+        """
+        is_own = message.to.partition('.')[0] == self.app.name
+        if is_own and isinstance(inner, consensus.Started):
+            answer = consensus.NotLeading(inner.start_id)
+            self._send(consensus.Send(message.sender, answer), message.to)
+
     # The task.
 
     async def run(self) -> None:
@@ -312,7 +328,7 @@
             self.applied = effect.snapshot.index
             logger.info('snapshot installed', index=self.applied)
 
-    def _send(self, effect: consensus.Send) -> None:
+    def _send(self, effect: consensus.Send, sender: str = '') -> None:
         address = self.node.config.addresses().get(effect.to)
         known = self._peers.get(effect.to)
         address = address or (known[0] if known else None)
@@ -330,7 +346,7 @@
         body = pack_message(effect.message)
         if not known[1].send(
             messages.Raft(
-                self.node.node_id,
+                sender or self.node.node_id,
                 effect.to,
                 body,
                 self.app.settings['bind'],
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -74,6 +74,11 @@
         'return [Send(voter, started) for voter in sorted(node.may_lead)]',
         'return []', 'consensus',
     ),
+    Mutant(
+        'a box speaks for the identities of others', 'replicas',
+        "message.to.partition('.')[0] == self.app.name", 'True', 'consensus',
+        'speaks for',
+    ),
     Mutant(
         'votes for a shorter log', 'elections',
         'return theirs >= (node.log.last_term, node.log.last_index)',
