Mend a mutant whose code has moved

The wait for a first runner stands in picking.py now; the mutant is caught again (the scenario of requests before any runner has registered).

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -527,8 +527,8 @@
         'do not use up',
     ),
     Mutant(
-        'routes: no wait for a first runner', 'forwarding',
-        'while picked is None and not self._known(exchange):',
+        'routes: no wait for a first runner', 'picking',
+        'while picked is None and self._may_come(exchange):',
         'while False:', 'forwarding', 'before any runner',
     ),
     Mutant(
