Take a late report of an epoch that is over as no sign of its rank

Cause: a rank's report of an old epoch that comes after the first of a new one left a contact without a report; the look at silent ranks then raised a KeyError, and the controller's process ended.

Shown: the scenario raises the same error before, passes after; mutant caught.

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -80,6 +80,11 @@
     When searches find nothing for 1 s of reports, 0.005 s apart
     Then at most 5 searches were made
 
+  Scenario: A late report of an epoch that is over is no sign of its rank
+    Given a leader that 4 ranks have reported to
+    When rank 0 reports a new epoch, and rank 3 the old one after it
+    Then 1 s later rank 0 is the only one that is silent
+
   Scenario: Loads go to any number of gateways within a bound
     Given leases of 103 gateways at a leader
     Then loads are told at most 400 times a second together
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -367,6 +367,21 @@
     assert 1 <= context.searches <= most, context.searches
 
 
+@when(
+    'rank {first:d} reports a new epoch, and rank {late:d} the old one after it'
+)
+def report_late(context, first, late):
+    context.leader.report(first, context.size, epoch=2)
+    context.leader.report(late, context.size, epoch=1)
+
+
+@then('{after_s:g} s later rank {rank:d} is the only one that is silent')
+def check_silent(context, after_s, rank):
+    now_s = context.leader.at_s + after_s
+    silent = context.leader.groups.silent(0.4, now_s)
+    assert [report.state.rank for report in silent] == [rank], silent
+
+
 @given('leases of {count:d} gateways at a leader')
 def make_leases(context, count):
     context.interval_s = controller.loads_interval_s(count)
--- a/mountridge/groups.py
+++ b/mountridge/groups.py
@@ -86,7 +86,9 @@
             return messages.RankReply(
                 term, None, mapdeltas.NO_MAP, 0.0, False, False, False
             )
-        group.heard(state.rank, peer.route, now_s)
+        if state.epoch == group.epoch:
+            # A late report of an epoch that is over tells nothing of a rank.
+            group.heard(state.rank, peer.route, now_s)
         order = self._order_for(group, report, now_s)
         return messages.RankReply(
             term,
--- a/mountridge/rankgroups.py
+++ b/mountridge/rankgroups.py
@@ -45,6 +45,7 @@
 
     def __init__(self) -> None:
         self.reports: dict[int, tuple[messages.RankReport, float]] = {}
+        #: Of ranks that have reported in this epoch.
         self.contacts: dict[int, Contact] = {}
         #: Ranks whose own sidecars were late, and have not been heard since.
         self.silent: set[int] = set()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -546,6 +546,10 @@
         'if rank in group.silent:',
         'if False:', 'entry', 'Whoever is lost',
     ),
+    Mutant(
+        'maps: a late report of an old epoch is a contact', 'groups',
+        'if state.epoch == group.epoch:', 'if True:', 'manyranks',
+    ),
     Mutant(
         'forwarding: streams stay at a slow runner', 'forwarding',
         'if backend.pace < backends.LEAVE_PACE:', 'if True:', 'forwarding',
