--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -368,7 +368,8 @@
 
 
 @when(
-    'rank {first:d} reports a new epoch, and rank {late:d} the old one after it'
+    'rank {first:d} reports a new epoch, and rank {late:d} the old one'
+    ' after it'
 )
 def report_late(context, first, late):
     context.leader.report(first, context.size, epoch=2)
