Move modules into packages by job; imports between them go one way

86 modules lay flat. They are moved by script, and nothing else changes: names of modules stay, but for the three parts of messages. A scenario holds the order of the packages; the check of the adapter's names and the list of libraries that a start may not load follow the new paths.

--- a/bench/control.py
+++ b/bench/control.py
@@ -18,9 +18,10 @@
 import zmq
 
 from bench import path
-from mountridge import application, errors, members, messages
+from mountridge import application, errors, messages
+from mountridge.documents import tables
 from mountridge import settings as settings_module
-from mountridge import tables
+from mountridge.state import members
 from standins import cluster
 
 FLIGHTS = (1, 16, 256)
--- a/bench/maps.py
+++ b/bench/maps.py
@@ -14,7 +14,7 @@
 
 import tabulate
 
-from mountridge import maps
+from mountridge.experts import maps
 
 INTERVALS = 90
 #: An hour, in intervals of 40 s.
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -16,7 +16,7 @@
 import tabulate
 
 from bench import path
-from mountridge import placing
+from mountridge.dispatch import placing
 
 GATEWAYS, RUNNERS, SLOTS = 10, 16, 16
 SPAN_S = 120.0
--- a/bench/shifts.py
+++ b/bench/shifts.py
@@ -18,7 +18,7 @@
 import click
 import tabulate
 
-from mountridge import demand, mapplans, maps
+from mountridge.experts import demand, mapplans, maps
 
 #: Between two looks at the group.
 STEP_S = 0.02
--- a/bench/state.py
+++ b/bench/state.py
@@ -14,7 +14,9 @@
 import tabulate
 
 from bench import control, path
-from mountridge import commands, messages, statemachine, tables, views
+from mountridge.documents import tables
+from mountridge import messages
+from mountridge.state import commands, statemachine, views
 from standins import demo
 
 CLAIMS = (10000, 20000, 40000, 80000)
--- a/features/steps/closedgroups_steps.py
+++ b/features/steps/closedgroups_steps.py
@@ -9,7 +9,9 @@
 import trio
 import trio.testing
 
-from mountridge import backends, instances, messages, picking, routes
+from mountridge.documents import instances, routes
+from mountridge import messages
+from mountridge.routing import backends, picking
 
 SLOTS = 5
 #: From a request to a refusal by its rank, and from a change of the group to
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -6,7 +6,7 @@
 import trio
 
 from features.worlds import system as system_world
-from mountridge import statemachine
+from mountridge.state import statemachine
 
 NEW = system_world.SHEET.replace('crews,drafts,64', 'crews,drafts,33')
 OTHER = system_world.SHEET.replace('crews,drafts,64', 'crews,drafts,44')
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -10,8 +10,8 @@
 from hypothesis import Phase, settings, strategies
 
 from features.worlds.consensus import consensus_lease, World
-from mountridge import consensus, entries, errors, messages, metrics
-from mountridge import replicas, storage
+from mountridge.consensus import consensus, entries, replicas, storage
+from mountridge import errors, messages, metrics
 
 MOMENTS = {
     'before it sends': 'before',
--- a/features/steps/demand_steps.py
+++ b/features/steps/demand_steps.py
@@ -7,7 +7,9 @@
 
 from behave import given, then, when
 
-from mountridge import demand, mapchanges, messages, rankgroups, ranks
+from mountridge.experts import demand, mapchanges, ranks
+from mountridge.groups import rankgroups
+from mountridge import messages
 
 EXPERTS, RANKS, REPORT_S = 96, 12, 0.12
 #: Choices in the report of a rank that reads a prompt, and of one that
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -15,9 +15,11 @@
 import trio.testing
 
 from features.worlds import ranks as ranks_world
-from mountridge import budgets, commands, errors, instances, logs, members
-from mountridge import messages
-from mountridge import registry, routes, statemachine
+from mountridge.control import registry
+from mountridge.documents import instances, routes
+from mountridge import errors, logs, messages
+from mountridge.routing import budgets
+from mountridge.state import commands, members, statemachine
 
 FOLDER = pathlib.Path(__file__).resolve().parents[2]
 
@@ -346,7 +348,7 @@
 def check_names(context):
     found = []
     for top in ('mountridge', 'standins', 'bench', 'tools'):
-        for path in (FOLDER / top).glob('*.py'):
+        for path in (FOLDER / top).rglob('*.py'):
             text = path.read_text().lower()
             if 'x-mountridge-' in text or "'/mountridge/" in text:
                 found.append(path.name)
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -14,7 +14,8 @@
 import httpx
 import openai
 
-from mountridge import keys, storage
+from mountridge.consensus import storage
+from mountridge.net import keys
 from standins import cluster
 
 SHEET = pathlib.Path('samples/table.csv').read_text()
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -8,8 +8,10 @@
 import trio
 import trio.testing
 
-from mountridge import backends, dialects, forwarding, httpserver, instances
-from mountridge import messages, metrics, routes
+from mountridge.documents import instances, routes
+from mountridge import messages, metrics
+from mountridge.net import dialects, httpserver
+from mountridge.routing import backends, forwarding
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 HOST = '127.0.0.1'
--- a/features/steps/house_steps.py
+++ b/features/steps/house_steps.py
@@ -2,6 +2,7 @@
 
 """Steps on what the sources of the product may not name."""
 
+import ast
 import pathlib
 import re
 
@@ -9,7 +10,8 @@
 
 #: Deployments of the users, their days, and the programs that play them.
 NAMES = re.compile(
-    r'\b(ertis|mittelland|siam|swma|lnm|pavlodar|\w*bench)\b'
+    r'\b(ertis|mittelland|siam|swma|lnm|pavlodar|\w*bench|armor|relais'
+    r'|rennes|brest|vannes|vatuwaqa|suva|nadi|lautoka)\b'
     r'|\b(quiet|trouble|scale)-[0-9]',
     re.IGNORECASE,
 )
@@ -26,3 +28,58 @@
     ]
     assert not found, found
     assert NAMES.search('on the bench') and NAMES.search('trouble-1')
+
+
+#: The packages from the lowest on; each imports only those before it.
+PACKAGES = (
+    'documents', 'experts', 'messages', 'net', 'consensus', 'state',
+    'routing', 'groups', 'control', 'dispatch',
+)  # fmt: skip
+#: Modules beside the packages that all may import.
+BASE = {'errors', 'logs', 'metrics', 'settings', 'signals', 'utils'}
+#: The life of a process stands on the sockets; what is above may import it.
+APPLICATION_ABOVE = PACKAGES.index('net')
+
+
+def _imported(path):
+    """Yield the packages and modules of the product that a file imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            parts = node.module.split('.')
+            if parts == ['mountridge']:
+                yield from (name.name for name in node.names)
+            elif parts[0] == 'mountridge':
+                yield parts[1]
+
+
+def _imports_of_packages():
+    for place, package in enumerate(PACKAGES):
+        for path in sorted(pathlib.Path('mountridge', package).glob('*.py')):
+            for name in _imported(path):
+                yield place, path, name
+
+
+@then('no package of the product imports one that stands above it')
+def check_layers(context):
+    folders = {
+        p.parent.name for p in pathlib.Path('mountridge').glob('*/*.py')
+    }
+    assert folders == set(PACKAGES), folders
+    found = [
+        f'{path} imports {name}'
+        for place, path, name in _imports_of_packages()
+        if name in PACKAGES and PACKAGES.index(name) > place
+    ]
+    assert not found, found
+
+
+@then('no package imports a program')
+def check_programs(context):
+    found = [
+        f'{path} imports {name}'
+        for place, path, name in _imports_of_packages()
+        if name not in PACKAGES
+        and name not in BASE
+        and not (name == 'application' and place > APPLICATION_ABOVE)
+    ]
+    assert not found, found
--- a/features/steps/leader_steps.py
+++ b/features/steps/leader_steps.py
@@ -11,8 +11,10 @@
 import zmq
 from zmq.utils import monitor
 
-from mountridge import entry, errors, members, messages, ranks, settings
-from mountridge import sidecar, sockets
+from mountridge import entry, errors, messages, settings, sidecar
+from mountridge.experts import ranks
+from mountridge.net import sockets
+from mountridge.state import members
 
 #: Ends a scenario that would wait for ever; it decides no verdict.
 GUARD_S = 60
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -8,9 +8,9 @@
 from behave import given, then, when
 import trio
 
-from mountridge import application, controller, demand, errors, groups
-from mountridge import mapchanges, mapdeltas, mapplanning, mapplans, messages
-from mountridge import ranks, sidecar
+from mountridge import application, controller, errors, messages, sidecar
+from mountridge.experts import demand, mapchanges, mapdeltas, mapplans, ranks
+from mountridge.groups import groups, mapplanning
 
 SETS, RANKS, EXPERTS, PLACES = 10, 192, 384, 3
 PEER = application.Peer(b'route', 0, '')
--- a/features/steps/map_steps.py
+++ b/features/steps/map_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import Phase, settings, strategies
 
 from features.worlds import group
-from mountridge import maps
+from mountridge.experts import maps
 
 
 @given('a group of {ranks:d} ranks in lock-step')
--- a/features/steps/mapplans_steps.py
+++ b/features/steps/mapplans_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from mountridge import mapplans, maps
+from mountridge.experts import mapplans, maps
 
 RANKS, EXPERTS, SETS = 16, 64, 4
 #: Choices of the most chosen expert.
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -8,7 +8,9 @@
 
 from behave import given, then, when
 
-from mountridge import backends, instances, messages
+from mountridge.documents import instances
+from mountridge import messages
+from mountridge.routing import backends
 
 #: As on the bench: a report each 0.12 s, 0.05 s old when it comes.
 REPORT_S, WAY_S = 0.12, 0.05
--- a/features/steps/rule_steps.py
+++ b/features/steps/rule_steps.py
@@ -6,10 +6,10 @@
 from hypothesis import given as for_all
 from hypothesis import Phase, settings, strategies
 
-from mountridge import attempts, claims, errors, leases, limits, messages
-from mountridge import queues, runners
-from mountridge import settings as settings_module
-from mountridge import sheets, tables, tickets, views
+from mountridge.dispatch import attempts, queues, runners, tickets
+from mountridge.documents import sheets, tables
+from mountridge import errors, messages, settings as settings_module
+from mountridge.state import claims, leases, limits, views
 
 BASE = {
     'role': 'gateway',
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -13,14 +13,16 @@
 import trio
 import yaml
 
-from mountridge import errors, httpserver, listening, routes, settings
+from mountridge.documents import routes
+from mountridge import errors, settings
+from mountridge.net import httpserver, listening
 
 #: Each takes 20 ms or more to import with what it imports, and no sidecar and
 #: no entry without a disk needs it.
 COSTLY = {
-    'mountridge.controller', 'mountridge.mapplans', 'mountridge.storage',
-    'asyncio', 'click', 'crc32c', 'httpx', 'hypercorn', 'loguru', 'quart',
-    'tabulate', 'yaml',
+    'mountridge.controller', 'mountridge.experts.mapplans',
+    'mountridge.consensus.storage', 'asyncio', 'click', 'crc32c', 'httpx',
+    'hypercorn', 'loguru', 'quart', 'tabulate', 'yaml',
 }  # fmt: skip
 
 ENTRY = {
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -15,7 +15,8 @@
 from hypothesis import given as for_all
 from hypothesis import Phase, settings, strategies
 
-from mountridge import consensus, entries, errors, storage
+from mountridge.consensus import consensus, entries, storage
+from mountridge import errors
 
 CONFIG = entries.Config({'c1.0': 'a'}, {})
 
--- a/features/worlds/consensus.py
+++ b/features/worlds/consensus.py
@@ -10,7 +10,8 @@
 import heapq
 import random
 
-from mountridge import consensus, entries, errors
+from mountridge.consensus import consensus, entries
+from mountridge import errors
 
 TIMING = consensus.Timing(heartbeat_s=0.1, election_s=0.5)
 TICK_S = 0.025
@@ -354,7 +355,7 @@
 
 def consensus_lease(node, now_s):
     """Return whether a node may answer as the leader."""
-    from mountridge import replication
+    from mountridge.consensus import replication
 
     return replication.lease_valid(node, now_s)
 
--- a/features/worlds/group.py
+++ b/features/worlds/group.py
@@ -9,7 +9,8 @@
 
 import random
 
-from mountridge import gates, messages
+from mountridge.groups import gates
+from mountridge import messages
 
 GROUP = 'g'
 
--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -13,8 +13,9 @@
 import trio
 import trio.testing
 
-from mountridge import application, engines, errors, groups, mapplans, ranks
-from mountridge import remoteranks, sidecar
+from mountridge import application, errors, remoteranks, sidecar
+from mountridge.experts import mapplans, ranks
+from mountridge.groups import engines, groups
 from standins import engine
 
 SHEET = engine.EngineSheet()
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -17,9 +17,11 @@
 import trio
 import trio.testing
 
-from mountridge import agent, application, controller, errors, exchanges
-from mountridge import gateway, messages, sheets, statemachine, tables
-from mountridge import settings as settings_module
+from mountridge import agent, application, controller, errors, gateway
+from mountridge.dispatch import exchanges
+from mountridge.documents import sheets, tables
+from mountridge import messages, settings as settings_module
+from mountridge.state import statemachine
 
 LATENCY_S = 0.001
 COMMIT_S = 0.002
--- a/mountridge/agent.py
+++ b/mountridge/agent.py
@@ -6,10 +6,11 @@
 
 import trio
 
-from mountridge import application, decisions, errors, leases, members
-from mountridge import links, messages, outboxes, queues, signals, tickets
+from mountridge import application, errors, messages, signals
+from mountridge.dispatch import decisions, links, outboxes, queues, tickets
+from mountridge.dispatch import upstreams
 from mountridge.logs import logger
-from mountridge import upstreams, views
+from mountridge.state import leases, members, views
 
 __all__ = ['Agent', 'build', 'run']
 
--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -11,9 +11,9 @@
 import trio
 import zmq
 
-from mountridge import errors, keys, messages, metrics, signals, sockets
+from mountridge import errors, messages, metrics, signals, utils
 from mountridge.logs import logger
-from mountridge import utils
+from mountridge.net import keys, sockets
 
 __all__ = ['Application']
 
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -13,9 +13,12 @@
 import trio
 import yaml
 
-from mountridge import application, cliroutes, clitools, entries, errors, keys
-from mountridge import logs, members, messages, sheets, storage, tables, utils
-from mountridge import settings as settings_module
+from mountridge import application, cliroutes, clitools, errors, logs, messages
+from mountridge.consensus import entries, storage
+from mountridge.documents import sheets, tables
+from mountridge.net import keys
+from mountridge import settings as settings_module, utils
+from mountridge.state import members
 
 __all__ = ['main']
 
@@ -117,7 +120,7 @@
 @SETTINGS
 def sidecar(settings_file: str) -> None:
     """Run a sidecar beside a model engine."""
-    from mountridge import engines
+    from mountridge.groups import engines
     from mountridge import sidecar as daemon
 
     def run(loaded: dict) -> None:
--- a/mountridge/cliroutes.py
+++ b/mountridge/cliroutes.py
@@ -8,7 +8,10 @@
 import click
 import trio
 
-from mountridge import clitools, dialects, entryapi, errors, lasthop, routes
+from mountridge import clitools, errors
+from mountridge.documents import routes
+from mountridge.net import dialects, lasthop
+from mountridge.routing import entryapi
 
 __all__ = ['group']
 
--- a/mountridge/consensus.py
+++ b/mountridge/consensus/consensus.py
@@ -13,14 +13,15 @@
 import random
 import typing
 
-from mountridge import elections, entries, errors, replication
-from mountridge.consensustypes import (
+from mountridge.consensus.consensustypes import (
     Apply, AskVote, Append, Appended, Campaign, CANDIDATE, ChangeConfig,
     Compact, Effect, FOLLOWER, HandOver, Install, Installed, LEADER,
     Message, Node, NotLeading, Peer, PRE_CANDIDATE, Propose, Read, ReadReady,
     Received, Role, SaveEntries, SaveSnapshot, SaveVote, Send, Snapshot,
     Started, Synced, Tick, Timing, Vote,
 )  # fmt: skip
+from mountridge.consensus import elections, entries, replication
+from mountridge import errors
 
 __all__ = [
     'Apply', 'AskVote', 'Append', 'Appended', 'Campaign', 'CANDIDATE',
--- a/mountridge/consensustypes.py
+++ b/mountridge/consensus/consensustypes.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from mountridge import entries
+from mountridge.consensus import entries
 
 FOLLOWER = 'follower'
 PRE_CANDIDATE = 'pre-candidate'
--- a/mountridge/elections.py
+++ b/mountridge/consensus/elections.py
@@ -24,11 +24,11 @@
 and can lead later only by votes and answers that are given later still.
 """
 
-from mountridge import entries, replication
-from mountridge.consensustypes import (
+from mountridge.consensus.consensustypes import (
     AskVote, CANDIDATE, Campaign, Effect, FOLLOWER, Node, PRE_CANDIDATE,
     LEADER, NotLeading, SaveVote, Send, Started, Vote,
 )  # fmt: skip
+from mountridge.consensus import entries, replication
 
 __all__ = [
     'ask_who_leads', 'begin_anew', 'begin_pre_vote', 'on_ask_vote',
--- a/mountridge/replicas.py
+++ b/mountridge/consensus/replicas.py
@@ -8,9 +8,10 @@
 import msgspec
 import trio
 
-from mountridge import application, consensus, entries, errors, messages
+from mountridge import application, errors, messages
+from mountridge.consensus import consensus, entries, replication, storage
 from mountridge.logs import logger
-from mountridge import replication, sockets, storage
+from mountridge.net import sockets
 
 __all__ = ['Replica', 'pack_message', 'unpack_message']
 
--- a/mountridge/replication.py
+++ b/mountridge/consensus/replication.py
@@ -2,12 +2,13 @@
 
 """Replication of the consensus core: leading, following, catching up."""
 
-from mountridge import entries, errors
-from mountridge.consensustypes import (
+from mountridge.consensus.consensustypes import (
     Append, Appended, Apply, Campaign, Effect, FOLLOWER, Install,
     Installed, LEADER, Node, Peer, ReadReady, Role, SaveEntries,
     SaveSnapshot, SaveVote, Send, Snapshot, Synced,
 )  # fmt: skip
+from mountridge.consensus import entries
+from mountridge import errors
 
 __all__ = [
     'adopt_term', 'answer_reads', 'append_own', 'beat', 'begin_to_lead',
--- a/mountridge/storage.py
+++ b/mountridge/consensus/storage.py
@@ -24,8 +24,8 @@
 
 import msgspec
 
-from mountridge import consensustypes as types
-from mountridge import entries, errors
+from mountridge.consensus import consensustypes as types, entries
+from mountridge import errors
 
 __all__ = ['Contents', 'FORMAT', 'Storage', 'check', 'initialize', 'read']
 
--- a/mountridge/changes.py
+++ b/mountridge/control/changes.py
@@ -2,8 +2,8 @@
 
 """Operators' changes of the controllers: add, promote, remove, transfer."""
 
-from mountridge import application, consensus, entries, errors, messages
-from mountridge import replicas, replication
+from mountridge import application, errors, messages
+from mountridge.consensus import consensus, entries, replicas, replication
 
 __all__ = ['Changes']
 
--- a/mountridge/formation.py
+++ b/mountridge/control/formation.py
@@ -11,9 +11,11 @@
 
 import trio
 
-from mountridge import application, consensus, entries, errors, members
+from mountridge import application, errors, messages
+from mountridge.consensus import consensus, entries, replicas, replication
 from mountridge.logs import logger
-from mountridge import messages, replicas, replication, sockets
+from mountridge.net import sockets
+from mountridge.state import members
 
 __all__ = ['Formation', 'next_config']
 
--- a/mountridge/registry.py
+++ b/mountridge/control/registry.py
@@ -7,9 +7,11 @@
 is committed, so what a runner was told survives the leader.
 """
 
-from mountridge import application, commands, instances, messages
+from mountridge import application, messages
+from mountridge.consensus import replicas
+from mountridge.documents import instances
 from mountridge.logs import logger
-from mountridge import replicas, statemachine
+from mountridge.state import commands, statemachine
 
 __all__ = ['Registry']
 
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -11,11 +11,13 @@
 
 import trio
 
-from mountridge import application, changes, claims, commands, consensus
-from mountridge import entries, errors, groups, leases, limits, members
+from mountridge import application, errors, messages, utils
+from mountridge.consensus import consensus, entries, replicas, storage
+from mountridge.control import changes, registry
+from mountridge.groups import groups
 from mountridge.logs import logger
-from mountridge import messages, registry, replicas, statemachine
-from mountridge import storage, utils, views
+from mountridge.state import claims, commands, leases, limits, members
+from mountridge.state import statemachine, views
 
 __all__ = ['Controller', 'build', 'loads_interval_s', 'run']
 
--- a/mountridge/dispatching.py
+++ b/mountridge/dispatch/dispatching.py
@@ -7,10 +7,12 @@
 
 import trio
 
-from mountridge import attempts, decisions, errors, exchanges, leases
-from mountridge import members, messages, placing, retries, runners
-from mountridge import sockets, tables, utils
-from mountridge import application
+from mountridge import application, errors, messages, utils
+from mountridge.dispatch import attempts, decisions, exchanges, placing
+from mountridge.dispatch import retries, runners
+from mountridge.documents import tables
+from mountridge.net import sockets
+from mountridge.state import leases, members
 
 import xxhash
 
--- a/mountridge/exchanges.py
+++ b/mountridge/dispatch/exchanges.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mountridge import tables
+from mountridge.documents import tables
 
 __all__ = ['Exchange']
 
--- a/mountridge/filters.py
+++ b/mountridge/dispatch/filters.py
@@ -12,8 +12,10 @@
 import msgspec
 import xxhash
 
-from mountridge import claims, errors, exchanges, leases, tables
-from mountridge import views
+from mountridge.dispatch import exchanges
+from mountridge.documents import tables
+from mountridge import errors
+from mountridge.state import claims, leases, views
 
 __all__ = ['Filter', 'Rows', 'chain']
 
--- a/mountridge/outboxes.py
+++ b/mountridge/dispatch/outboxes.py
@@ -6,7 +6,8 @@
 
 import trio
 
-from mountridge import application, links, messages
+from mountridge import application, messages
+from mountridge.dispatch import links
 
 __all__ = ['Outbox']
 
--- a/mountridge/runners.py
+++ b/mountridge/dispatch/runners.py
@@ -4,7 +4,9 @@
 
 import typing
 
-from mountridge import links, messages, placing, views
+from mountridge.dispatch import links, placing
+from mountridge import messages
+from mountridge.state import views
 
 __all__ = ['Runners', 'RunnerState']
 
--- a/mountridge/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from mountridge import dialects, lasthop
+from mountridge.net import dialects, lasthop
 
 __all__ = ['Response', 'Upstream']
 
--- a/mountridge/sheets.py
+++ b/mountridge/documents/sheets.py
@@ -5,7 +5,8 @@
 import csv
 import io
 
-from mountridge import errors, tables
+from mountridge.documents import tables
+from mountridge import errors
 
 __all__ = ['read_sheet', 'write_sheet']
 
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -12,12 +12,14 @@
 
 import trio
 
-from mountridge import application, backends, dialects, engines, entryapi
-from mountridge import errors, forwarding
-from mountridge import httpserver, leases
+from mountridge import application, errors, messages, settingswatch, sidecar
+from mountridge.documents import routes
+from mountridge.groups import engines
 from mountridge.logs import logger
-from mountridge import members, messages, routes, settingswatch, sidecar
-from mountridge import signals, views
+from mountridge.net import dialects, httpserver
+from mountridge.routing import backends, entryapi, forwarding
+from mountridge import signals
+from mountridge.state import leases, members, views
 
 __all__ = ['Entry', 'build', 'run']
 
--- a/mountridge/entrycontroller.py
+++ b/mountridge/entrycontroller.py
@@ -7,8 +7,11 @@
 
 import trio
 
-from mountridge import application, controller, entries, formation, mapplans
-from mountridge import members, messages, remoteranks, storage, utils
+from mountridge import application, controller, messages, remoteranks, utils
+from mountridge.consensus import entries, storage
+from mountridge.control import formation
+from mountridge.experts import mapplans
+from mountridge.state import members
 
 if typing.TYPE_CHECKING:
     from mountridge.entry import Entry
--- a/mountridge/mapchanges.py
+++ b/mountridge/experts/mapchanges.py
@@ -20,7 +20,7 @@
 import math
 import typing
 
-from mountridge import ranks
+from mountridge.experts import ranks
 
 __all__ = [
     'Change', 'HOLDER', 'Phase', 'Progress', 'USUAL_PASS_S', 'find_change',
--- a/mountridge/mapdeltas.py
+++ b/mountridge/experts/mapdeltas.py
@@ -14,7 +14,8 @@
 import typing
 import zlib
 
-from mountridge import errors, ranks
+from mountridge import errors
+from mountridge.experts import ranks
 
 __all__ = ['NO_MAP', 'PackedMap', 'pack', 'unpack']
 
--- a/mountridge/mapplans.py
+++ b/mountridge/experts/mapplans.py
@@ -12,7 +12,7 @@
 import math
 import typing
 
-from mountridge import maps, mapsearch, ranks
+from mountridge.experts import maps, mapsearch, ranks
 
 __all__ = ['Planned', 'Sheet', 'plan']
 
--- a/mountridge/maps.py
+++ b/mountridge/experts/maps.py
@@ -11,7 +11,7 @@
 
 import typing
 
-from mountridge import mapsearch
+from mountridge.experts import mapsearch
 
 __all__ = [
     'ExpertMap', 'Loads', 'Plan', 'Weights', 'first_map', 'moved_experts',
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -12,10 +12,12 @@
 import quart_trio
 import trio
 
-from mountridge import application, attempts, decisions, dispatching, errors
-from mountridge import exchanges, filters, leases, limits, members
+from mountridge import application, errors, messages, signals, utils
+from mountridge.dispatch import attempts, decisions, dispatching, exchanges
+from mountridge.dispatch import filters
+from mountridge.documents import tables
 from mountridge.logs import logger
-from mountridge import messages, signals, tables, utils, views
+from mountridge.state import leases, limits, members, views
 
 __all__ = ['Gateway', 'build', 'end_request', 'run']
 
--- a/mountridge/engines.py
+++ b/mountridge/groups/engines.py
@@ -11,7 +11,9 @@
 import msgspec
 import trio
 
-from mountridge import application, dialects, errors, lasthop, ranks
+from mountridge import application, errors
+from mountridge.experts import ranks
+from mountridge.net import dialects, lasthop
 
 __all__ = ['EngineCalls', 'NativeEngine', 'ORDER_S', 'connect', 'connect_to']
 
--- a/mountridge/groups.py
+++ b/mountridge/groups/groups.py
@@ -12,9 +12,11 @@
 import typing
 
 
-from mountridge import application, mapchanges, mapdeltas, mapplanning
+from mountridge import application, messages
+from mountridge.consensus import replicas
+from mountridge.experts import mapchanges, mapdeltas, mapplans, ranks
+from mountridge.groups import mapplanning, rankgroups
 from mountridge.logs import logger
-from mountridge import mapplans, messages, rankgroups, ranks, replicas
 
 __all__ = ['Groups']
 
--- a/mountridge/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -5,9 +5,12 @@
 import typing
 
 
-from mountridge import application, commands, errors, mapchanges
+from mountridge import application, errors
+from mountridge.consensus import replicas
+from mountridge.experts import mapchanges, mapplans, ranks
+from mountridge.groups import rankgroups
 from mountridge.logs import logger
-from mountridge import mapplans, rankgroups, ranks, replicas
+from mountridge.state import commands
 
 __all__ = ['PAUSE_S', 'Planner', 'told']
 
--- a/mountridge/rankgroups.py
+++ b/mountridge/groups/rankgroups.py
@@ -12,8 +12,9 @@
 import typing
 
 
-from mountridge import demand, mapchanges, messages, ranks
+from mountridge.experts import demand, mapchanges, ranks
 from mountridge.logs import logger
+from mountridge import messages
 
 __all__ = ['Contact', 'Group']
 
--- a/mountridge/messages.py
+++ b/mountridge/messages/__init__.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from mountridge import errors
-from mountridge.attemptmessages import (
+from mountridge.messages.attempt import (
     Attach,
     Barred,
     Cancel,
@@ -24,7 +24,7 @@
     Revoke,
     Ticket,
 )
-from mountridge.rankmessages import (
+from mountridge.messages.rank import (
     Loads,
     RankPush,
     RankReply,
@@ -32,7 +32,7 @@
     RemoteOrder,
     RunnerLoad,
 )
-from mountridge.routemessages import (
+from mountridge.messages.route import (
     Heartbeat,
     Leave,
     PutRoutes,
--- a/mountridge/rankmessages.py
+++ b/mountridge/messages/rank.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mountridge import demand, mapdeltas, ranks
+from mountridge.experts import demand, mapdeltas, ranks
 
 __all__ = [
     'Loads',
--- a/mountridge/routemessages.py
+++ b/mountridge/messages/route.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from mountridge import instances
+from mountridge.documents import instances
 
 __all__ = [
     'Heartbeat',
--- a/mountridge/dialects.py
+++ b/mountridge/net/dialects.py
@@ -8,7 +8,9 @@
 
 import typing
 
-from mountridge import errors, httpserver, routes
+from mountridge.documents import routes
+from mountridge import errors
+from mountridge.net import httpserver
 
 __all__ = [
     'Call', 'Dialect', 'HeaderNames', 'NATIVE', 'ReplyHead', 'read_call',
--- a/mountridge/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -15,8 +15,10 @@
 import h11
 import trio
 
-from mountridge import errors, listening, routes
+from mountridge.documents import routes
+from mountridge import errors
 from mountridge.logs import logger
+from mountridge.net import listening
 
 __all__ = [
     'Handler', 'Request', 'Responder', 'Server', 'json_reply',
--- a/mountridge/keys.py
+++ b/mountridge/net/keys.py
@@ -80,7 +80,7 @@
     if settings['keys']['off']:
         await trio.sleep_forever()
     # Imported here: sockets needs this module to make its channels.
-    from mountridge import sockets
+    from mountridge.net import sockets
 
     checker = Authenticator(context)
     checker.start()
--- a/mountridge/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -15,7 +15,8 @@
 import h11
 import trio
 
-from mountridge import dialects, errors
+from mountridge import errors
+from mountridge.net import dialects
 
 __all__ = ['Pool', 'Reply']
 
--- a/mountridge/sockets.py
+++ b/mountridge/net/sockets.py
@@ -12,7 +12,8 @@
 import trio
 import zmq
 
-from mountridge import errors, keys, messages
+from mountridge import errors, messages
+from mountridge.net import keys
 
 __all__ = ['Caller', 'Channel', 'router', 'dealer']
 
--- a/mountridge/remoteranks.py
+++ b/mountridge/remoteranks.py
@@ -13,9 +13,10 @@
 
 import trio
 
-from mountridge import application, demand, errors, groups, messages
+from mountridge import application, errors, messages, sidecar
+from mountridge.experts import demand
+from mountridge.groups import groups
 from mountridge.logs import logger
-from mountridge import sidecar
 
 __all__ = ['RemoteRanks']
 
--- a/mountridge/backends.py
+++ b/mountridge/routing/backends.py
@@ -14,7 +14,9 @@
 
 import trio
 
-from mountridge import closures, instances, messages
+from mountridge.documents import instances
+from mountridge import messages
+from mountridge.routing import closures
 
 __all__ = ['Backend', 'Backends', 'LEAVE_PACE', 'Picked', 'SLOW_PACE']
 
--- a/mountridge/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -11,7 +11,9 @@
 
 import msgspec
 
-from mountridge import errors, httpserver, instances, messages
+from mountridge.documents import instances
+from mountridge import errors, messages
+from mountridge.net import httpserver
 
 __all__ = ['Handlers', 'NATIVE', 'Spelling', 'handlers']
 
--- a/mountridge/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -13,11 +13,12 @@
 
 import trio
 
-from mountridge import application, backends, budgets, dialects, errors
-from mountridge import httpserver, lasthop
+from mountridge import application, errors, utils
+from mountridge.documents import routes
 from mountridge.logs import logger
-from mountridge import picking, routedanswers, routedexchanges, routefilters
-from mountridge import routes, utils
+from mountridge.net import dialects, httpserver, lasthop
+from mountridge.routing import backends, budgets, picking, routedanswers
+from mountridge.routing import routedexchanges, routefilters
 
 __all__ = ['Exchange', 'Forwarder']
 
--- a/mountridge/picking.py
+++ b/mountridge/routing/picking.py
@@ -13,8 +13,9 @@
 
 import trio
 
-from mountridge import application, backends, closures, errors
-from mountridge import routedexchanges, routes
+from mountridge import application, errors
+from mountridge.documents import routes
+from mountridge.routing import backends, closures, routedexchanges
 
 __all__ = ['Picker']
 
--- a/mountridge/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -8,8 +8,10 @@
 
 import typing
 
-from mountridge import dialects, errors, events, lasthop, routedexchanges
-from mountridge import routes
+from mountridge.documents import routes
+from mountridge import errors
+from mountridge.net import dialects, lasthop
+from mountridge.routing import events, routedexchanges
 
 __all__ = ['give', 'send_whole']
 
--- a/mountridge/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -4,7 +4,9 @@
 
 import typing
 
-from mountridge import backends, dialects, httpserver, routes
+from mountridge.documents import routes
+from mountridge.net import dialects, httpserver
+from mountridge.routing import backends
 
 __all__ = ['Answer', 'Exchange', 'ms', 'told']
 
--- a/mountridge/routefilters.py
+++ b/mountridge/routing/routefilters.py
@@ -9,7 +9,10 @@
 import random
 import typing
 
-from mountridge import dialects, errors, routedexchanges, routes
+from mountridge.documents import routes
+from mountridge import errors
+from mountridge.net import dialects
+from mountridge.routing import routedexchanges
 
 __all__ = ['Filter', 'chain']
 
--- a/mountridge/sidecar.py
+++ b/mountridge/sidecar.py
@@ -11,9 +11,11 @@
 
 import trio
 
-from mountridge import application, demand, errors, httpserver, mapdeltas
+from mountridge import application, errors, messages
+from mountridge.experts import demand, mapdeltas, ranks
 from mountridge.logs import logger
-from mountridge import members, messages, ranks
+from mountridge.net import httpserver
+from mountridge.state import members
 
 __all__ = ['Engine', 'Sidecar', 'build', 'follow', 'run']
 
--- /dev/null
+++ b/mountridge/state/__init__.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""What the log decides, and the leases that spread it."""
--- a/mountridge/commands.py
+++ b/mountridge/state/commands.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
-from mountridge import errors, instances, messages, views
+from mountridge.documents import instances
+from mountridge import errors, messages
+from mountridge.state import views
 
 __all__ = [
     'Command',
--- a/mountridge/leases.py
+++ b/mountridge/state/leases.py
@@ -9,7 +9,8 @@
 
 import typing
 
-from mountridge import messages, views
+from mountridge import messages
+from mountridge.state import views
 
 __all__ = ['HeldLease', 'LeaseTable']
 
--- a/mountridge/limits.py
+++ b/mountridge/state/limits.py
@@ -10,7 +10,8 @@
 
 import typing
 
-from mountridge import errors, messages, tables
+from mountridge.documents import tables
+from mountridge import errors, messages
 
 __all__ = ['Apportioner', 'Limiter', 'Usage']
 
--- a/mountridge/members.py
+++ b/mountridge/state/members.py
@@ -6,9 +6,10 @@
 
 import trio
 
-from mountridge import application, errors, leases, messages, signals
+from mountridge import application, errors, messages, signals
 from mountridge.logs import logger
-from mountridge import sockets
+from mountridge.net import sockets
+from mountridge.state import leases
 
 __all__ = ['Leader', 'LeaseKeeper', 'by_name', 'seed_addresses']
 
--- a/mountridge/statemachine.py
+++ b/mountridge/state/statemachine.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-from mountridge import claims, commands, errors, instances, messages
-from mountridge import tables, views
+from mountridge.documents import instances, tables
+from mountridge import errors, messages
+from mountridge.state import claims, commands, views
 
 __all__ = ['StateMachine', 'VersionRecord']
 
--- a/mountridge/views.py
+++ b/mountridge/state/views.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from mountridge import instances, messages, tables
+from mountridge.documents import instances, tables
+from mountridge import messages
 
 __all__ = [
     'INSTANCE_PREFIX',
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -20,7 +20,8 @@
 import httpx
 import yaml
 
-from mountridge import entries, keys, storage
+from mountridge.consensus import entries, storage
+from mountridge.net import keys
 
 __all__ = ['Cluster']
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,7 +11,8 @@
 import random
 import typing
 
-from mountridge import errors, ranks
+from mountridge import errors
+from mountridge.experts import ranks
 
 __all__ = ['EngineSheet', 'Group', 'Rank', 'Run']
 
--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -13,7 +13,10 @@
 import msgspec
 import trio
 
-from mountridge import dialects, errors, httpserver, ranks, routes
+from mountridge.documents import routes
+from mountridge import errors
+from mountridge.experts import ranks
+from mountridge.net import dialects, httpserver
 from standins import engine
 
 __all__ = ['Faults', 'Plain', 'Ranks', 'register']
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -22,7 +22,8 @@
 import trio
 import yaml
 
-from mountridge import dialects, errors, httpserver, lasthop
+from mountridge import errors
+from mountridge.net import dialects, httpserver, lasthop
 from standins import engine, engineserver
 
 __all__ = ['Lab', 'main']
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -612,7 +612,7 @@
         place = pathlib.Path(folder) / 'tree'
         skip = shutil.ignore_patterns('.git', '.venv', '__pycache__')
         shutil.copytree(ROOT, place, ignore=skip)
-        path = place / 'mountridge' / f'{mutant.module}.py'
+        path = next((place / 'mountridge').rglob(f'{mutant.module}.py'))
         text = path.read_text()
         if text.count(mutant.old) != 1:
             return f'stands {text.count(mutant.old)} times', []
