Interfaces for the new customers: halls, lives and cold runners; the design first

Messages, commands, view keys, settings, errors and the fields of registrations that the parts need, so that they can be built side by side. Nothing acts on them yet. Ruled out: a new storage format; records only gain fields with defaults.

--- a/mountridge/documents/instances.py
+++ b/mountridge/documents/instances.py
@@ -21,3 +21,8 @@
     software: str  # version of the runner's program
     slots: int  # requests that it works on at once
     state: str
+    #: Unix time of its start; 0 where it does not tell. A later start under
+    #: the same id is another life, which knows nothing of this one.
+    born_ms: int = 0
+    #: Its start is so recent that it bears few requests a second.
+    is_cold: bool = False
--- a/mountridge/documents/routes.py
+++ b/mountridge/documents/routes.py
@@ -78,6 +78,8 @@
     health_path: str
     most_connections: int  # to one runner, from all gateways together
     engine: Engine | None
+    cold_s: float = 0.0  # a runner is cold for so long after its start
+    cold_per_s: float = 0.0  # requests that a cold one bears; 0: any number
 
 
 class Limits(typing.NamedTuple):
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -40,11 +40,15 @@
     'BadRoutes',
     'NoRoutes',
     'TooSlow',
+    'HallChanged',
+    'HallsOut',
     'HeadTooLarge',
     'NoRoute',
+    'UnknownHall',
     'UnknownKey',
     'RunnerRefused',
     'RunnerReplaced',
+    'RunnersCold',
     'TimedOut',
     'by_code',
     'NOT_RUN',
@@ -196,6 +200,13 @@
     status = 401
 
 
+class UnknownHall(BadRequest):
+    """No hall of the deployment has this name."""
+
+    code = 1110
+    status = 404
+
+
 class RunnerReplaced(MountridgeError):
     """Another runner has the address of the one that was meant."""
 
@@ -217,6 +228,20 @@
     status = 503
 
 
+class HallsOut(MountridgeError):
+    """All runners of the service are in halls that are out of service."""
+
+    code = 1211
+    status = 503
+
+
+class RunnersCold(MountridgeError):
+    """All runners are cold, and get as many requests as they bear."""
+
+    code = 1212
+    status = 503
+
+
 class TimedOut(MountridgeError):
     """The time for the request ran out while it may have been running."""
 
@@ -280,6 +305,13 @@
     status = 409
 
 
+class HallChanged(MountridgeError):
+    """Another order for this hall came first; nothing was changed."""
+
+    code = 1404
+    status = 503
+
+
 class BadSheet(MountridgeError):
     """The sheet has errors; nothing of it was taken."""
 
--- a/mountridge/messages/__init__.py
+++ b/mountridge/messages/__init__.py
@@ -33,12 +33,15 @@
     RunnerLoad,
 )
 from mountridge.messages.route import (
+    HallsReply,
     Heartbeat,
     Leave,
     PutRoutes,
+    ReadHalls,
     ReadRoutes,
     Registered,
     RoutesReply,
+    SetHall,
 )
 
 __all__ = [
@@ -77,6 +80,7 @@
     'Admin',
     'AdminReply',
     'Controllers',
+    'HallsReply',
     'Heartbeat',
     'Loads',
     'RemoteOrder',
@@ -87,9 +91,11 @@
     'Join',
     'Leave',
     'PutRoutes',
+    'ReadHalls',
     'ReadRoutes',
     'Registered',
     'RoutesReply',
+    'SetHall',
     'decode',
     'encode',
 ]
@@ -354,6 +360,9 @@
     RemoteOrder,
     Controllers,
     RankPush,
+    ReadHalls,
+    HallsReply,
+    SetHall,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/messages/route.py
+++ b/mountridge/messages/route.py
@@ -4,15 +4,18 @@
 
 import typing
 
-from mountridge.documents import instances
+from mountridge.documents import halls, instances
 
 __all__ = [
+    'HallsReply',
     'Heartbeat',
     'Leave',
     'PutRoutes',
+    'ReadHalls',
     'ReadRoutes',
     'Registered',
     'RoutesReply',
+    'SetHall',
 ]
 
 
@@ -42,10 +45,33 @@
 
 
 class Leave(typing.NamedTuple):
-    """A runner has left for good; its id never comes back."""
+    """A life of a runner is over."""
 
     instance_id: str
+    born_ms: int = 0  # of the life that is meant; 0: not told
 
 
 class Registered(typing.NamedTuple):
     """What a heartbeat or leave said is in the replicated state."""
+
+
+class ReadHalls(typing.NamedTuple):
+    """Entry or operator to leader: all halls, confirmed by a quorum."""
+
+
+class HallsReply(typing.NamedTuple):
+    """The halls that were ever taken out of service, as they stand."""
+
+    halls: list[halls.HallState]
+
+
+class SetHall(typing.NamedTuple):
+    """Entry to leader: take a hall out of service, or put it back.
+
+    ``revision`` is the hall's revision that the entry has read for this
+    order. Where another order came between, this one changes nothing.
+    """
+
+    hall: str
+    is_out: bool
+    revision: int
--- a/mountridge/routing/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -64,6 +64,8 @@
     software: str = ''
     slots: int = 1
     state: str = instances.READY
+    born_ms: int = 0
+    cold_ms: float = 0.0  # how much longer it is cold
 
 
 _HEARTBEAT = msgspec.json.Decoder(HeartbeatBody)
@@ -88,6 +90,8 @@
         given.software,
         given.slots,
         given.state,
+        given.born_ms,
+        given.cold_ms > 0,
     )
     return messages.Heartbeat(instance, given.seq)
 
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -27,6 +27,8 @@
     'hall': '',
     # Where its own messages arrive: tcp://IP:PORT.
     'bind': '',
+    # All halls of the deployment; [] where they are not told.
+    'halls': [],
     # The controllers, name -> tcp://IP:PORT.
     'controllers': {},
     'keys': {'off': False, 'folder': ''},
@@ -87,6 +89,8 @@
     # is used. The defaults are those of the sites known so far.
     'bounds': {
         'controller_losses': 1,
+        # Whole halls that may be lost at once.
+        'hall_losses': 0,
         'heartbeat_ms': 1200.0,
         'drain_ms': 2000.0,
         'grace_s': 8.0,
@@ -94,6 +98,10 @@
         'retry_window_s': 10.0,
         'retry_slack': 96.0,
         'stall_ms': 1500.0,
+        # A cold runner gets at most `cold_over` times what it bears in a
+        # second, and `cold_slack` requests, from all gateways together.
+        'cold_over': 1.0,
+        'cold_slack': 0.0,
     },
 }
 
@@ -106,6 +114,14 @@
     return value
 
 
+def _not_negative(value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise vol.Invalid('expected a number')
+    if not value >= 0:
+        raise vol.Invalid('expected 0 or more')
+    return value
+
+
 def _address(value: typing.Any) -> str:
     if not isinstance(value, str) or not value.startswith('tcp://'):
         raise vol.Invalid('expected tcp://IP:PORT')
@@ -127,7 +143,7 @@
     if isinstance(default, int):
         return vol.All(int, vol.Range(min=0))
     if isinstance(default, float):
-        return _positive
+        return _positive if default > 0 else _not_negative
     if isinstance(default, list):
         return [str]
     if isinstance(default, dict) and default:
--- a/mountridge/state/commands.py
+++ b/mountridge/state/commands.py
@@ -22,6 +22,7 @@
     'NextVersion',
     'PutRoutes',
     'PutTable',
+    'SetHall',
     'SetInstance',
     'SetMember',
     'decode',
@@ -89,6 +90,15 @@
     at_s: float
 
 
+class SetHall(typing.NamedTuple):
+    """A hall is out of service, or back, where its revision still holds."""
+
+    hall: str
+    is_out: bool
+    revision: int
+    at_s: float
+
+
 Command = (
     PutTable
     | SetMember
@@ -98,6 +108,7 @@
     | PutRoutes
     | SetInstance
     | NextVersion
+    | SetHall
 )
 
 _KINDS = (
@@ -109,6 +120,7 @@
     PutRoutes,
     SetInstance,
     NextVersion,
+    SetHall,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/state/views.py
+++ b/mountridge/state/views.py
@@ -2,26 +2,28 @@
 
 """The shared view: what controllers spread to gateways and agents.
 
-Entries are keyed ``row/...``, ``member/...``, ``map/...``, ``routes`` and
-``instance/...``; each carries
-the index of the log entry that last changed it, so that a holder at any
-index can be brought up to date by the entries past it.
+Entries are keyed ``row/...``, ``member/...``, ``map/...``, ``routes``,
+``instance/...`` and ``hall/...``; each carries the index of the log entry
+that last changed it, so that a holder at any index can be brought up to date
+by the entries past it.
 """
 
 import typing
 
 import msgspec
 
-from mountridge.documents import instances, tables
+from mountridge.documents import halls, instances, tables
 from mountridge import messages
 
 __all__ = [
+    'HALL_PREFIX',
     'INSTANCE_PREFIX',
     'Member',
     'ROUTES_KEY',
     'View',
     'pack',
     'routes_in',
+    'unpack_hall',
     'unpack_instance',
     'unpack_member',
     'unpack_row',
@@ -29,9 +31,11 @@
 
 #: Removed keys that are remembered; a holder older than that gets all.
 MAX_REMOVED = 10000
-#: Where a view holds the routes document, and the runners by id.
+#: Where a view holds the routes document, the runners by id, and the halls
+#: that were ever taken out of service by name.
 ROUTES_KEY = 'routes'
 INSTANCE_PREFIX = 'instance/'
+HALL_PREFIX = 'hall/'
 
 
 class Member(typing.NamedTuple):
@@ -52,6 +56,7 @@
 _ROW = msgspec.msgpack.Decoder(tables.Row)
 _MEMBER = msgspec.msgpack.Decoder(Member)
 _INSTANCE = msgspec.msgpack.Decoder(instances.Instance)
+_HALL = msgspec.msgpack.Decoder(halls.HallState)
 _ROUTES = msgspec.msgpack.Decoder(messages.RoutesReply)
 
 
@@ -75,6 +80,11 @@
     return _INSTANCE.decode(data)
 
 
+def unpack_hall(data: bytes) -> halls.HallState:
+    """Return the state of a hall that ``data`` stands for."""
+    return _HALL.decode(data)
+
+
 def routes_in(view: 'View') -> messages.RoutesReply:
     """Return the routes document in ``view``; version 0 for none."""
     found = view.entries.get(ROUTES_KEY)
