Give each process of the tests ports and loopback hosts of its own

Cause: a port that the kernel named as free was bound by a process that started half a second later; until then the kernel may give it to an outgoing connection or to the next who asks. The lab's processes listened on fixed loopback hosts, so that two runs of the script on one machine met. Now each process holds a block of ports below the kernel's range, by a lock that ends with it, and a loopback network.

--- a/bench/path.py
+++ b/bench/path.py
@@ -17,7 +17,7 @@
 import trio
 
 from bench import relays
-from standins import cluster
+from standins import cluster, ports
 
 GAP_S = 0.027
 TOKENS = 150
@@ -118,7 +118,7 @@
 
 
 def _addresses(count: int) -> list[str]:
-    return [f'127.0.0.1:{cluster.free_port()}' for _ in range(count)]
+    return [f'127.0.0.1:{ports.free_port()}' for _ in range(count)]
 
 
 def _start_path(made: cluster.Cluster, source: str) -> None:
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -16,7 +16,7 @@
 
 from mountridge.consensus import storage
 from mountridge.net import keys
-from standins import cluster
+from standins import cluster, ports
 
 SHEET = pathlib.Path('samples/table.csv').read_text()
 NEW_SHEET = SHEET.replace('crews,drafts,*,2,64', 'crews,drafts,*,2,65')
@@ -228,7 +228,7 @@
 @when('an operator runs storage init for one more box')
 def init_more(context):
     made = context.cluster
-    made.controllers['c9'] = f'tcp://127.0.0.1:{cluster.free_port()}'
+    made.controllers['c9'] = f'tcp://127.0.0.1:{ports.free_port()}'
     made.add('controller', 'c9')
     for name in made.controllers:
         source = made.folder / 'keys' / f'{name}.key'
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -16,6 +16,7 @@
 from mountridge.documents import routes
 from mountridge import errors, settings
 from mountridge.net import httpserver, listening
+from standins import ports
 
 #: Each takes 20 ms or more to import with what it imports, and no sidecar and
 #: no entry without a disk needs it.
@@ -51,9 +52,7 @@
 
 
 def _free_address():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    return f'127.0.0.1:{ports.free_port()}'
 
 
 def _write(context, text):
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -12,7 +12,6 @@
 import re
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -23,18 +22,13 @@
 from mountridge.consensus import entries, storage
 from mountridge.net import keys
 
+from standins import ports
+
 __all__ = ['Cluster']
 
 START_S = 15.0
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def wait_for(check, limit_s: float = START_S, pause_s: float = 0.05):
     """Return the first true result of ``check``, or raise TimeoutError."""
     end_s = time.monotonic() + limit_s
@@ -69,7 +63,7 @@
     def plan(self, controllers: list[str]) -> None:
         """Choose the controllers' addresses."""
         for name in controllers:
-            self.controllers[name] = f'tcp://127.0.0.1:{free_port()}'
+            self.controllers[name] = f'tcp://127.0.0.1:{ports.free_port()}'
 
     def add_controllers(self, names: list[str]) -> None:
         """Plan, initialize and start the first controllers."""
@@ -87,10 +81,12 @@
 
     def add(self, role: str, name: str, hall: str = 'north', **own) -> None:
         """Write the settings of a process; ``own`` is its role's part."""
-        bind = self.controllers.get(name, f'tcp://127.0.0.1:{free_port()}')
+        bind = self.controllers.get(
+            name, f'tcp://127.0.0.1:{ports.free_port()}'
+        )
         top = own.pop('top', {})
         if role == 'gateway':
-            self.http[name] = f'127.0.0.1:{free_port()}'
+            self.http[name] = f'127.0.0.1:{ports.free_port()}'
             own = {'http': self.http[name], 'address_ttl_s': 1.0, **own}
         if role == 'controller':
             own = {'data': str(self.folder / f'data-{name}'), **own}
@@ -125,7 +121,7 @@
 
     def start_runner(self, name: str) -> str:
         """Start a stand-in runner and return its address."""
-        address = self.http.get(name, f'127.0.0.1:{free_port()}')
+        address = self.http.get(name, f'127.0.0.1:{ports.free_port()}')
         self.http[name] = address
         self._spawn(name, ['-m', 'standins.runner', address, name])
         return f'http://{address}'
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -24,13 +24,13 @@
 
 from mountridge import errors
 from mountridge.net import dialects, httpserver, lasthop
-from standins import engine, engineserver
+from standins import engine, engineserver, ports
 
 __all__ = ['Lab', 'main']
 
 SAMPLE = pathlib.Path(__file__).parent.parent / 'samples' / 'lab.yaml'
 #: Addresses of the loopback net that the processes of the lab use.
-HOST = '127.0.7.'
+HOST = ports.network()
 START_S = 20.0
 NAMES = dialects.NATIVE.headers
 
