A registration is one life of a runner: id and start

A runner that started again under its id was taken for the old one: words of the new life were dropped for their lower counts, one that was taken as silent or as replaced never came back, and gateways kept what the former life had earned. Now words are ordered by start, then by count (state/lives.py), ends that silence or another runner at the address brought about are not final, a new life gets a fresh record at gateways, and kept connections to the former one are dropped also where requests are still under way on them. A leave goes with the life that the entry's view holds.

Malformed words and engine answers get a coded error; nested ones ended the connection unanswered (RecursionError), numbers past 64 bits ended the task that sent them on.

Ruled out: ordering untold starts by arrival (a late word would win), a new storage format (fields with defaults).

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -14,8 +14,8 @@
 import trio
 import trio.testing
 
+from features.worlds import lives as lives_world
 from features.worlds import ranks as ranks_world
-from mountridge.control import registry
 from mountridge.documents import instances, routes
 from mountridge import errors, logs, messages
 from mountridge.routing import budgets
@@ -155,37 +155,10 @@
     assert context.machine.instances['i-3'].state == instances.READY
 
 
-class _Replica:
-    """A log of one controller that commits at once."""
-
-    def __init__(self, machine):
-        self.machine = machine
-        self.index = 0
-
-    def check_leader(self):
-        return None
-
-    async def propose(self, payload):
-        self.index += 1
-        return self.machine.apply_payload(self.index, payload)
-
-
-class _App:
-    """The clock and settings that a registry needs."""
-
-    settings = {'bounds': {'heartbeat_ms': 1000.0}}
-
-    def now_s(self):
-        return 0.0
-
-    def wall_s(self):
-        return 0.0
-
-
 @given("a leader's registry")
 def leaders_registry(context):
-    machine = context.machine = statemachine.StateMachine()
-    context.registry = registry.Registry(_App(), machine, _Replica(machine))
+    world = lives_world.World()
+    context.machine, context.registry = world.machine, world.registry
 
 
 @when(
--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -153,6 +153,8 @@
         self.changing = 'leader changes' in faults
         self.term_s = 0.7 if 'each 0.7 s' in faults else 3.0
         self.dying = 'dying' in faults
+        #: Whether ranks start again under their ids, and tell their starts.
+        self.restarting = 'restart' in faults
         #: Demand stays as it is at the end, so that the last change ends
         #: and no pass is held for another one at the moment of the check.
         self.shifting = True
@@ -182,7 +184,7 @@
         self.nursery.start_soon(self._stand_in)
         if self.changing:
             self.nursery.start_soon(self._change_leaders)
-        if self.dying:
+        if self.dying or self.restarting:
             self.nursery.start_soon(self._kill_ranks)
 
     async def _stand_in(self):
@@ -255,7 +257,11 @@
     async def _kill_ranks(self):
         while True:
             await trio.sleep(5 + self.rng.random())
-            self.group.reform(trio.current_time())
+            now_s = trio.current_time()
+            if self.restarting:
+                self.group.restart(self.rng.randrange(SHEET.ranks), now_s)
+            else:
+                self.group.reform(now_s)
 
 
 def play(span_s, faults, seed):
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -54,9 +54,15 @@
             app, self.replica, lambda instance_id: self.sheet(instance_id)
         )
         self.groups.give_elsewhere = self.give_elsewhere
+        self.groups.born_ms = self._born_ms
         #: Incarnations that a later one of the same name has replaced.
         self._replaced: set[tuple[str, str]] = set()
 
+    def _born_ms(self, instance_id: str) -> int:
+        """Return the start of the life that is registered; 0: not told."""
+        held = self.machine.instances.get(instance_id)
+        return held.born_ms if held else 0
+
     def on_role(self, role: consensus.Role) -> None:
         """Begin a term with no knowledge of earlier leaders' leases."""
         self.leases = leases.LeaseTable(
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -35,6 +35,8 @@
 #: of them less than 4.0 s.
 KEPT_PART = 0.4
 DRAIN_POLL_S = 0.05
+#: Bytes that a log line shows of the id of a malformed word.
+LOGGED_BYTES = 64
 #: Left of the time that a planned stop may take, for closing down.
 GRACE_LEFT_S = 0.5
 
@@ -214,12 +216,29 @@
         """
         await self.leader.call(heartbeat, HEARTBEAT_S)
 
-    async def leave(self, instance_id: str) -> None:
+    async def leave(self, instance_id: str, born_ms: int) -> None:
         """Take out a runner that says that it has left.
 
+        The life that is held here goes with it: one that begins meanwhile is
+        not meant.
+
         :raises NoController: it may not have been taken.
+        :raises StaleHeartbeat: it may be of a life before.
         """
-        await self.leader.call(messages.Leave(instance_id), HEARTBEAT_S)
+        held = self.backends.by_id.get(instance_id)
+        lives = held.instance.lives if held else 0
+        leave = messages.Leave(instance_id, born_ms, lives)
+        await self.leader.call(leave, HEARTBEAT_S)
+
+    def malformed(self, raw_id: bytes, problem: errors.BadHeartbeat) -> None:
+        """Count and log a word of a runner that can't be read."""
+        self.app.metrics.incr(f'runner.malformed.{problem.cause}')
+        logger.info(
+            'runner word malformed',
+            runner=ascii(raw_id[:LOGGED_BYTES]),
+            cause=problem.cause,
+            reason=str(problem),
+        )
 
     # Life.
 
--- a/mountridge/entrycontroller.py
+++ b/mountridge/entrycontroller.py
@@ -60,6 +60,12 @@
         )
 
     made.sheet = sheet
+
+    def names_service(service: str) -> bool:
+        """Return whether routes name a service, or there are none yet."""
+        return entry.index is None or service in entry.index.services
+
+    made.registry.names_service = names_service
     app.tasks.append(
         remoteranks.RemoteRanks(app, made.groups, entry.engine).run
     )
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'BadAnswer',
+    'BadHeartbeat',
     'BadMessage',
     'BadRequest',
     'BadSettings',
@@ -32,6 +33,7 @@
     'OutcomeUnknown',
     'RefusedChange',
     'RunnerFailed',
+    'StaleHeartbeat',
     'StaleIncarnation',
     'StorageFailed',
     'TooLarge',
@@ -45,6 +47,7 @@
     'HeadTooLarge',
     'NoRoute',
     'UnknownHall',
+    'UnknownService',
     'UnknownKey',
     'RunnerRefused',
     'RunnerReplaced',
@@ -207,6 +210,33 @@
     status = 404
 
 
+class BadHeartbeat(BadRequest):
+    """What a runner says of itself is malformed; it changes nothing.
+
+    ``cause`` is the name under which it is counted.
+    """
+
+    code = 1111
+
+    def __init__(self, message: str = '', cause: str = 'other'):
+        super().__init__(message)
+        self.cause = cause
+
+
+class UnknownService(BadRequest):
+    """No route names the service of this runner; it is not registered."""
+
+    code = 1112
+    status = 404
+
+
+class StaleHeartbeat(BadRequest):
+    """Another life of the runner, or another runner, goes before it."""
+
+    code = 1113
+    status = 409
+
+
 class RunnerReplaced(MountridgeError):
     """Another runner has the address of the one that was meant."""
 
--- a/mountridge/experts/ranks.py
+++ b/mountridge/experts/ranks.py
@@ -10,11 +10,21 @@
 
 import typing
 
+from mountridge import errors
+
 __all__ = [
     'ARM', 'GO', 'HOLD', 'NO_ORDER', 'NO_VERSION', 'PREPARE', 'Placed',
-    'RankOrder', 'RankState',
+    'RankOrder', 'RankState', 'check_counts', 'check_experts', 'check_state',
 ]  # fmt: skip
 
+#: The largest whole number that every writer of JSON keeps exact.
+MOST_NUMBER = (1 << 53) - 1
+#: Above the ranks of any group, the requests of any engine, and its pace.
+MOST_RANKS = 1 << 16
+MOST_REQUESTS = 1 << 20
+MOST_PACE = 10000.0
+#: Experts are packed into two bytes, of which the largest stands for none.
+MOST_EXPERT = 0xFFFE
 PREPARE, HOLD, ARM, GO = 'prepare', 'hold', 'arm', 'go'
 #: Stands where a rank has prepared or armed nothing.
 NO_VERSION = -1
@@ -42,6 +52,7 @@
     waiting: int
     memory_tokens: int  # in use
     pace: float  # over 1: it is slow
+    born_ms: int = 0  # Unix time of the engine's start; 0: not told
 
 
 class RankOrder(typing.NamedTuple):
@@ -56,3 +67,53 @@
 
 
 NO_ORDER = RankOrder('', NO_VERSION, NO_VERSION, NO_VERSION, [])
+
+
+def check_state(state: RankState) -> RankState:
+    """Return what an engine says of itself, where it can be so.
+
+    :raises BadAnswer: a number lies where none of its kind does.
+    """
+    _check_span('rank', [state.rank], 0, MOST_RANKS)
+    _check_span('size', [state.size], 1, MOST_RANKS)
+    requests = [state.running, state.waiting]
+    _check_span('requests', requests, 0, MOST_REQUESTS)
+    _check_span('pace', [state.pace], 0, MOST_PACE)
+    counted = [state.epoch, state.step, state.memory_tokens, state.born_ms]
+    _check_span('number', counted, 0, MOST_NUMBER)
+    versions = [state.map_version, state.prepared, state.armed]
+    versions += [state.armed_step, state.held_step]
+    _check_span('version', versions, NO_VERSION, MOST_NUMBER)
+    if state.group and state.rank >= state.size:
+        raise errors.BadAnswer(f'rank {state.rank} of {state.size}')
+    return state
+
+
+def check_counts(counts: list[int]) -> list[int]:
+    """Return counts of choices where none is negative or too large.
+
+    :raises BadAnswer: one is.
+    """
+    _check_span('count', counts, 0, MOST_NUMBER)
+    return counts
+
+
+def check_experts(by_set: list[list[int]]) -> list[list[int]]:
+    """Return the experts held, by set, where all can be numbers of one.
+
+    :raises BadAnswer: one can't.
+    """
+    for held in by_set:
+        _check_span('expert', held, 0, MOST_EXPERT)
+    return by_set
+
+
+def _check_span(
+    name: str, values: typing.Sequence[float], least: float, most: float
+) -> None:
+    """Refuse numbers out of a span.
+
+    The least and the largest tell for all of thousands of counts.
+    """
+    if values and not (least <= min(values) and max(values) <= most):
+        raise errors.BadAnswer(f'{name} not in {least} to {most}')
--- a/mountridge/groups/engines.py
+++ b/mountridge/groups/engines.py
@@ -12,10 +12,14 @@
 import trio
 
 from mountridge import application, errors
+from mountridge.documents import instances
 from mountridge.experts import ranks
 from mountridge.net import dialects, lasthop
 
-__all__ = ['EngineCalls', 'NativeEngine', 'ORDER_S', 'connect', 'connect_to']
+__all__ = [
+    'EngineCalls', 'NativeEngine', 'ORDER_S', 'checked_id', 'connect',
+    'connect_to',
+]  # fmt: skip
 
 #: The engine is on the same box and answers within a few milliseconds.
 CALL_S = 0.5
@@ -77,6 +81,8 @@
             return decoder.decode(body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
             raise errors.BadAnswer(str(problem))
+        except RecursionError:
+            raise errors.BadAnswer('an answer nested too deep')
 
     async def order(self, target: bytes, body: bytes) -> None:
         """Give an order.
@@ -92,6 +98,17 @@
             raise errors.RefusedChange(f'answered {head.status}: {reason}')
 
 
+def checked_id(head: dialects.ReplyHead) -> str:
+    """Return the id of the runner that an answer names.
+
+    :raises BadAnswer: it names none, or what can be none.
+    """
+    wrong = instances.wrong_id(head.instance_id or '')
+    if wrong:
+        raise errors.BadAnswer(f'the answer names no runner: {wrong}')
+    return head.instance_id
+
+
 class NativeEngine:
     """An engine that speaks the project's own form."""
 
@@ -100,22 +117,21 @@
 
     async def state(self) -> ranks.RankState:
         """Return its state now."""
-        return await self._calls.read(STATE, _STATE)
+        return ranks.check_state(await self._calls.read(STATE, _STATE))
 
     async def counts(self) -> list[int]:
         """Return how often each expert was chosen since its start."""
-        return await self._calls.read(COUNTS, _COUNTS)
+        return ranks.check_counts(await self._calls.read(COUNTS, _COUNTS))
 
     async def experts(self) -> list[list[int]]:
         """Return the experts that it holds, by set of layers."""
-        return await self._calls.read(EXPERTS, _EXPERTS)
+        held = await self._calls.read(EXPERTS, _EXPERTS)
+        return ranks.check_experts(held)
 
     async def instance_id(self) -> str:
         """Return the id under which its runner is registered."""
         head, _ = await self._calls.call(b'GET', STATE)
-        if head.instance_id is None:
-            raise errors.BadAnswer('the state names no instance')
-        return head.instance_id
+        return checked_id(head)
 
     async def follow(self, order: ranks.RankOrder) -> None:
         """Carry out an order."""
--- a/mountridge/groups/rankgroups.py
+++ b/mountridge/groups/rankgroups.py
@@ -130,6 +130,9 @@
         before = known[0]
         if before.state.map_version != report.state.map_version:
             return report
+        if before.state.born_ms != report.state.born_ms:
+            # A new life holds nothing of what the former one held.
+            return report
         return report._replace(experts=before.experts)
 
     def _time_passes(self, step: int, now_s: float) -> None:
--- a/mountridge/messages/route.py
+++ b/mountridge/messages/route.py
@@ -49,6 +49,8 @@
 
     instance_id: str
     born_ms: int = 0  # of the life that is meant; 0: not told
+    #: Number of the life that is held where it came in; 0: not known.
+    lives: int = 0
 
 
 class Registered(typing.NamedTuple):
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -31,6 +31,8 @@
 #: Bytes that are not acknowledged for this long end the connection, so that
 #: a box that is gone without a word is noticed.
 USER_TIMEOUT_MS = 2500
+#: Addresses whose former runner is remembered: a whole fleet, a few times.
+MOST_FORGOTTEN = 2000
 #: Answers to earlier requests that may stand before the one awaited.
 MAX_SURPLUS = 4
 
@@ -40,8 +42,9 @@
 class _Connection:
     """One connection to a runner, used by one request at a time."""
 
-    def __init__(self, stream: trio.SocketStream):
+    def __init__(self, stream: trio.SocketStream, opened_s: float):
         self.stream = stream
+        self.opened_s = opened_s
         self.http = h11.Connection(h11.CLIENT)
         self.idle_since_s = 0.0
 
@@ -125,6 +128,9 @@
         self._connect_s = connect_s
         self._now_s = now_s
         self._idle: dict[str, list[_Connection]] = {}
+        #: When a new runner was told of at an address: connections that are
+        #: older lead to the former one, and are not kept.
+        self._forgotten_s: dict[str, float] = {}
 
     async def _connect(self, address: str) -> _Connection:
         idle = self._idle.get(address, [])
@@ -134,6 +140,7 @@
                 return connection
             await trio.aclose_forcefully(connection.stream)
         host, _, port = address.rpartition(':')
+        opened_s = self._now_s()
         try:
             with trio.fail_after(self._connect_s):
                 stream = await trio.open_tcp_stream(host, int(port))
@@ -142,7 +149,7 @@
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
-        return _Connection(stream)
+        return _Connection(stream, opened_s)
 
     @contextlib.asynccontextmanager
     async def request(
@@ -219,7 +226,14 @@
         http = connection.http
         whole = http.our_state is h11.DONE and http.their_state is h11.DONE
         idle = self._idle.setdefault(address, [])
-        if whole and not http.trailing_data[0] and len(idle) < MAX_IDLE:
+        forgotten_s = self._forgotten_s.get(address, float('-inf'))
+        leads_there = connection.opened_s > forgotten_s
+        if (
+            whole
+            and leads_there
+            and not http.trailing_data[0]
+            and len(idle) < MAX_IDLE
+        ):
             http.start_next_cycle()
             connection.idle_since_s = self._now_s()
             idle.append(connection)
@@ -230,7 +244,13 @@
             await trio.aclose_forcefully(connection.stream)
 
     async def forget(self, address: str) -> None:
-        """Close what is kept to a runner that is gone."""
+        """Close what is kept to a runner that is gone.
+
+        What is under way there goes on, and is not kept after it.
+        """
+        while len(self._forgotten_s) >= MOST_FORGOTTEN:
+            del self._forgotten_s[next(iter(self._forgotten_s))]
+        self._forgotten_s[address] = self._now_s()
         for connection in self._idle.pop(address, []):
             await trio.aclose_forcefully(connection.stream)
 
--- a/mountridge/remoteranks.py
+++ b/mountridge/remoteranks.py
@@ -70,7 +70,8 @@
     ) -> None:
         state = await engine.state()
         experts = last.experts
-        if state.map_version != last.state.map_version:
+        before = (last.state.map_version, last.state.born_ms)
+        if (state.map_version, state.born_ms) != before:
             experts = await engine.experts()
         report = messages.RankReport(
             last.instance_id,
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -100,6 +100,14 @@
         """Return the requests there for each that it works on at once."""
         return self.load(rest_s, now_s) / max(1, self.instance.slots)
 
+    def is_life_of(self, instance: instances.Instance) -> bool:
+        """Return whether a registration is the same life of the runner."""
+        mine = self.instance
+        return (instance.lives, instance.born_ms) == (
+            mine.lives,
+            mine.born_ms,
+        )
+
     def began(self, now_s: float) -> None:
         """Count an own request as sent."""
         self.own += 1
@@ -161,15 +169,23 @@
     def follow(
         self, registered: typing.Iterable[instances.Instance]
     ) -> list[str]:
-        """Follow the view; return the addresses that are no more."""
+        """Follow the view; return the addresses whose runner is no more.
+
+        A new life of a runner knows nothing of the one before, and nothing
+        that was counted or closed for that one says anything of it.
+        """
         before = {b.instance.address for b in self.by_id.values()}
         known = self.by_id
+        ended: set[str] = set()
         self.by_id = {}
         self._by_service = {}
         for instance in registered:
             if instance.state == instances.LEFT:
                 continue
-            backend = known.get(instance.instance_id) or Backend(instance)
+            backend = known.get(instance.instance_id)
+            if backend is None or not backend.is_life_of(instance):
+                ended.add(instance.address)
+                backend = Backend(instance)
             backend.instance = instance
             self.by_id[instance.instance_id] = backend
             listed = self._by_service.setdefault(instance.service, [])
@@ -177,7 +193,7 @@
         self._share_out()
         self._announce()
         after = {b.instance.address for b in self.by_id.values()}
-        return sorted(before - after)
+        return sorted((before - after) | (before & ended))
 
     def report(self, load: messages.RunnerLoad, now_s: float) -> None:
         """Take what the sidecar of a runner has reported."""
@@ -206,11 +222,15 @@
         is_full = backend.reported >= backend.instance.slots
         if is_full and not backend.replaced:
             return
+        if not self._holds(backend):
+            return
         for other in self._ranks_with(backend):
             other.closure.refused(now_s)
 
     def accepted(self, backend: Backend, now_s: float) -> None:
         """Note that a rank has taken a request: its group is open."""
+        if not self._holds(backend):
+            return
         closure = backend.closure
         if closure.is_proved and not closure.is_closed(now_s, True):
             return
@@ -218,6 +238,13 @@
             other.closure.tell(True, now_s)
         self._opened(backend)
 
+    def _holds(self, backend: Backend) -> bool:
+        """Return whether a runner is held, and no later life of it.
+
+        What a former life answers late says nothing of the group now.
+        """
+        return self.by_id.get(backend.instance.instance_id) is backend
+
     def _opened(self, backend: Backend) -> None:
         self._closed_s.pop(backend.instance.service, None)
         self._announce()
--- a/mountridge/routing/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -7,6 +7,7 @@
 the same calls is another `Spelling`.
 """
 
+import contextlib
 import typing
 
 import msgspec
@@ -38,8 +39,11 @@
     async def heartbeat(self, heartbeat: messages.Heartbeat) -> None:
         """Take a runner's heartbeat to the leader."""
 
-    async def leave(self, instance_id: str) -> None:
-        """Take out a runner."""
+    async def leave(self, instance_id: str, born_ms: int) -> None:
+        """Take out a runner; ``born_ms`` is 0 where it was not told."""
+
+    def malformed(self, raw_id: bytes, problem: errors.BadHeartbeat) -> None:
+        """Count and log a word of a runner that can't be read."""
 
 
 class Spelling(typing.NamedTuple):
@@ -51,6 +55,7 @@
     heartbeat: bytes
     leave: bytes
     read_heartbeat: typing.Callable[[str, bytes], messages.Heartbeat]
+    read_leave: typing.Callable[[bytes], int]  # gives the start, or 0
     write_addresses: typing.Callable[[list[str], float], dict]
 
 
@@ -61,27 +66,29 @@
     address: str
     hall: str
     seq: int
+    slots: int
+    state: str
     software: str = ''
-    slots: int = 1
-    state: str = instances.READY
     born_ms: int = 0
     cold_ms: float = 0.0  # how much longer it is cold
 
 
+class LeaveBody(msgspec.Struct):
+    """What a runner may say when it leaves."""
+
+    born_ms: int = 0
+
+
 _HEARTBEAT = msgspec.json.Decoder(HeartbeatBody)
+_LEAVE = msgspec.json.Decoder(LeaveBody)
 
 
 def read_heartbeat(instance_id: str, body: bytes) -> messages.Heartbeat:
     """Return the heartbeat in a body of the project's own form.
 
-    :raises BadRequest: it can't be read.
+    :raises BadHeartbeat: it can't be read.
     """
-    try:
-        given = _HEARTBEAT.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
-        raise errors.BadRequest(str(problem))
-    if given.state not in (instances.READY, instances.DRAINING):
-        raise errors.BadRequest(f'unknown state {given.state!r}')
+    given = instances.read(_HEARTBEAT, body)
     instance = instances.Instance(
         instance_id,
         given.service,
@@ -91,9 +98,18 @@
         given.slots,
         given.state,
         given.born_ms,
-        given.cold_ms > 0,
     )
-    return messages.Heartbeat(instance, given.seq)
+    checked = instances.check(instance, given.seq, given.cold_ms)
+    return messages.Heartbeat(checked, given.seq)
+
+
+def read_leave(body: bytes) -> int:
+    """Return the start that a leave tells, 0 where it has no body.
+
+    :raises BadHeartbeat: it can't be read.
+    """
+    given = instances.read(_LEAVE, body) if body else LeaveBody()
+    return instances.check_start(given.born_ms)
 
 
 def write_addresses(addresses: list[str], ttl_s: float) -> dict:
@@ -108,6 +124,7 @@
     b'/heartbeat',
     b'/leave',
     read_heartbeat,
+    read_leave,
     write_addresses,
 )
 
@@ -158,15 +175,40 @@
             raise errors.NoRoutes()
         return source
     prefix = spelling.instances
-    if path.startswith(prefix) and path.endswith(spelling.heartbeat):
-        instance_id = path[len(prefix) : -len(spelling.heartbeat)]
-        heartbeat = spelling.read_heartbeat(
-            instance_id.decode('latin-1'), request.body
-        )
-        await entry.heartbeat(heartbeat)
-        return {}
-    if path.startswith(prefix) and path.endswith(spelling.leave):
-        instance_id = path[len(prefix) : -len(spelling.leave)]
-        await entry.leave(instance_id.decode('latin-1'))
-        return {}
+    for ending, take in (
+        (spelling.heartbeat, _take_heartbeat),
+        (spelling.leave, _take_leave),
+    ):
+        if path.startswith(prefix) and path.endswith(ending):
+            raw_id = path[len(prefix) : -len(ending)]
+            await take(entry, spelling, raw_id, request.body)
+            return {}
     raise errors.NoRoute(path.decode('latin-1'))
+
+
+async def _take_heartbeat(
+    entry: Entry, spelling: Spelling, raw_id: bytes, body: bytes
+) -> None:
+    with _malformed_told(entry, raw_id):
+        instance_id = instances.read_id(raw_id)
+        heartbeat = spelling.read_heartbeat(instance_id, body)
+    await entry.heartbeat(heartbeat)
+
+
+async def _take_leave(
+    entry: Entry, spelling: Spelling, raw_id: bytes, body: bytes
+) -> None:
+    with _malformed_told(entry, raw_id):
+        instance_id = instances.read_id(raw_id)
+        born_ms = spelling.read_leave(body)
+    await entry.leave(instance_id, born_ms)
+
+
+@contextlib.contextmanager
+def _malformed_told(entry: Entry, raw_id: bytes) -> typing.Iterator[None]:
+    """Let the entry count what can't be read."""
+    try:
+        yield
+    except errors.BadHeartbeat as problem:
+        entry.malformed(raw_id, problem)
+        raise
--- a/mountridge/sidecar.py
+++ b/mountridge/sidecar.py
@@ -125,6 +125,8 @@
         self._report_s = self._usual_s
         self._instance_id = ''
         self._epoch = ranks.NO_VERSION
+        #: Start of the engine; a later one has forgotten what it was told.
+        self._born_ms = 0
         self._counts: list[int] = []
         self._counted_s = float('-inf')
         self._map_version = ranks.NO_VERSION
@@ -282,12 +284,14 @@
         return placed
 
     async def _follow_epoch(self, state: ranks.RankState) -> None:
-        """Learn anew what only holds within an epoch of the group."""
-        if state.epoch != self._epoch or not self._instance_id:
+        """Learn anew what holds within one life, and one epoch, only."""
+        life = (state.epoch, state.born_ms)
+        if life != (self._epoch, self._born_ms) or not self._instance_id:
             self._instance_id = await self.engine.instance_id()
-            self._epoch = state.epoch
+            self._epoch, self._born_ms = life
             self._counts = []
             self._map_version = ranks.NO_VERSION
+            self._order = (ranks.NO_ORDER, float('-inf'))
         if state.map_version != self._map_version:
             self._experts = await self.engine.experts()
             self._tell_experts = True
@@ -306,7 +310,11 @@
         self._counted_s = now_s
         if len(before) != len(counts):
             return demand.NO_CHOICES
-        return demand.pack([now - then for now, then in zip(counts, before)])
+        fresh = [now - then for now, then in zip(counts, before)]
+        if min(fresh, default=0) < 0:
+            # The engine counts anew: it has started again.
+            return demand.NO_CHOICES
+        return demand.pack(fresh)
 
     def dump(self) -> dict:
         """Return the state for `mountridge dump`."""
--- a/mountridge/state/statemachine.py
+++ b/mountridge/state/statemachine.py
@@ -13,7 +13,7 @@
 
 from mountridge.documents import instances, tables
 from mountridge import errors, messages
-from mountridge.state import claims, commands, views
+from mountridge.state import claims, commands, lives, views
 
 __all__ = ['StateMachine', 'VersionRecord']
 
@@ -100,6 +100,14 @@
         """Return the routes document held; version 0 where none is."""
         return views.routes_in(self.view)
 
+    def other_instances(
+        self, given: instances.Instance
+    ) -> typing.Iterator[instances.Instance]:
+        """Yield the registrations of other ids than that of ``given``."""
+        for key, held in self.instances.items():
+            if key != given.instance_id:
+                yield held
+
     def snapshot(self) -> bytes:
         """Return the whole state as bytes."""
         return msgspec.msgpack.encode(
@@ -236,18 +244,55 @@
 def _set_instance(
     machine: StateMachine, index: int, command: commands.SetInstance
 ) -> messages.Registered:
-    given = command.instance
+    """Hold what a runner says, or that it is over; old words change nothing.
+
+    The leader has judged the same; this decides where two words that
+    contradict each other were under way to the log together.
+    """
+    given, now_ms = command.instance, round(command.at_s * 1000)
     known = machine.instances.get(given.instance_id)
-    if known is not None and known.state == instances.LEFT:
+    if lives.is_over(given):
+        _end_instance(machine, index, given, known, now_ms)
         return messages.Registered()
-    for other in list(machine.instances.values()):
-        if _replaces(given, other):
-            left = other._replace(state=instances.LEFT)
-            _hold_instance(machine, index, left)
-    _hold_instance(machine, index, given)
+    order = lives.judge(given, known, machine.other_instances(given))
+    if isinstance(order, lives.Refusal):
+        return messages.Registered()
+    if order is not lives.Order.SAME:
+        _end_at_address(machine, index, given, now_ms)
+    held = lives.hold(given, known, order, now_ms)
+    _hold_instance(machine, index, held)
     return messages.Registered()
 
 
+def _end_instance(
+    machine: StateMachine,
+    index: int,
+    given: instances.Instance,
+    known: instances.Instance | None,
+    now_ms: int,
+) -> None:
+    """End a life, but for a later one and one that has said its end."""
+    if known is not None:
+        is_final = lives.is_over(known) and not known.may_return
+        if is_final and given.born_ms <= known.born_ms:
+            return
+        if given.lives and given.lives != known.lives:
+            return
+    _hold_instance(machine, index, given._replace(since_ms=now_ms))
+
+
+def _end_at_address(
+    machine: StateMachine, index: int, given: instances.Instance, now_ms: int
+) -> None:
+    """End the runners that a new one at their address replaces."""
+    for other in list(machine.other_instances(given)):
+        if other.address == given.address and not lives.is_over(other):
+            ended = other._replace(
+                state=instances.LEFT, since_ms=now_ms, may_return=True
+            )
+            _hold_instance(machine, index, ended)
+
+
 def _next_version(
     machine: StateMachine, index: int, command: commands.NextVersion
 ) -> int:
@@ -255,16 +300,6 @@
     return index
 
 
-def _replaces(given: instances.Instance, other: instances.Instance) -> bool:
-    """Return whether a new runner at the same address ends ``other``."""
-    return (
-        given.state != instances.LEFT
-        and other.address == given.address
-        and other.instance_id != given.instance_id
-        and other.state != instances.LEFT
-    )
-
-
 def _hold_instance(
     machine: StateMachine, index: int, instance: instances.Instance
 ) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -87,6 +87,8 @@
         self.mixed_passes = 0
         self.held_s = 0.0
         self.ranks: list[Rank] = []
+        #: Unix time of each engine's start; 0 for the first.
+        self.born_ms = [0] * sheet.ranks
         self.popularity = [1.0] * (sheet.sets * sheet.experts)
         self.reform(0.0)
 
@@ -105,6 +107,11 @@
             rank.counts = [0] * (sheet.sets * sheet.experts)
             self.ranks.append(rank)
 
+    def restart(self, number: int, now_s: float) -> None:
+        """Let a rank crash and start again under its id."""
+        self.born_ms[number] = round(now_s * 1000)
+        self.reform(now_s)
+
     def shift_demand(self) -> None:
         """Let other experts be chosen most."""
         self.popularity = [
@@ -136,6 +143,7 @@
             len(rank.waiting),
             rank.tokens(),
             rank.slow,
+            self.born_ms[number],
         )
 
     # Orders.
--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -134,6 +134,19 @@
         self.rng = rng
         self.faults = Faults()
         self.runs: dict[bytes, int] = {}
+        self.born_ms = 0
+        self.count = 0
+
+    def restart(self, now_s: float) -> None:
+        """Start again under the same id, and know nothing of before."""
+        self.born_ms = round(now_s * 1000)
+        self.count = 0
+        self.runs.clear()
+
+    def heartbeat(self, address: str, slots: int) -> bytes:
+        """Return the body of its next heartbeat."""
+        self.count += 1
+        return heartbeat('plain', address, self.count, slots, self.born_ms)
 
     async def handle(self, request, responder) -> None:
         """Answer one request after its work."""
@@ -148,22 +161,38 @@
         await httpserver.json_reply(responder, status, body, told)
 
 
+def heartbeat(
+    service: str, address: str, seq: int, slots: int, born_ms: int = 0
+) -> bytes:
+    """Return the body of a heartbeat; 0 tells no start."""
+    body = {
+        'service': service,
+        'address': address,
+        'hall': 'north',
+        'seq': seq,
+        'slots': slots,
+        'state': 'ready',
+    }
+    return json.dumps(
+        body | ({'born_ms': born_ms} if born_ms else {})
+    ).encode()
+
+
 async def register(
-    post: typing.Callable, key: str, service: str, address: str, slots: int
+    post: typing.Callable,
+    key: str,
+    service: str,
+    address: str,
+    slots: int,
+    born_ms: int = 0,
 ) -> None:
-    """Send a runner's heartbeats for ever."""
+    """Send the heartbeats of one life of a runner for ever."""
     seq = 0
     while True:
         seq += 1
-        body = {
-            'service': service,
-            'address': address,
-            'hall': 'north',
-            'seq': seq,
-            'slots': slots,
-        }
+        body = heartbeat(service, address, seq, slots, born_ms)
         path = b'/v1/instances/%s/heartbeat' % key.encode()
-        await post(path, json.dumps(body).encode())
+        await post(path, body)
         await trio.sleep(1.0)
 
 
