Mutants of lives; what the log takes of a former life; counts that begin anew

An engine that counts anew within an epoch made negative choices, on which the sidecar's packing failed with an error that no task catches.

--- a/features/lives.feature
+++ b/features/lives.feature
@@ -61,6 +61,16 @@
       | who names its life is meant              | a X 990 5, a X 995 1, leave a 995         | nothing      |
       | a first life has none before it          | a X 995 1, leave a                        | nothing      |
 
+  Scenario Outline: A <word> of a former life that was under way to the log
+    Given a replicated state in which a runner has started again
+    When a <word> of its former life is committed after that
+    Then the new life holds
+
+    Examples:
+      | word      |
+      | heartbeat |
+      | leave     |
+
   Scenario: Words in any order leave the newest life of each runner
     Given words of runners that start again, at few addresses
     When they come late, twice, and with leaders between
@@ -184,6 +194,11 @@
     And the maps were changed at least 8 times
     And the group is not held at the end
 
+  Scenario: Counts that begin anew are no choices
+    Given a sidecar whose engine has counted 5 and 7 choices
+    When the engine counts anew, 1 and 9
+    Then no choices are told, and none are made up
+
   Scenario: A report of a former life tells nothing
     Given a leader that knows a rank by a start that is told
     When a report of its former life comes late
--- a/features/steps/lives_steps.py
+++ b/features/steps/lives_steps.py
@@ -15,13 +15,13 @@
 import trio
 
 from features.worlds import lives as lives_world
-from mountridge import entry, errors, messages, metrics
+from mountridge import entry, errors, messages, metrics, sidecar
 from mountridge.documents import instances
 from mountridge.experts import demand, ranks
 from mountridge.groups import engines, groups
 from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, entryapi
-from mountridge.state import views
+from mountridge.state import commands, views
 from standins import engineserver
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / 'platform'))
@@ -98,6 +98,28 @@
         assert _held(world) == held, _held(world)
 
 
+@given('a replicated state in which a runner has started again')
+def restarted_state(context):
+    world = context.world = lives_world.World()
+    world.say(_instance('a', 'X', 990), 5)
+    context.former = world.machine.instances['a']
+    world.say(_instance('a', 'X', 995), 1)
+
+
+@when('a {word} of its former life is committed after that')
+def commit_late(context, word):
+    said = context.former._replace(seq=6)
+    if word == 'leave':
+        said = said._replace(state=instances.LEFT)
+    command = commands.SetInstance(said, lives_world.BEGIN_S)
+    context.world.machine.apply(9, command)
+
+
+@then('the new life holds')
+def check_new_life(context):
+    assert _held(context.world) == 'a X 995 2', _held(context.world)
+
+
 @given('words of runners that start again, at few addresses')
 def drawn_words(context):
     word = strategies.tuples(
@@ -636,6 +658,44 @@
 # Groups, and a runner from its words to its requests.
 
 
+@given('a sidecar whose engine has counted 5 and 7 choices')
+def counting_sidecar(context):
+    context.counted = []
+
+    async def counts():
+        return context.counted
+
+    told = {'sidecar': {'report_s': 0.2}, 'controllers': {'c': 'tcp://a:1'}}
+    app = types.SimpleNamespace(
+        settings=told | {'entry': {'seeds': []}, 'bind': 'tcp://a:1'},
+        now_s=lambda: context.now_s,
+    )
+    engine = types.SimpleNamespace(counts=counts)
+    context.sidecar = sidecar.Sidecar(app, engine)
+    context.now_s = 0.0
+    _count(context, [5, 7])
+
+
+def _count(context, counted):
+    numbers = [1, 0, 1, True, 5, 0, -1, -1, -1, -1, 1, 0, 0, 1.0]
+    context.now_s += 1
+    context.counted = counted
+    state = ranks.RankState('g', *numbers)
+    context.choices = trio.run(context.sidecar._fresh_counts, state)
+
+
+@when('the engine counts anew, 1 and 9')
+def counts_anew(context):
+    _count(context, [1, 9])
+
+
+@then('no choices are told, and none are made up')
+def check_no_choices(context):
+    assert context.choices == demand.NO_CHOICES, context.choices
+    _count(context, [2, 11])
+    assert demand.unpack(context.choices)[1] == 2, context.choices
+
+
 @given('a leader that knows a rank by a start that is told')
 def leader_of_rank(context):
     app = types.SimpleNamespace(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -403,14 +403,14 @@
         'highest version',
     ),
     Mutant(
-        'entry: late heartbeats count', 'registry',
-        'if heartbeat.seq < self._newest_seq.get(key, 0):', 'if False:',
+        'entry: late heartbeats count', 'lives',
+        'if given.seq < known.seq:', 'if False:',
         'entry', 'heartbeat that comes late',
     ),
     Mutant(
-        'entry: left runners come back', 'statemachine',
-        'if known is not None and known.state == instances.LEFT:',
-        'if False:', 'entry', 'runner that left',
+        'entry: left runners come back', 'lives',
+        'if is_over(known) and not known.may_return:\n        return Refusal',
+        'if False:\n        return Refusal', 'entry', 'runner that left',
     ),
     Mutant(
         'entry: the whole slack for each gateway', 'budgets',
@@ -603,6 +603,196 @@
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
         'if False:', 'forwarding',
     ),
+    Mutant(
+        'lives: an older start is a new life', 'lives',
+        'is_newer = given.born_ms > known.born_ms',
+        'is_newer = True', 'lives',
+    ),
+    Mutant(
+        'lives: a newer start is an old life', 'lives',
+        'is_newer = given.born_ms > known.born_ms',
+        'is_newer = False', 'lives',
+    ),
+    Mutant(
+        'lives: late counts count', 'lives',
+        'if given.seq < known.seq:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: the log forgets counts', 'registry',
+        'given = heartbeat.instance._replace(seq=heartbeat.seq)',
+        'given = heartbeat.instance', 'lives',
+    ),
+    Mutant(
+        'lives: one life moves', 'lives',
+        'if place != (known.service, known.address, known.hall):',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: no start goes before a told one', 'lives',
+        'return Order.BACK if known.may_return else Refusal.NO_START',
+        'return Order.BACK', 'lives',
+    ),
+    Mutant(
+        'lives: a start from before the leave', 'lives',
+        'if not is_over(known) or given.born_ms > known.since_ms:',
+        'if True:', 'lives',
+    ),
+    Mutant(
+        'lives: an earlier start takes an address', 'lives',
+        'return other.born_ms < given.born_ms',
+        'return True', 'lives',
+    ),
+    Mutant(
+        'lives: a later runner that left is forgotten', 'lives',
+        'if other.born_ms and given.born_ms:',
+        'if other.born_ms and given.born_ms and not is_over(other):', 'lives',
+    ),
+    Mutant(
+        'lives: who is back takes its address', 'lives',
+        'return order is Order.NEWER and not other.born_ms',
+        'return not other.born_ms', 'lives',
+    ),
+    Mutant(
+        'lives: no start takes an address', 'lives',
+        'return order is Order.NEWER and not other.born_ms',
+        'return order is Order.NEWER', 'lives',
+    ),
+    Mutant(
+        'lives: a leave of a former life ends the new one', 'lives',
+        'return Refusal.OLDER_LIFE if born_ms < known.born_ms else None',
+        'return None', 'lives',
+    ),
+    Mutant(
+        'lives: a leave from an old view ends the new life', 'lives',
+        'if lives and lives < known.lives:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: a leave right after a restart ends it', 'lives',
+        'if is_fresh and known.state == instances.READY:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: who drains can not leave', 'lives',
+        'if is_fresh and known.state == instances.READY:',
+        'if is_fresh:', 'lives',
+    ),
+    Mutant(
+        'lives: a first life can not leave', 'lives',
+        'is_fresh = known.lives > 1 and',
+        'is_fresh =', 'lives',
+    ),
+    Mutant(
+        'lives: silence is for good', 'registry',
+        'state=instances.LEFT, seq=0, may_return=True',
+        'state=instances.LEFT, seq=0', 'lives',
+    ),
+    Mutant(
+        'lives: counts outlive silence', 'registry',
+        'state=instances.LEFT, seq=0, may_return=True',
+        'state=instances.LEFT, may_return=True', 'lives',
+    ),
+    Mutant(
+        'lives: replaced is for good', 'statemachine',
+        'state=instances.LEFT, since_ms=now_ms, may_return=True',
+        'state=instances.LEFT, since_ms=now_ms', 'lives',
+    ),
+    Mutant(
+        'lives: a second leave is lost', 'statemachine',
+        'if is_final and given.born_ms <= known.born_ms:',
+        'if is_final:', 'lives',
+    ),
+    Mutant(
+        'lives: the log takes old words', 'statemachine',
+        'if isinstance(order, lives.Refusal):',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: the log takes old leaves', 'statemachine',
+        'if given.lives and given.lives != known.lives:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: a start in the future', 'registry',
+        'if given.born_ms > (self.app.wall_s() + FUTURE_S) * 1000:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: any service is registered', 'registry',
+        'if not is_held and not self.names_service(given.service):',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: who is named no more can not drain', 'registry',
+        'if not is_held and not self.names_service(given.service):',
+        'if not self.names_service(given.service):', 'lives',
+    ),
+    Mutant(
+        'lives: any hall is registered', 'registry',
+        'if halls and given.hall not in halls:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: a gateway keeps a former life', 'backends',
+        'if backend is None or not backend.is_life_of(instance):',
+        'if backend is None:', 'lives',
+    ),
+    Mutant(
+        'lives: late answers close a new life', 'backends',
+        'return self.by_id.get(backend.instance.instance_id) is backend',
+        'return True', 'lives',
+    ),
+    Mutant(
+        'lives: connections to a former life are kept', 'backends',
+        'return sorted((before - after) | (before & ended))',
+        'return sorted(before - after)', 'lives',
+    ),
+    Mutant(
+        'lives: connections in use are kept', 'lasthop',
+        'leads_there = connection.opened_s > forgotten_s',
+        'leads_there = True', 'lives',
+    ),
+    Mutant(
+        'lives: nested bodies end the connection', 'instances',
+        'except RecursionError:',
+        'except ZeroDivisionError:', 'lives',
+    ),
+    Mutant(
+        'lives: unknown fields are no UTF-8', 'instances',
+        'body.decode()\n        return',
+        'return', 'lives',
+    ),
+    Mutant(
+        'lives: any address', 'instances',
+        'if not (_is_ip(host) and _is_port(port)):',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: any number', 'instances',
+        'if not 0 <= value <= most:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: any state', 'instances',
+        'if instance.state not in (READY, DRAINING):',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: any number of an engine', 'ranks',
+        'if values and not (least <= min(values) and max(values) <= most):',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: counts anew are choices', 'sidecar',
+        'if min(fresh, default=0) < 0:',
+        'if False:', 'lives',
+    ),
+    Mutant(
+        'lives: reports of a former life', 'groups',
+        'if 0 < state.born_ms < self.born_ms(report.instance_id):',
+        'if False:', 'lives',
+    ),
 )  # fmt: skip
 
 
