The lab restarts ranks under their ids; nested routes get a coded refusal

A configuration that is nested too deep in the platform's form ended the operator's connection unanswered.

--- a/features/lives.feature
+++ b/features/lives.feature
@@ -187,6 +187,15 @@
     When an engine answers 300 bodies made of random values and mutations
     Then each is a state that can be reported, or a coded error
 
+  Scenario Outline: Routes that are nested too deep are refused in <form>
+    When routes that are nested 30000 deep are read in <form>
+    Then they are refused with a code
+
+    Examples:
+      | form                |
+      | our own form        |
+      | the platform's form |
+
   Scenario: Ranks that start again under their ids
     Given a group of 4 engines whose demand shifts each second
     When sidecars and a leader change its maps for 40 s with orders followed while ranks restart
--- a/features/steps/lives_steps.py
+++ b/features/steps/lives_steps.py
@@ -16,7 +16,7 @@
 
 from features.worlds import lives as lives_world
 from mountridge import entry, errors, messages, metrics, sidecar
-from mountridge.documents import instances
+from mountridge.documents import instances, routes
 from mountridge.experts import demand, ranks
 from mountridge.groups import engines, groups
 from mountridge.net import dialects, httpserver, lasthop
@@ -25,7 +25,8 @@
 from standins import engineserver
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / 'platform'))
-from adapter import api, engine as platform_engine  # noqa: E402,H306
+from adapter import api, wire  # noqa: E402,H306
+from adapter import engine as platform_engine  # noqa: E402,H306
 
 SPELLINGS = (entryapi.NATIVE, api.SPELLING)
 ADDRESSES = {'X': '10.0.0.1:80', 'Y': '10.0.0.2:80'}
@@ -655,6 +656,21 @@
     assert context.read > 20 and context.refused > 100, context.read
 
 
+@when('routes that are nested 30000 deep are read in {form}')
+def read_nested(context, form):
+    decode = routes.decode if 'our own' in form else wire.DIALECT.decode_routes
+    body = b'{"x":%s%s}' % (b'[' * 30000, b']' * 30000)
+    try:
+        decode(body)
+    except errors.BadRoutes as problem:
+        context.problem = problem
+
+
+@then('they are refused with a code')
+def check_nested(context):
+    assert context.problem.status == 400, context.problem
+
+
 # Groups, and a runner from its words to its requests.
 
 
--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -259,7 +259,8 @@
             await trio.sleep(5 + self.rng.random())
             now_s = trio.current_time()
             if self.restarting:
-                self.group.restart(self.rng.randrange(SHEET.ranks), now_s)
+                number = self.rng.randrange(SHEET.ranks)
+                self.group.restart(number, round(now_s * 1000), now_s)
             else:
                 self.group.reform(now_s)
 
--- a/mountridge/documents/routes.py
+++ b/mountridge/documents/routes.py
@@ -121,6 +121,8 @@
         table = _TABLE.decode(source)
     except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
         raise errors.BadRoutes(str(problem))
+    except RecursionError:
+        raise errors.BadRoutes('nested too deep')
     check(table)
     return table
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -107,9 +107,9 @@
             rank.counts = [0] * (sheet.sets * sheet.experts)
             self.ranks.append(rank)
 
-    def restart(self, number: int, now_s: float) -> None:
+    def restart(self, number: int, born_ms: int, now_s: float) -> None:
         """Let a rank crash and start again under its id."""
-        self.born_ms[number] = round(now_s * 1000)
+        self.born_ms[number] = born_ms
         self.reform(now_s)
 
     def shift_demand(self) -> None:
--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -184,13 +184,17 @@
     service: str,
     address: str,
     slots: int,
-    born_ms: int = 0,
+    born_ms: typing.Callable[[], int] = lambda: 0,
 ) -> None:
-    """Send the heartbeats of one life of a runner for ever."""
-    seq = 0
+    """Send a runner's heartbeats for ever.
+
+    ``born_ms`` gives its start, 0 for none; with a later one it counts anew.
+    """
+    seq, told_ms = 0, 0
     while True:
-        seq += 1
-        body = heartbeat(service, address, seq, slots, born_ms)
+        seq = 1 if born_ms() > told_ms else seq + 1
+        told_ms = born_ms()
+        body = heartbeat(service, address, seq, slots, told_ms)
         path = b'/v1/instances/%s/heartbeat' % key.encode()
         await post(path, body)
         await trio.sleep(1.0)
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -7,7 +7,9 @@
 and prints what was served, by kind. It ends only what it started.
 """
 
+import functools
 import json
+import math
 import pathlib
 import random
 import subprocess
@@ -182,15 +184,21 @@
         group = engine.Group(sheet, self.rng)
         served = engineserver.Ranks(group, self.rng)
         nursery.start_soon(served.passes)
+        nursery.start_soon(self.restart_ranks, group)
         runners = [
-            (f'{HOST}{100 + n}:9000', f'i-{n}', 'llm', served.handler(n))
+            (
+                f'{HOST}{100 + n}:9000', f'i-{n}', 'llm', served.handler(n),
+                functools.partial(group.born_ms.__getitem__, n),
+            )
             for n in range(sheet.ranks)
-        ]
+        ]  # fmt: skip
         for number in range(2):
             plain = engineserver.Plain(number, 0.02, self.rng)
             address = f'{HOST}{200 + number}:9000'
-            runners.append((address, f'p-{number}', 'plain', plain.handle))
-        for address, key, service, handler in runners:
+            runners.append(
+                (address, f'p-{number}', 'plain', plain.handle, lambda: 0)
+            )
+        for address, key, service, handler, born_ms in runners:
             server = httpserver.Server(
                 handler, engineserver.limits, lambda: False
             )
@@ -202,9 +210,22 @@
                 service,
                 address,
                 sheet.slots,
+                born_ms,
             )
         return group
 
+    async def restart_ranks(self, group: engine.Group) -> None:
+        """Let a rank start again under its id, as often as the load says.
+
+        All ranks then refuse until their group has formed anew.
+        """
+        rest_s = self.load.get('restart_s', math.inf)
+        while True:
+            await trio.sleep(rest_s)
+            number = self.rng.randrange(len(group.ranks))
+            born_ms = round(time.time() * 1000)
+            group.restart(number, born_ms, trio.current_time())
+
     # Callers.
 
     async def call(self, kind: Kind) -> None:
