--- a/features/losses.feature
+++ b/features/losses.feature
@@ -58,6 +58,16 @@
     When the first follower hears nothing from 0.2 s before the leader is lost
     Then there is a leader within 0.85 s, in 30 of 30 plays
 
+  Scenario Outline: Of two voters that stand at the same moment <first> is elected
+    Given <count> controllers that follow a leader
+    When two of the rest stand at the same moment after it is lost
+    Then there is a leader within 0.6 s, in 30 of 30 plays
+
+    Examples:
+      | first          | count |
+      | one of two     | 3     |
+      | one of four    | 5     |
+
   Scenario Outline: Voters stand so that a hall can go: <voters>, <silent> silent
     Given voters in <voters>, and learners in <learners>
     When <silent> are silent and 1 halls may be lost
--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -319,7 +319,8 @@
 
 
 @when(
-    'the first follower hears nothing from {ahead_s:g} s before the leader is lost'
+    'the first follower hears nothing from {ahead_s:g} s'
+    ' before the leader is lost'
 )
 def deaf_first(context, ahead_s):
     def strike(world, lost, rest):
@@ -331,6 +332,21 @@
     context.plays = [play_core(context, seed, strike) for seed in range(30)]
 
 
+@when('two of the rest stand at the same moment after it is lost')
+def stand_together(context):
+    def strike(world, lost, rest):
+        world.kill(lost)
+        world.run(0.5)
+        for name in rest:
+            world.nodes[name].election_at_s = world.now_s + 0.3
+        for name in rest[:2]:
+            world.nodes[name].election_at_s = 0.0
+            world.step(name, consensus.Tick())
+        return rest
+
+    context.plays = [play_core(context, seed, strike) for seed in range(30)]
+
+
 @then('there is a leader within {limit_s:g} s, in 30 of 30 plays')
 def soon(context, limit_s):
     assert max(took_s for took_s, _, _ in context.plays) < limit_s, max(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -603,6 +603,130 @@
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
         'if False:', 'forwarding',
     ),
+    Mutant(
+        'losses: a late call looks for nobody', 'members',
+        'self._app.start_task(self._search, asked)', 'pass', 'losses',
+        'asked at once',
+    ),
+    Mutant(
+        'losses: calls wait on at a lost leader', 'members',
+        '            if asked != address:\n', '            if False:\n',
+        'losses', 'Calls that wait',
+    ),
+    Mutant(
+        'losses: a search leaves its connections open', 'members',
+        'used = {self._current, *self._asking.values()}',
+        'used = set(self._callers)', 'losses', 'opened is closed',
+    ),
+    Mutant(
+        'losses: a search ends with its call', 'members',
+        '            if self._is_found:\n                return\n',
+        '            return\n', 'losses', 'given up',
+    ),
+    Mutant(
+        'losses: names are followed again and again', 'members',
+        'if named and named not in tried and', 'if named and', 'losses',
+        'out of date',
+    ),
+    Mutant(
+        'losses: a lost leader is named to who looks for another',
+        'leadership', 'if named and named != question.besides:', 'if named:',
+        'losses', 'A controller tells',
+    ),
+    Mutant(
+        'losses: an answer is not held', 'leadership',
+        'await self.replica.stepped()', 'break', 'losses',
+        'A controller tells',
+    ),
+    Mutant(
+        'losses: a box does not follow its own replica', 'formation',
+        'self.leader.follow(address)', 'pass', 'losses', 'its replica follows',
+    ),
+    Mutant(
+        'losses: voters stand at random times', 'replication',
+        'wait_s = STAGGER_S * (1 + place + node.rng.random() / 4)',
+        'wait_s = node.timing.election_s * node.rng.random()', 'losses',
+        'the next leader is there soon',
+    ),
+    Mutant(
+        'losses: a lost pre-vote costs an election time', 'elections',
+        'span_s = node.timing.heartbeat_s * 2**node.pre_votes',
+        'span_s = 2 * node.timing.election_s', 'losses', 'stands again soon',
+    ),
+    Mutant(
+        'losses: two pre-votes at once are both granted', 'elections',
+        'granted = granted and not _goes_first(node, sender, message, now_s)',
+        'pass', 'losses', 'at the same moment',
+    ),
+    Mutant(
+        'losses: who granted a pre-vote stands too', 'elections',
+        '            _stand_back(node, now_s)\n', '            pass\n',
+        'losses', 'at the same moment',
+    ),
+    Mutant(
+        'losses: a replacement gathers a majority', 'spread',
+        'if voter in silent and excess_after > now:', 'if False:', 'losses',
+        'Voters stand',
+    ),
+    Mutant(
+        'losses: voters change places for nothing', 'spread',
+        'if voter not in silent and excess_after >= now:', 'if False:',
+        'losses', 'Voters stand',
+    ),
+    Mutant(
+        'losses: any learner will do', 'spread',
+        'return excess(changed, halls), by_hall(changed).get(hall, 0), key',
+        'return 0, 0, key', 'losses', 'Voters stand',
+    ),
+    Mutant(
+        'losses: whoever is removed', 'spread',
+        '            excess(changed, halls),\n            key == leader,',
+        '            key == leader,', 'losses',
+    ),
+    Mutant(
+        'losses: a place is made before it can be filled', 'formation',
+        'return config.promote(learner) if is_full else',
+        'return', 'losses', 'Voters stand',
+    ),
+    Mutant(
+        'losses: a fourth voter with no fifth', 'formation',
+        'if len(places.ready) < 2:', 'if False:', 'losses', 'Voters stand',
+    ),
+    Mutant(
+        'losses: a better learner is not awaited', 'formation',
+        'if bad > spread.excess(better, places.halls):', 'if False:',
+        'losses', 'is awaited',
+    ),
+    Mutant(
+        'losses: a leader that no log tells the hall of', 'formation',
+        "if node.config.halls.get(node.node_id, '') != hall:", 'if False:',
+        'losses', 'before halls were told',
+    ),
+    Mutant(
+        'losses: sets with no halls are written anew', 'entries',
+        'self if self.halls else self[:2]', 'self', 'losses',
+        'before halls were told',
+    ),
+    Mutant(
+        'losses: the spread is not told', 'formation',
+        "self.app.metrics.gauge('controllers.hall_loss_stops', int(left < 0))",
+        'pass', 'losses', 'it is said',
+    ),
+    Mutant(
+        'losses: the spread is told at each look', 'formation',
+        '        if told == self._told:\n', '        if False:\n', 'losses',
+        'it is said',
+    ),
+    Mutant(
+        'losses: boxes of a lost hall are noted one by one', 'controller',
+        'nursery.start_soon(self._lose, name)', 'await self._lose(name)',
+        'losses', 'A large hall',
+    ),
+    Mutant(
+        'losses: orders go to boxes of a hall that is cut off', 'controller',
+        'is_late = not self.leases.heard_of_late(name, late_s, now_s)',
+        'is_late = False', 'losses', 'Orders to ranks',
+    ),
 )  # fmt: skip
 
 
