--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -316,6 +316,7 @@
     messages.Leave,
     messages.Join,
     messages.RankReport,
+    messages.WhoLeads,
 )
 
 
