Bound what all gateways send a runner that can turn cold

Each runner of such a service now has owners among the gateways, by rendezvous hashing of names, and each owner a few sends in 1.3 s; the owners together use half of the bound, so that two views of the gateways keep it.

--- /dev/null
+++ b/features/steps/warmup_steps.py
@@ -0,0 +1,248 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on runners that can turn cold: many gateways, on virtual time."""
+
+import collections
+import random
+import types
+
+from behave import given, then, when
+import trio
+import trio.testing
+
+from mountridge.documents import instances, routes
+from mountridge import errors, messages, metrics
+from mountridge.routing import backends, forwarding, picking, warmup
+
+SLOTS, QUEUE = 5, 20
+#: After power returns: gateways begin, have a view with runners of before,
+#: runners register, and groups open, each drawn from a span.
+BEGIN_S, VIEW_S, REGISTER_S, OPEN_S = (0, 0.3), (0.5, 0.8), (0.5, 1.9), 0.9
+#: To a runner, to its refusal, to a first event; how long an answer takes.
+WAY_S, REFUSED_S, FIRST_S, ANSWER_S = 0.002, 0.004, 0.17, 1.3
+REPORT_S = 0.2
+SPAN_S, DEADLINE_S, MOST_TRIES = 4.0, 8.0, 5
+#: Callers that have waited through the loss: 134 a second for 2 s and more.
+WAITED = 300
+
+
+def most_in_a_second(times_s):
+    """Return the most of sorted times that lie within one second."""
+    window, most = collections.deque(), 0
+    for at_s in times_s:
+        window.append(at_s)
+        while window[0] <= at_s - 1.0:
+            window.popleft()
+        most = max(most, len(window))
+    return most
+
+
+class _Runner:
+    """One runner and the one that stood at its address before."""
+
+    def __init__(self, number, group, hall):
+        self.group = group
+        made = [
+            instances.Instance(
+                f'{life}-{number}', 's', f'10.0.0.{number}:1', hall, 'v',
+                SLOTS, instances.READY, 0, True,
+            )
+            for life in ('old', 'new')
+        ]  # fmt: skip
+        self.old, self.new = made
+        self.is_known = False
+        self.there = 0
+        self.arrived_s = []
+
+
+class _Return:
+    """All power returns to gateways, runners and their callers."""
+
+    def __init__(self, gateways, halls, groups, ranks, per_s, over, slack):
+        self.rng = random.Random(11)
+        self.names = {f'g-{n}': f'h{n % halls}' for n in range(gateways)}
+        self.runners = [
+            _Runner(n, n % groups, f'h{n % halls}')
+            for n in range(groups * ranks)
+        ]
+        self.bound = (per_s, over, slack)
+        self.known = {}
+        self.pickers = {}
+        self.ready = {name: trio.Event() for name in self.names}
+        self.asked, self.codes = 0, collections.Counter()
+        #: From the return of power to a caller's first event, by its number.
+        self.served_s = {}
+        self.begun_s = 0.0
+
+    def now_s(self):
+        return trio.current_time()
+
+    def listed(self):
+        """Return the registrations that the leader holds."""
+        return [r.new if r.is_known else r.old for r in self.runners]
+
+    async def start(self, name):
+        await trio.sleep(self.rng.uniform(*BEGIN_S))
+        per_s, over, slack = self.bound
+        own = warmup.Warmup(name, self.names[name], over, slack, self.now_s())
+        known = backends.Backends(name, own)
+        await trio.sleep(self.rng.uniform(*VIEW_S))
+        own.follow_services({'s': per_s})
+        own.follow_gateways(self.names, self.now_s())
+        known.follow_gateways(self.names)
+        known.follow(self.listed())
+        service = types.SimpleNamespace(engine=routes.Engine(SLOTS, 1, 8))
+        index = types.SimpleNamespace(services={'s': service})
+        app = types.SimpleNamespace(
+            settings={'hall': self.names[name]},
+            now_s=self.now_s,
+            metrics=metrics.Metrics(None),
+        )
+        self.pickers[name] = picking.Picker(
+            app, lambda: index, known, lambda: len(self.names), self.rng
+        )
+        self.known[name] = known
+        self.ready[name].set()
+
+    async def register(self, runner):
+        await trio.sleep(self.rng.uniform(*REGISTER_S))
+        runner.is_known = True
+        for known in self.known.values():
+            known.follow(self.listed())
+
+    async def report(self):
+        while True:
+            await trio.sleep(REPORT_S)
+            is_open = self.now_s() >= self.begun_s + OPEN_S
+            for known in self.known.values():
+                for runner in self.runners:
+                    told = messages.RunnerLoad(
+                        runner.new.instance_id, min(SLOTS, runner.there),
+                        max(0, runner.there - SLOTS), 100, runner.group,
+                        is_open,
+                    )  # fmt: skip
+                    known.report(told, self.now_s())
+
+    async def run(self, per_s):
+        self.begun_s = self.now_s()
+        async with trio.open_nursery() as nursery:
+            for name in self.names:
+                nursery.start_soon(self.start, name)
+            for runner in self.runners:
+                nursery.start_soon(self.register, runner)
+            nursery.start_soon(self.report)
+            for _ in range(WAITED):
+                nursery.start_soon(self.ask)
+            until_s = self.begun_s + SPAN_S
+            while self.now_s() < until_s:
+                nursery.start_soon(self.ask)
+                await trio.sleep(self.rng.expovariate(per_s))
+            await trio.sleep(DEADLINE_S)
+            nursery.cancel_scope.cancel()
+
+    async def ask(self):
+        """A caller, who comes back once where it is refused."""
+        number, self.asked = self.asked, self.asked + 1
+        until_s = self.now_s() + DEADLINE_S
+        for _ in range(2):
+            name = self.rng.choice(list(self.names))
+            await self.ready[name].wait()
+            try:
+                await self.send(name, number, until_s)
+                return
+            except errors.MountridgeError as problem:
+                self.codes[problem.code] += 1
+                else_s = forwarding.COME_BACK_S[type(problem)]
+                rest_s = problem.retry_after_s or else_s
+            await trio.sleep(min(rest_s, (until_s - self.now_s()) / 3))
+
+    async def send(self, name, number, until_s):
+        exchange = types.SimpleNamespace(
+            service='s', tried=set(), begun_s=self.now_s(), until_s=until_s,
+            team=None, route=types.SimpleNamespace(priority=1),
+        )  # fmt: skip
+        known = self.known[name]
+        for _ in range(MOST_TRIES):
+            picked = await self.pickers[name].pick(exchange)
+            backend = picked.backend
+            exchange.tried.add(backend.instance.instance_id)
+            known.began(backend, self.now_s())
+            try:
+                if await self.is_taken(known, backend, number):
+                    return
+            finally:
+                backend.ended()
+        raise errors.RunnerRefused()
+
+    async def is_taken(self, known, backend, number):
+        """Return whether a runner takes a request, and let it answer."""
+        instance = backend.instance
+        runner = next(r for r in self.runners if instance in (r.old, r.new))
+        await trio.sleep(WAY_S)
+        is_gone = instance is runner.old
+        if not is_gone:
+            runner.arrived_s.append(self.now_s())
+        is_open = self.now_s() >= self.begun_s + OPEN_S
+        if is_gone or not is_open or runner.there >= SLOTS + QUEUE:
+            await trio.sleep(REFUSED_S)
+            backend.replaced = is_gone
+            if is_gone:
+                known.warmup.not_received(backend.instance)
+            else:
+                backend.heard(runner.there, 0, self.now_s())
+            known.refused(backend, self.now_s())
+            return False
+        runner.there += 1
+        while runner.there > SLOTS and self.rng.random() < 0.5:
+            await trio.sleep(FIRST_S)
+        await trio.sleep(FIRST_S)
+        self.served_s[number] = self.now_s() - self.begun_s
+        known.accepted(backend, self.now_s())
+        await trio.sleep(self.rng.expovariate(1 / ANSWER_S))
+        runner.there -= 1
+        return True
+
+
+@given(
+    '{gateways:d} gateways in {halls:d} halls'
+    ' and {groups:d} groups of {ranks:d} ranks in 3 halls'
+)
+def make_fleet(context, gateways, halls, groups, ranks):
+    context.fleet = (gateways, halls, groups, ranks)
+
+
+@given(
+    'a cold runner bears {per_s:g} requests a second,'
+    ' {over:g} times that and {slack:g} more'
+)
+def bears(context, per_s, over, slack):
+    context.bears = (per_s, over, slack)
+
+
+@when('all power returns to callers that waited, and {per_s:g} a second come')
+def power_returns(context, per_s):
+    async def play():
+        context.world = _Return(*context.fleet, *context.bears)
+        await context.world.run(per_s)
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@then('the most that a runner gets in a second is {most:d} or {which}')
+def check_most(context, most, which):
+    found = max(most_in_a_second(r.arrived_s) for r in context.world.runners)
+    assert (found <= most) == (which == 'less'), found
+
+
+@then('all are served, those that waited within {span_s:g} s')
+def check_out(context, span_s):
+    world = context.world
+    assert len(world.served_s) == world.asked, (world.codes, world.asked)
+    waited_s = [s for number, s in world.served_s.items() if number < WAITED]
+    assert max(waited_s) <= span_s, max(waited_s)
+
+
+@then('at most {most:d} in 100 are refused once')
+def check_refused(context, most):
+    world = context.world
+    assert world.codes.total() * 100 <= most * world.asked, world.codes
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -16,8 +16,8 @@
 from mountridge.documents import routes
 from mountridge.groups import engines
 from mountridge.logs import logger
-from mountridge.net import dialects, httpserver
-from mountridge.routing import backends, entryapi, forwarding
+from mountridge.net import dialects, httpserver, listening
+from mountridge.routing import backends, entryapi, forwarding, warmup
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -61,7 +61,17 @@
         self.keeper = members.LeaseKeeper(
             app, self.leader, self.held, self._renewal
         )
-        self.backends = backends.Backends(app.name)
+        bounds = app.settings['bounds']
+        self.backends = backends.Backends(
+            app.name,
+            warmup.Warmup(
+                app.name,
+                app.settings['hall'],
+                bounds['cold_over'],
+                bounds['cold_slack'],
+                listening.BEGAN_S,
+            ),
+        )
         self.index: routes.Index | None = None
         self.forwarder = forwarding.Forwarder(
             app,
@@ -142,6 +152,11 @@
         self.backends.follow_gateways(
             {member.name: member.hall for member in self.gateways()}
         )
+        # Those that leave still send what they were given before.
+        self.backends.warmup.follow_gateways(
+            {member.name: member.hall for member in self._all_gateways()},
+            self.app.now_s(),
+        )
         for address in self.backends.follow(registered):
             self.app.start_task(self.forwarder.pool.forget, address)
 
@@ -157,6 +172,9 @@
             logger.error('routes unreadable', reason=str(problem))
             return
         self.index = routes.index(table)
+        self.backends.warmup.follow_services(
+            {service.name: service.cold_per_s for service in table.services}
+        )
         self.forwarder.routes_known.set()
         logger.info(
             'routes in force',
@@ -165,15 +183,14 @@
             index=self.held.view.index,
         )
 
-    def gateways(self) -> list[views.Member]:
-        """Return the gateways that take requests, by the view."""
+    def _all_gateways(self) -> list[views.Member]:
         packed = self.held.view.under('member/')
         listed = [views.unpack_member(value) for value in packed.values()]
-        return [
-            member
-            for member in listed
-            if member.kind == 'gateway' and member.state == 'live'
-        ]
+        return [member for member in listed if member.kind == 'gateway']
+
+    def gateways(self) -> list[views.Member]:
+        """Return the gateways that take requests, by the view."""
+        return [m for m in self._all_gateways() if m.state == 'live']
 
     # What runners, operators and callers ask.
 
--- a/mountridge/net/listening.py
+++ b/mountridge/net/listening.py
@@ -10,11 +10,15 @@
 
 import json
 import socket
+import time
 
-__all__ = ['listen', 'listen_early']
+__all__ = ['BEGAN_S', 'listen', 'listen_early']
 
 #: Connections that may wait; far more than come to one box within a start.
 BACKLOG = 1024
+#: Monotonic time at which this process began, as nearly as it can tell: this
+#: module is the first to be loaded.
+BEGAN_S = time.monotonic()
 
 
 def listen(address: str) -> socket.socket:
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -16,7 +16,7 @@
 
 from mountridge.documents import instances
 from mountridge import messages
-from mountridge.routing import closures
+from mountridge.routing import closures, warmup
 
 __all__ = ['Backend', 'Backends', 'LEAVE_PACE', 'Picked', 'SLOW_PACE']
 
@@ -59,6 +59,9 @@
 #: Occupancy that a hop to another hall is worth: bytes between halls are
 #: paid for, and 1 to 2 ms are little beside a first token of 100 ms.
 HALL_COST = 0.05
+#: Occupancy that a runner counts as busier while it is cold, and slower: one
+#: of five slots. In a group all ranks wait for the slowest.
+COLD_COST = 0.2
 
 
 class Backend:
@@ -142,9 +145,13 @@
 class Backends:
     """All runners of all services, following the view."""
 
-    def __init__(self, name: str = '') -> None:
+    def __init__(
+        self, name: str = '', bound: warmup.Warmup | None = None
+    ) -> None:
         #: The gateway that this is, by whose name it has its own part.
         self.name = name
+        #: Its part of the requests to runners that can turn cold.
+        self.warmup = bound or warmup.Warmup(name)
         self._gateways: dict[str, str] = {}
         self._own_part: set[str] = set()
         self.by_id: dict[str, Backend] = {}
@@ -195,6 +202,11 @@
         if backend.closure.tell(load.is_open, now_s):
             self._opened(backend)
 
+    def began(self, backend: Backend, now_s: float) -> None:
+        """Count an own request as sent to a runner."""
+        backend.began(now_s)
+        self.warmup.sent(backend.instance, now_s)
+
     def refused(self, backend: Backend, now_s: float) -> None:
         """Note that a rank did not run a request.
 
@@ -320,22 +332,27 @@
         least loaded runner until the next ones come. So each takes a place
         drawn from those that all their unseen requests will fill.
         """
-        fit = [
-            backend
-            for backend in self.of_service(service)
-            if backend.instance.instance_id not in tried
-            and not backend.closure.is_closed(now_s, was_refused)
-        ]
-        sound = [b for b in fit if b.ejected_until_s <= now_s] or fit
-        sound = [b for b in sound if b.pace < SLOW_PACE] or sound
+        fit = self._fit(service, tried, was_refused, now_s)
+        sound = self._sound(fit, now_s)
+        is_bound = self.warmup.is_bound(service)
+        if is_bound:
+            free_s = self.warmup.free_s
+            sound = [b for b in sound if free_s(b.instance, now_s) <= now_s]
         if not sound:
             return None
 
         def cost(backend: Backend) -> float:
-            away = HALL_COST if backend.instance.hall != hall else 0.0
-            return backend.occupancy(self.rest_s, now_s) + away
+            more = HALL_COST if backend.instance.hall != hall else 0.0
+            if is_bound and backend.instance.is_cold:
+                more += COLD_COST
+            return backend.occupancy(self.rest_s, now_s) + more
 
         unseen = self._others_unseen(service, gateways, now_s)
+        if is_bound:
+            near = [b for b in sound if b.instance.hall == hall]
+            sound = [b for b in near if cost(b) < PART_FULL] or sound
+            # The others' go to all runners, not only to those owned here.
+            unseen *= len(sound) / len(fit)
         best = self._of_own_part(sound, rng, now_s)
         if best is None:
             place = int(rng.random() * (unseen + 1))
@@ -344,6 +361,66 @@
         load = best.load(self.rest_s, now_s)
         return Picked(best, load, age_s, len(sound))
 
+    def _fit(
+        self, service: str, tried: set[str], was_refused: bool, now_s: float
+    ) -> list[Backend]:
+        """Return the runners that would take a request, as far as is known."""
+        return [
+            backend
+            for backend in self.of_service(service)
+            if backend.instance.instance_id not in tried
+            and not backend.closure.is_closed(now_s, was_refused)
+        ]
+
+    def _sound(self, fit: list[Backend], now_s: float) -> list[Backend]:
+        """Return those of them that are well and may get any from here."""
+        if fit and self.warmup.is_bound(fit[0].instance.service):
+            part = self.warmup.part
+            fit = [b for b in fit if part(b.instance, now_s)]
+        sound = [b for b in fit if b.ejected_until_s <= now_s] or fit
+        return [b for b in sound if b.pace < SLOW_PACE] or sound
+
+    def owns_any(self, service: str, now_s: float) -> bool:
+        """Return whether any runner may get requests from this gateway."""
+        part = self.warmup.part
+        listed = self.of_service(service)
+        return any(part(backend.instance, now_s) for backend in listed)
+
+    def free_s(
+        self, service: str, tried: set[str], was_refused: bool, now_s: float
+    ) -> float:
+        """Return when `pick` finds a runner that can turn cold.
+
+        `warmup.NEVER` where there is none, as far as is known, that this
+        gateway may send any to.
+        """
+        fit = self._fit(service, tried, was_refused, now_s)
+        sound = [b.instance for b in self._sound(fit, now_s)]
+        return self.warmup.turn_s(sound, 0, now_s)
+
+    def turn_s(
+        self, service: str, tried: set[str], ahead: int, now_s: float
+    ) -> float:
+        """Return when a request can go to a runner that can turn cold.
+
+        Requests ``ahead`` are sent before. That is at the earliest: it counts
+        on those that refuse or fail at present, and on those that will
+        register where another one has stood.
+        """
+        runners = [
+            backend.instance
+            for backend in self._by_service.get(service, [])
+            if backend.instance.state == instances.READY
+            and backend.instance.instance_id not in tried
+        ]
+        return self.warmup.turn_s(runners, ahead, now_s)
+
+    def _is_own(self, instance: instances.Instance) -> bool:
+        """Return whether this gateway fills a runner first."""
+        if self.warmup.is_bound(instance.service):
+            return self.warmup.is_first(instance)
+        return instance.instance_id in self._own_part
+
     def _of_own_part(
         self, fit: list[Backend], rng: random.Random, now_s: float
     ) -> Backend | None:
@@ -356,7 +433,7 @@
         room = [
             (backend.occupancy(self.rest_s, now_s), rng.random(), number)
             for number, backend in enumerate(fit)
-            if backend.instance.instance_id in self._own_part
+            if self._is_own(backend.instance)
         ]
         room = [each for each in room if each[0] < PART_FULL]
         return fit[min(room)[2]] if room else None
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -43,7 +43,8 @@
 #: that has lost a rank forms anew within 1 to 3 s, a process that has just
 #: started knows routes and runners within 2 s, a full runner has a slot
 #: within the second or so that an answer takes. A process that is about to
-#: end leaves all others, at once.
+#: end leaves all others, at once, and so does one where all runners that can
+#: turn cold have other owners.
 COME_BACK_S: dict[type[errors.MountridgeError], float] = {
     errors.Draining: 0.1,
     errors.NoRoutes: 1.8,
@@ -51,6 +52,7 @@
     errors.RunnerRefused: 1.2,
     errors.RunnerReplaced: 1.8,
     errors.GroupClosed: 1.8,
+    errors.RunnersCold: 0.1,
 }
 #: For causes that are not listed.
 COME_BACK_ELSE_S = 1.0
@@ -253,7 +255,7 @@
         request = exchange.request
         exchange.tries += 1
         exchange.tried.add(backend.instance.instance_id)
-        backend.began(self.app.now_s())
+        self.known.began(backend, self.app.now_s())
         try:
             async with self.pool.request(
                 backend.instance.address,
@@ -298,6 +300,7 @@
             backend.heard(head.running, head.waiting, now_s)
         if head.status == MISDIRECTED:
             backend.replaced = True
+            self.known.warmup.not_received(backend.instance)
             if self.picker.has_ranks(exchange.service):
                 self.known.refused(backend, now_s)
             raise errors.RunnerReplaced(f'it answered {head.status}')
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -3,19 +3,23 @@
 """Which runner a routed request goes to, and how long it waits for one.
 
 A request waits only where a runner may come or open soon: where none is
-known, where the groups of all are closed, and where another request is
-finding out whether the runners of a view are still there. What can't be
-served in time is refused at once.
+known, where the groups of all are closed, where another request is finding
+out whether the runners of a view are still there, and where those that can
+turn cold have had their part of this gateway's requests. What can't be served
+in time is refused at once.
 """
 
+import collections
 import random
 import typing
 
 import trio
 
-from mountridge import application, errors
+from mountridge import application, errors, utils
 from mountridge.documents import routes
-from mountridge.routing import backends, closures, routedexchanges
+from mountridge.logs import logger
+from mountridge.routing import backends, closures, lines, routedexchanges
+from mountridge.routing import warmup
 
 __all__ = ['Picker']
 
@@ -51,12 +55,32 @@
         self._index = index
         self._gateways = gateways
         self._rng = rng
+        #: Requests that wait for a runner that can turn cold, by service.
+        self._lines: dict[str, lines.Line] = collections.defaultdict(
+            lines.Line
+        )
+        #: Since when all known runners of a service have other owners.
+        self._unowned_s: dict[str, float] = {}
 
     async def pick(self, exchange: Exchange) -> backends.Picked:
         """Return a runner, once there is one.
 
         :raises NoRunner: there is none, or none registers in time.
+        :raises RunnersCold: those there are get no more by then.
         """
+        if self.known.warmup.is_bound(exchange.service):
+            picked = await self._pick_in_turn(exchange)
+        else:
+            picked = await self._pick_now(exchange)
+        if picked is None and self._is_proving(exchange):
+            # Nothing has told in time; the try may still come off.
+            picked = self._pick_any(exchange, self._app.now_s())
+        if picked is None:
+            raise self._none_left(exchange)
+        exchange.picked = picked
+        return picked
+
+    async def _pick_now(self, exchange: Exchange) -> backends.Picked | None:
         now_s = self._app.now_s()
         wait_s = self._longest_wait_s(exchange, now_s)
         picked = self._choose(exchange, now_s)
@@ -65,14 +89,106 @@
                 with trio.move_on_after(GROUP_LOOK_S):
                     await self.known.changed.wait()
                 picked = self._choose(exchange, self._app.now_s())
-        if picked is None and self._is_proving(exchange):
-            # Nothing has told in time; the try may still come off.
-            picked = self._pick_any(exchange, self._app.now_s())
-        if picked is None:
-            raise self._none_left(exchange)
-        exchange.picked = picked
         return picked
 
+    # Runners that can turn cold.
+
+    async def _pick_in_turn(
+        self, exchange: Exchange
+    ) -> backends.Picked | None:
+        """Return a runner that may get one more; None as `_pick_now`.
+
+        Second tries came before all that have had none, and other runners
+        are left for them, so they wait in no line.
+
+        :raises RunnersCold: the turn would come too late.
+        """
+        now_s = self._app.now_s()
+        line = self._lines[exchange.service]
+        picked = None
+        if exchange.tried or not len(line):
+            picked = self._choose(exchange, now_s)
+        if picked is not None:
+            self._unowned_s.pop(exchange.service, None)
+            return picked
+        until_s = now_s + max(0.0, self._longest_wait_s(exchange, now_s))
+        self._app.metrics.incr('cold.waited')
+        if exchange.tried:
+            return await self._wait_for_turn(exchange, None, until_s)
+        place = line.join(_priority(exchange))
+        try:
+            return await self._wait_for_turn(exchange, place, until_s)
+        finally:
+            line.leave(place)
+
+    async def _wait_for_turn(
+        self, exchange: Exchange, place: lines.Place | None, until_s: float
+    ) -> backends.Picked | None:
+        line = self._lines[exchange.service]
+        while True:
+            now_s = self._app.now_s()
+            ahead = line.ahead(place) if place else 0
+            turn_s = self.known.turn_s(
+                exchange.service, exchange.tried, ahead, now_s
+            )
+            if turn_s != warmup.NEVER and turn_s > until_s:
+                raise self._too_cold(exchange, ahead, turn_s - now_s)
+            if now_s >= until_s:
+                return None
+            if ahead:
+                # The first of the line tells when it has gone.
+                place.moved = trio.Event()
+                with trio.move_on_after(until_s - now_s):
+                    await place.moved.wait()
+                continue
+            picked = self._choose(exchange, now_s)
+            if picked is not None:
+                return picked
+            free_s = self._free_s(exchange, now_s)
+            if free_s == warmup.NEVER and not self._may_own(exchange, now_s):
+                return None
+            next_s = min(until_s, free_s) if free_s > now_s else until_s
+            rest_s = min(GROUP_LOOK_S, next_s - now_s)
+            with trio.move_on_after(rest_s):
+                await self.known.changed.wait()
+
+    def _may_own(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether a runner may come that gets requests from here.
+
+        Where few are known after a start, all may have other owners; where
+        that lasts, so it will be for all requests.
+        """
+        service = exchange.service
+        if not self._known(exchange) or self.known.owns_any(service, now_s):
+            self._unowned_s.pop(service, None)
+            return self._may_come(exchange)
+        since_s = self._unowned_s.setdefault(service, now_s)
+        return now_s - since_s < closures.HOPE_S
+
+    def _free_s(self, exchange: Exchange, now_s: float) -> float:
+        return self.known.free_s(
+            exchange.service,
+            exchange.tried,
+            self._was_refused(exchange),
+            now_s,
+        )
+
+    def _too_cold(
+        self, exchange: Exchange, ahead: int, turn_in_s: float
+    ) -> errors.RunnersCold:
+        logger.info(
+            'turn too late',
+            service=exchange.service,
+            ahead=ahead,
+            turn_in_ms=routedexchanges.ms(turn_in_s),
+        )
+        return errors.RunnersCold(
+            f'{ahead} wait, the next turn is in {turn_in_s:.1f} s',
+            retry_after_s=utils.spread(turn_in_s, self._rng),
+        )
+
+    # What is known.
+
     def _longest_wait_s(self, exchange: Exchange, now_s: float) -> float:
         """Return how long a request may wait for a runner from now on."""
         wait_s = RUNNER_WAIT_S
@@ -101,6 +217,11 @@
         closed_for_s = self._closed_for_s(exchange)
         if closed_for_s is not None:
             return errors.GroupClosed(f'closed for {closed_for_s:.1f} s')
+        service = exchange.service
+        is_bound = self.known.warmup.is_bound(service)
+        if is_bound and not self.known.owns_any(service, self._app.now_s()):
+            if self._known(exchange):
+                return errors.RunnersCold('all have other owners')
         return errors.NoRunner(f'no runner of {exchange.service} is left')
 
     def _known(self, exchange: Exchange) -> list[backends.Backend]:
@@ -128,10 +249,22 @@
             self._gateways(),
             self._rng,
             now_s,
-            bool(exchange.tried) and self.has_ranks(exchange.service),
+            self._was_refused(exchange),
         )
 
+    def _was_refused(self, exchange: Exchange) -> bool:
+        """Return whether a rank has refused, or failed, this request."""
+        return bool(exchange.tried) and self.has_ranks(exchange.service)
+
     def has_ranks(self, service_name: str) -> bool:
         """Return whether a service's runners form expert-parallel groups."""
         service = self._index().services.get(service_name)
         return bool(service and service.engine and service.engine.experts)
+
+
+def _priority(exchange: Exchange) -> int:
+    """Return how urgent a request is, 0 first; a team's own goes before."""
+    team = exchange.team
+    if team is not None and team.priority is not None:
+        return team.priority
+    return exchange.route.priority
--- /dev/null
+++ b/mountridge/routing/warmup.py
@@ -0,0 +1,236 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""How many requests a runner that can turn cold gets from all gateways.
+
+A cold runner bears few requests a second and falls over above that. It may
+turn cold at any moment, and gateways hear of it seconds later, or never where
+they are cut off. So the bound holds at all times for each runner of such a
+service, and without a message: each runner has owners among the gateways,
+chosen by rendezvous hashing of names, and each sends few requests in a
+window. The owners together send at most half of the bound. Where gateways
+have two different views of the gateways, two sets of owners send; how much
+more they may differ is reckoned in docs/design/warmup.md.
+"""
+
+import collections
+import typing
+
+from mountridge.documents import instances
+
+__all__ = ['NEVER', 'Parts', 'Warmup', 'parts']
+
+#: A second, in which sends are bounded, and the time by which a send may be
+#: put off after it was counted, while a connection is made
+#: (`lasthop.CONNECT_S`).
+WINDOW_S = 1.3
+#: A gateway that has left the view is still counted for so long. Most come
+#: back under their name within it; while all gateways count the same names
+#: they choose the same owners.
+KEPT_S = 30.0
+#: The owner that fills a runner first has one in this many of the half of the
+#: bound. It knows its own requests there without a report.
+FIRST_PART = 4
+#: The time of what will not be.
+NEVER = float('inf')
+
+
+class Parts(typing.NamedTuple):
+    """Requests in one window to one runner, by what the gateway is to it."""
+
+    first: int  # of its first owner, which is in its hall
+    others: int  # of each other owner
+    near: int  # other owners in its hall
+    away: int  # owners in other halls
+
+
+def parts(bound: float, near: int, away: int) -> Parts:
+    """Return the parts of half of ``bound`` requests a second.
+
+    ``near`` gateways are in the hall of the runner and ``away`` elsewhere.
+    Few gateways all own each runner. Of many, half of the owners are in
+    other halls, so that no loss of a hall takes all of them.
+    """
+    half = max(1, int(bound) // 2)
+    others = max(1, near + away - 1)
+    first = max(1, half // FIRST_PART, half // (others + 1))
+    left = half - first
+    if others <= left:
+        return Parts(first, left // others, near, away)
+    if not near or not away:
+        return Parts(first, 1, left, left)
+    return Parts(first, 1, left // 2, left - left // 2)
+
+
+class Warmup:
+    """The part that one gateway has of the runners that can turn cold."""
+
+    def __init__(
+        self,
+        name: str = '',
+        hall: str = '',
+        over: float = 1.0,
+        slack: float = 0.0,
+        started_s: float = float('-inf'),
+    ):
+        self._name, self._hall = name, hall
+        self._over, self._slack = over, slack
+        #: What a former life of this process sent in its last second counts
+        #: too, and is not known.
+        self._quiet_until_s = started_s + WINDOW_S
+        #: Halls of all gateways that may be owners, by name.
+        self._halls = {name: hall}
+        #: When those of them that the view no longer has are forgotten.
+        self._forget_s: dict[str, float] = {}
+        self._next_forget_s = NEVER
+        self._bounds: dict[str, float] = {}
+        #: Sends in a window, by id of a runner; 0 for those of other owners.
+        self._parts: dict[str, int] = {}
+        self._first: set[str] = set()
+        self._sent_s: dict[str, collections.deque[float]] = {}
+        self._cleared_s = float('-inf')
+
+    # What is followed.
+
+    def follow_services(self, cold_per_s: dict[str, float]) -> None:
+        """Follow the routes: what a cold runner bears, by service.
+
+        0 stands for any number: nothing is bounded then.
+        """
+        self._bounds = {
+            service: per_s * self._over + self._slack
+            for service, per_s in cold_per_s.items()
+            if per_s > 0
+        }
+        self._deal_anew()
+
+    def follow_gateways(self, halls: dict[str, str], now_s: float) -> None:
+        """Follow the view: the halls of all gateways that may send."""
+        before = dict(self._halls)
+        self._halls.update(halls)
+        for name in self._halls.keys() - halls.keys() - {self._name}:
+            self._forget_s.setdefault(name, now_s + KEPT_S)
+        for name in self._forget_s.keys() & halls.keys():
+            del self._forget_s[name]
+        self._next_forget_s = min(self._forget_s.values(), default=NEVER)
+        if before != self._halls:
+            self._deal_anew()
+
+    def _forget(self, now_s: float) -> None:
+        """Forget gateways that left the view long ago."""
+        for name, until_s in list(self._forget_s.items()):
+            if until_s <= now_s:
+                del self._forget_s[name]
+                del self._halls[name]
+        self._next_forget_s = min(self._forget_s.values(), default=NEVER)
+        self._deal_anew()
+
+    def _deal_anew(self) -> None:
+        self._parts.clear()
+        self._first.clear()
+
+    # Who owns what.
+
+    def is_bound(self, service: str) -> bool:
+        """Return whether the runners of a service can turn cold."""
+        return service in self._bounds
+
+    def part(self, runner: instances.Instance, now_s: float) -> int:
+        """Return how many requests it may get from here in a window."""
+        if now_s >= self._next_forget_s:
+            self._forget(now_s)
+        found = self._parts.get(runner.instance_id)
+        if found is None:
+            found = self._find_part(runner)
+            self._parts[runner.instance_id] = found
+        return found
+
+    def is_first(self, runner: instances.Instance) -> bool:
+        """Return whether this gateway is its first owner.
+
+        Known once its `part` is.
+        """
+        return runner.instance_id in self._first
+
+    def _find_part(self, runner: instances.Instance) -> int:
+        # Loaded only by processes that need it.
+        import xxhash
+
+        def draw(name: str) -> int:
+            names = f'{name}\0{runner.instance_id}'
+            return xxhash.xxh3_64_intdigest(names.encode())
+
+        is_near = self._hall == runner.hall
+        near = [n for n, hall in self._halls.items() if hall == runner.hall]
+        away = [n for n, hall in self._halls.items() if hall != runner.hall]
+        found = parts(self._bounds[runner.service], len(near), len(away))
+        mine = draw(self._name)
+        ahead = sum(draw(name) > mine for name in (near if is_near else away))
+        if not is_near:
+            return found.others if ahead < found.away else 0
+        if ahead == 0:
+            self._first.add(runner.instance_id)
+            return found.first
+        return found.others if ahead <= found.near else 0
+
+    # What was sent.
+
+    def free_s(self, runner: instances.Instance, now_s: float) -> float:
+        """Return from when on it may get one more request from here.
+
+        `NEVER` where it has other owners.
+        """
+        most = self.part(runner, now_s)
+        if not most:
+            return NEVER
+        sent_s = self._sent_s.get(runner.instance_id, ())
+        if len(sent_s) < most:
+            return self._quiet_until_s
+        return max(self._quiet_until_s, sent_s[-most] + WINDOW_S)
+
+    def turn_s(
+        self, runners: list[instances.Instance], ahead: int, now_s: float
+    ) -> float:
+        """Return when a request can be sent that has ``ahead`` before it.
+
+        `NEVER` where none of the ``runners`` is owned here.
+        """
+        places: list[float] = []
+        for runner in runners:
+            most = self.part(runner, now_s)
+            sent_s = self._sent_s.get(runner.instance_id, ())
+            used_s = [at_s + WINDOW_S for at_s in sent_s][-most:]
+            places += used_s if most else []
+            places += [now_s] * (most - len(used_s))
+        if not places:
+            return NEVER
+        rounds, place = divmod(ahead, len(places))
+        first_s = max(self._quiet_until_s, now_s, sorted(places)[place])
+        return first_s + rounds * WINDOW_S
+
+    def sent(self, runner: instances.Instance, now_s: float) -> None:
+        """Count a request as sent."""
+        if runner.service not in self._bounds:
+            return
+        if now_s - self._cleared_s > KEPT_S:
+            self._clear(now_s)
+        found = self._sent_s.get(runner.instance_id)
+        if found is None:
+            most = max(1, int(self._bounds[runner.service]) // 2)
+            found = collections.deque(maxlen=most)
+            self._sent_s[runner.instance_id] = found
+        found.append(now_s)
+
+    def not_received(self, runner: instances.Instance) -> None:
+        """Take a send back: another runner got it, and turned it away."""
+        sent_s = self._sent_s.get(runner.instance_id)
+        if sent_s:
+            sent_s.popleft()
+
+    def _clear(self, now_s: float) -> None:
+        """Drop the sends that are in no window any more."""
+        self._cleared_s = now_s
+        self._sent_s = {
+            key: sent_s
+            for key, sent_s in self._sent_s.items()
+            if sent_s and sent_s[-1] > now_s - WINDOW_S
+        }
