Count a send to a runner that can turn cold when its first bytes leave

Cause: a window of 1.3 s covered a connection that is made first, for all sends, and left a hall's gateways with 7.1 places a second where 7 requests come while their own hall is out. Ruled out: counting when it is decided with a shorter window, since sends then leave closer together than they are counted.

--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -166,18 +166,19 @@
             picked = await self.pickers[name].pick(exchange)
             backend = picked.backend
             exchange.tried.add(backend.instance.instance_id)
-            known.began(backend, self.now_s())
+            send = known.began(backend, self.now_s())
             try:
-                if await self.is_taken(known, backend, number):
+                if await self.is_taken(known, backend, send, number):
                     return
             finally:
                 backend.ended()
         raise errors.RunnerRefused()
 
-    async def is_taken(self, known, backend, number):
+    async def is_taken(self, known, backend, send, number):
         """Return whether a runner takes a request, and let it answer."""
         instance = backend.instance
         runner = next(r for r in self.runners if instance in (r.old, r.new))
+        send.leaves(self.now_s())
         await trio.sleep(WAY_S)
         is_gone = instance is runner.old
         if not is_gone:
@@ -187,7 +188,7 @@
             await trio.sleep(REFUSED_S)
             backend.replaced = is_gone
             if is_gone:
-                known.warmup.not_received(backend.instance)
+                send.take_back()
             else:
                 backend.heard(runner.there, 0, self.now_s())
             known.refused(backend, self.now_s())
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -153,11 +153,12 @@
         headers: Headers,
         body: bytes,
         request_id: str | None,
+        on_send: typing.Callable[[], None] = lambda: None,
     ) -> typing.AsyncIterator[Reply]:
         """Send a request and give its answer once the head has come.
 
         Answers that carry another id than ``request_id`` are passed over;
-        None takes any.
+        None takes any. ``on_send`` is called when its first bytes leave.
 
         :raises NoRunner: no connection could be made; nothing was sent.
         :raises OutcomeUnknown: the connection broke before the answer.
@@ -165,6 +166,7 @@
         connection = await self._connect(address)
         asked = h11.Request(method=method, target=target, headers=headers)
         try:
+            on_send()
             await self._send(connection, asked, body)
             yield await self._reply(connection, asked, body, request_id)
         finally:
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -202,10 +202,10 @@
         if backend.closure.tell(load.is_open, now_s):
             self._opened(backend)
 
-    def began(self, backend: Backend, now_s: float) -> None:
+    def began(self, backend: Backend, now_s: float) -> warmup.Send:
         """Count an own request as sent to a runner."""
         backend.began(now_s)
-        self.warmup.sent(backend.instance, now_s)
+        return self.warmup.send(backend.instance, now_s)
 
     def refused(self, backend: Backend, now_s: float) -> None:
         """Note that a rank did not run a request.
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -255,7 +255,7 @@
         request = exchange.request
         exchange.tries += 1
         exchange.tried.add(backend.instance.instance_id)
-        self.known.began(backend, self.app.now_s())
+        send = self.known.began(backend, self.app.now_s())
         try:
             async with self.pool.request(
                 backend.instance.address,
@@ -264,9 +264,14 @@
                 self._runner_headers(exchange, backend),
                 request.body,
                 exchange.call.request_id,
+                lambda: send.leaves(self.app.now_s()),
             ) as reply:
+                if reply.head.status == MISDIRECTED:
+                    send.take_back()
                 await self._give_reply(exchange, backend, reply)
         finally:
+            if not send.has_left:
+                send.take_back()
             backend.ended()
 
     def _runner_headers(
@@ -300,7 +305,6 @@
             backend.heard(head.running, head.waiting, now_s)
         if head.status == MISDIRECTED:
             backend.replaced = True
-            self.known.warmup.not_received(backend.instance)
             if self.picker.has_ranks(exchange.service):
                 self.known.refused(backend, now_s)
             raise errors.RunnerReplaced(f'it answered {head.status}')
--- a/mountridge/routing/warmup.py
+++ b/mountridge/routing/warmup.py
@@ -16,13 +16,16 @@
 import typing
 
 from mountridge.documents import instances
+from mountridge.net import lasthop
 
-__all__ = ['NEVER', 'Parts', 'Warmup', 'parts']
+__all__ = ['NEVER', 'Parts', 'Send', 'Warmup', 'parts']
 
-#: A second, in which sends are bounded, and the time by which a send may be
-#: put off after it was counted, while a connection is made
-#: (`lasthop.CONNECT_S`).
-WINDOW_S = 1.3
+#: Sends are bounded in each second. A little longer, since the bytes of two
+#: sends may leave a busy box that much closer together than they were written.
+WINDOW_S = 1.05
+#: A send is counted when it is decided, as if it left at the last moment: a
+#: connection that is not made by then is given up.
+LEAVES_S = lasthop.CONNECT_S
 #: A gateway that has left the view is still counted for so long. Most come
 #: back under their name within it; while all gateways count the same names
 #: they choose the same owners.
@@ -61,6 +64,25 @@
     return Parts(first, 1, left // 2, left - left // 2)
 
 
+class Send:
+    """One request to a runner, and when it has left or will have."""
+
+    __slots__ = ('at_s', 'has_left')
+
+    def __init__(self, at_s: float):
+        self.at_s = at_s
+        self.has_left = False
+
+    def leaves(self, now_s: float) -> None:
+        """Note that its first bytes are written now."""
+        self.at_s = now_s
+        self.has_left = True
+
+    def take_back(self) -> None:
+        """Count it no more: the runner that was meant did not get it."""
+        self.at_s = float('-inf')
+
+
 class Warmup:
     """The part that one gateway has of the runners that can turn cold."""
 
@@ -86,7 +108,7 @@
         #: Sends in a window, by id of a runner; 0 for those of other owners.
         self._parts: dict[str, int] = {}
         self._first: set[str] = set()
-        self._sent_s: dict[str, collections.deque[float]] = {}
+        self._sends: dict[str, collections.deque[Send]] = {}
         self._cleared_s = float('-inf')
 
     # What is followed.
@@ -182,10 +204,19 @@
         most = self.part(runner, now_s)
         if not most:
             return NEVER
-        sent_s = self._sent_s.get(runner.instance_id, ())
-        if len(sent_s) < most:
+        last_s = self._last_s(runner, most)
+        if len(last_s) < most:
             return self._quiet_until_s
-        return max(self._quiet_until_s, sent_s[-most] + WINDOW_S)
+        return max(self._quiet_until_s, last_s[0] + WINDOW_S)
+
+    def _last_s(self, runner: instances.Instance, most: int) -> list[float]:
+        """Return the times of the last ``most`` sends to it, in order."""
+        sends = self._sends.get(runner.instance_id)
+        if not sends:
+            return []
+        if most == 1:
+            return [sends[-1].at_s]
+        return sorted(send.at_s for send in sends)[-most:]
 
     def turn_s(
         self, runners: list[instances.Instance], ahead: int, now_s: float
@@ -197,40 +228,36 @@
         places: list[float] = []
         for runner in runners:
             most = self.part(runner, now_s)
-            sent_s = self._sent_s.get(runner.instance_id, ())
-            used_s = [at_s + WINDOW_S for at_s in sent_s][-most:]
-            places += used_s if most else []
-            places += [now_s] * (most - len(used_s))
+            if most:
+                last_s = self._last_s(runner, most)
+                places += [at_s + WINDOW_S for at_s in last_s]
+                places += [now_s] * (most - len(last_s))
         if not places:
             return NEVER
         rounds, place = divmod(ahead, len(places))
         first_s = max(self._quiet_until_s, now_s, sorted(places)[place])
         return first_s + rounds * WINDOW_S
 
-    def sent(self, runner: instances.Instance, now_s: float) -> None:
-        """Count a request as sent."""
+    def send(self, runner: instances.Instance, now_s: float) -> Send:
+        """Count a request that is about to be sent, and return the count."""
+        made = Send(now_s + LEAVES_S)
         if runner.service not in self._bounds:
-            return
+            return made
         if now_s - self._cleared_s > KEPT_S:
             self._clear(now_s)
-        found = self._sent_s.get(runner.instance_id)
+        found = self._sends.get(runner.instance_id)
         if found is None:
             most = max(1, int(self._bounds[runner.service]) // 2)
             found = collections.deque(maxlen=most)
-            self._sent_s[runner.instance_id] = found
-        found.append(now_s)
-
-    def not_received(self, runner: instances.Instance) -> None:
-        """Take a send back: another runner got it, and turned it away."""
-        sent_s = self._sent_s.get(runner.instance_id)
-        if sent_s:
-            sent_s.popleft()
+            self._sends[runner.instance_id] = found
+        found.append(made)
+        return made
 
     def _clear(self, now_s: float) -> None:
         """Drop the sends that are in no window any more."""
         self._cleared_s = now_s
-        self._sent_s = {
-            key: sent_s
-            for key, sent_s in self._sent_s.items()
-            if sent_s and sent_s[-1] > now_s - WINDOW_S
+        self._sends = {
+            key: sends
+            for key, sends in self._sends.items()
+            if any(send.at_s > now_s - WINDOW_S for send in sends)
         }
