Halls out of service: orders by compare-and-set, obeyed by every placing

Operators' calls to take a hall out and put it back were answered 404. Now the entry reads the hall's revision while its caller waits and the order changes the replicated state on that revision alone, so late copies undo nothing; gateways leave out runners of such halls wherever they pick one, and refuse at once with 1211 where none is left. Ruled out: last committed holds (a copy from a frozen box undoes a newer order); ages alone (an order carries none).

--- /dev/null
+++ b/features/halls.feature
@@ -0,0 +1,125 @@
+Feature: Halls are taken out of service and put back
+
+  Operators wait a second for an answer and then send the same order again
+  through another box. What was acknowledged holds, whatever is lost, and a
+  copy that comes late undoes nothing.
+
+  Scenario Outline: The <message> of an order that takes a hall out <fault>
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "south" is taken out while the <message> <fault>, and put back <later> s later
+    Then each order is acknowledged within <most> s, and the hall has changed twice
+    And no request comes to "south" from 5 s after the first until the second
+    And requests come to "south" again within 3 s of the second
+
+    Examples:
+      | message    | fault                              | later | most |
+      | ReadHalls  | is lost                            | 8     | 5    |
+      | ReadHalls  | comes twice                        | 0     | 5    |
+      | ReadHalls  | comes late                         | 0     | 5    |
+      | ReadHalls  | kills its receiver before it comes | 8     | 5    |
+      | ReadHalls  | freezes its sender                 | 0     | 5    |
+      | HallsReply | is lost                            | 8     | 5    |
+      | HallsReply | comes late                         | 0     | 5    |
+      | SetHall    | is lost                            | 8     | 5    |
+      | SetHall    | comes twice                        | 0     | 5    |
+      | SetHall    | comes late                         | 0     | 5    |
+      | SetHall    | kills its sender before it leaves  | 8     | 5    |
+      | SetHall    | kills its sender after it left     | 8     | 5    |
+      | SetHall    | kills its receiver before it comes | 8     | 5    |
+      | SetHall    | kills its receiver after it came   | 8     | 5    |
+      | SetHall    | meets a cut both ways              | 0     | 5    |
+      | SetHall    | meets a cut one way                | 0     | 5    |
+      | SetHall    | freezes its sender                 | 0     | 5    |
+      | SetHall    | freezes its receiver               | 0     | 6    |
+      | SetHall    | cuts its receiver off              | 8     | 5    |
+      | Changes    | is lost                            | 8     | 5    |
+      | Changes    | kills its sender before it leaves  | 8     | 5    |
+
+  Scenario Outline: <what> right after a hall was taken out
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "south" is taken out, then <what>, and it is put back 12 s later
+    Then each order is acknowledged within 5 s, and the hall has changed twice
+    And no request comes to "south" from 5 s after the first until the second
+    And requests come to "south" again within 3 s of the second
+
+    Examples:
+      | what                                    |
+      | all processes lose power                |
+      | the leader loses its disk               |
+      | an entry is deaf for a lease            |
+      | its entry and its controllers are lost  |
+
+  Scenario: Orders on both sides of a cut
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "south" is ordered out where the leader is cut off, and out and back elsewhere
+    Then it is in service everywhere after the cut, and stays so
+
+  Scenario: The hall that holds the leader is taken out
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "north" is taken out, then nothing happens, and it is put back 12 s later
+    Then no request comes to "north" from 5 s after the first until the second
+    And the same controller leads
+
+  Scenario: Two halls are out
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "north" and "south" are taken out
+    Then all requests come to "east" from 5 s on
+
+  Scenario: All halls are out
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "north" and "south" and "east" are taken out
+    Then requests are refused within 0.01 s with code 1211 and a time to come back
+
+  Scenario: A request that waits for a runner obeys an order that comes meanwhile
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "south" alone opens its groups 0.3 s after it was taken out
+    Then the request that waited is refused with code 1211
+
+  Scenario: A process that starts sends nothing before it has a view
+    Given 3 entries, 3 controllers, and 2 runners in each of 3 halls
+    When "south" is taken out and an entry starts cut off from the controllers
+    Then its requests are refused with code 1207 until it has a view, and none comes to "south"
+
+  Scenario Outline: A box stands still while an order <at>, until newer ones were given
+    Given an entry's orders for halls
+    When it stands still for 5 s while an order <at>
+    Then in the end its order was <end>
+
+    Examples:
+      | at                            | end              |
+      | waits for the hall's revision | not sent         |
+      | is on its way to the leader   | refused with 503 |
+
+  Scenario: The caller has left before the order is read
+    Given an entry's orders for halls
+    When it reads an order whose caller has left
+    Then nothing is sent to the leader
+
+  Scenario: An order meets another that came between, and is decided anew
+    Given an entry's orders for halls
+    When another order comes between its two calls
+    Then it is held on the newer revision
+
+  Scenario Outline: The name of a hall is <name>
+    Given an entry's orders for halls
+    When the hall <name> is to be taken out and the settings name <known>
+    Then the answer is <status> with code <code>
+
+    Examples:
+      | name    | known        | status | code |
+      | south   | south, north | 200    | 0    |
+      | south   | none         | 200    | 0    |
+      | west    | south, north | 404    | 1110 |
+      | %2e/x   | none         | 400    | 1100 |
+      | -s      | none         | 400    | 1100 |
+
+  Scenario: Settings that are read again name a new hall
+    Given an entry's orders for halls
+    When the settings name south, and after they are read again west too
+    Then an order for west is taken
+
+  Scenario: The state of halls in a snapshot, and a snapshot from before there were any
+    Given a replicated state
+    When a hall is taken out, put back, and its runners are held
+    Then its runners are cold until they say otherwise, also after a snapshot
+    And a snapshot from before there were halls is read as none out
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -17,12 +17,18 @@
 import trio
 import trio.testing
 
-from mountridge import agent, application, controller, errors, gateway
+from mountridge import agent, application, controller
 from mountridge.dispatch import exchanges
 from mountridge.documents import sheets, tables
+from mountridge import entry, errors, gateway
 from mountridge import messages, settings as settings_module
+from mountridge.net import dialects
 from mountridge.state import statemachine
 
+#: Role of a process by the first letter of its name.
+ROLES = {
+    'g': 'gateway', 'a': 'agent', 'c': 'controller', 'e': 'entry',
+}  # fmt: skip
 LATENCY_S = 0.001
 COMMIT_S = 0.002
 ELECTION_S = 0.8
@@ -246,7 +252,9 @@
 class World:
     """All processes by name, the rules that strike, and the log."""
 
-    def __init__(self, nursery, seed, gateways=2, agents=2, controllers=3):
+    def __init__(
+        self, nursery, seed, gateways=2, agents=2, controllers=3, entries=0
+    ):
         self.nursery = nursery
         self.rng = random.Random(seed)
         self.processes = {}
@@ -257,6 +265,7 @@
         }
         self.gateways = [f'g{n + 1}' for n in range(gateways)]
         self.controllers = [f'c{n + 1}' for n in range(controllers)]
+        self.entries = [f'e{n + 1}' for n in range(entries)]
         self.rules = []
         self.cut = set()
         self.frozen_until_s = {}
@@ -278,7 +287,7 @@
                     'role': role,
                     'name': name,
                     'hall': 'north',
-                    'bind': 'tcp://127.0.0.1:1',
+                    'bind': 'tcp://127.0.0.1:2',
                     'controllers': {
                         c: f'tcp://127.0.0.1:{number + 2}'
                         for number, c in enumerate(self.controllers)
@@ -286,20 +295,24 @@
                     'keys': {'off': True},
                     'gateway': {'address_ttl_s': 2.0},
                     'agent': {'services': ['drafts', 'alarms', 'corrections']},
-                    'controller': {'data': '-'},
+                    'controller': {'data': '-' if role != 'entry' else ''},
+                    # Where the first controller is, with its port.
+                    'entry': {'seeds': ['127.0.0.1']},
                 },
                 self.own.get(name, {}),
             )
         )
 
     def start(self, name):
-        role = {'g': 'gateway', 'a': 'agent', 'c': 'controller'}[name[0]]
+        role = ROLES[name[0]]
         self.generations[name] += 1
         app = Process(self, self.settings(role, name), self.generations[name])
         if role == 'gateway':
             self.parts[name] = gateway.build(app)
         elif role == 'agent':
             self.parts[name] = agent.build(app, self.runners[name])
+        elif role == 'entry':
+            self.parts[name] = entry.build(app, dialects.NATIVE, None)
         else:
             self.parts[name] = controller.build(
                 app, lambda *args: Replica(self, *args)
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -13,7 +13,7 @@
 
 from mountridge import application, errors, messages, utils
 from mountridge.consensus import consensus, entries, replicas, storage
-from mountridge.control import changes, registry
+from mountridge.control import changes, halls, registry
 from mountridge.groups import groups
 from mountridge.logs import logger
 from mountridge.state import claims, commands, leases, limits, members
@@ -48,6 +48,7 @@
         self.leases = leases.LeaseTable(0.0, 0.0)
         self.apportioner = limits.Apportioner(0.0)
         self.registry = registry.Registry(app, self.machine, self.replica)
+        self.halls = halls.Halls(app, self.machine, self.replica, self.push)
         #: What engines allow of expert maps, by runner; set by the entry.
         self.sheet: typing.Callable = lambda instance_id: None
         self.groups = groups.Groups(
@@ -358,6 +359,8 @@
     app.handlers[messages.ReadRoutes] = controller.read_routes
     app.handlers[messages.Heartbeat] = controller.registry.on_heartbeat
     app.handlers[messages.Leave] = controller.registry.on_leave
+    app.handlers[messages.ReadHalls] = controller.halls.on_read
+    app.handlers[messages.SetHall] = controller.halls.on_set
     app.handlers[messages.Outcome] = controller.outcome
     app.handlers[messages.Members] = controller.list_members
     app.handlers[messages.Raft] = controller.replica.on_raft
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -13,11 +13,11 @@
 import trio
 
 from mountridge import application, errors, messages, settingswatch, sidecar
-from mountridge.documents import routes
+from mountridge.documents import halls, routes
 from mountridge.groups import engines
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver
-from mountridge.routing import backends, entryapi, forwarding
+from mountridge.routing import backends, entryapi, forwarding, hallorders
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -70,6 +70,7 @@
             self.backends,
             lambda: len(self.gateways()),
         )
+        self.hall_orders = hallorders.HallOrders(app, self.leader.call)
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
@@ -136,6 +137,8 @@
         if view.revision == self._view_revision:
             return
         self._view_revision = view.revision
+        # First, so that no request is sent by routes that are known alone.
+        self._follow_halls()
         self._follow_routes()
         packed = view.under(views.INSTANCE_PREFIX)
         registered = [views.unpack_instance(v) for v in packed.values()]
@@ -145,6 +148,22 @@
         for address in self.backends.follow(registered):
             self.app.start_task(self.forwarder.pool.forget, address)
 
+    def _follow_halls(self) -> None:
+        packed = self.held.view.under(views.HALL_PREFIX)
+        listed = [views.unpack_hall(value) for value in packed.values()]
+        out = {state.name: state for state in listed if state.is_out}
+        if not self.backends.follow_halls(set(out)):
+            return
+        since_s = min((state.since_s for state in out.values()), default=0.0)
+        self.app.metrics.gauge('halls.out', len(out))
+        self.app.metrics.gauge('halls.out_since_s', since_s)
+        logger.info(
+            'halls out of service',
+            halls=sorted(out),
+            revisions=[out[name].revision for name in sorted(out)],
+            index=self.held.view.index,
+        )
+
     def _follow_routes(self) -> None:
         held = views.routes_in(self.held.view)
         known = self.index.table.version if self.index else 0
@@ -221,6 +240,26 @@
         """
         await self.leader.call(messages.Leave(instance_id), HEARTBEAT_S)
 
+    async def read_halls(self) -> list[halls.HallState]:
+        """Return the halls that were ever out of service.
+
+        :raises NoController: it can't be told.
+        """
+        return await self.hall_orders.read()
+
+    async def set_hall(self, name: str, is_out: bool) -> halls.HallState:
+        """Take a hall out of service, or put it back.
+
+        :raises BadRequest: no hall has this name.
+        :raises NoController: it may have been carried out, or not.
+        """
+        return await self.hall_orders.set(name, is_out)
+
+    def follow_settings(self, settings: dict) -> None:
+        """Take what newer settings may change in a running process."""
+        self.leader.follow_seeds(settings)
+        self.hall_orders.follow_settings(settings)
+
     # Life.
 
     async def hold_lease(self) -> None:
@@ -263,6 +302,7 @@
             'routes': self.index.table.version if self.index else 0,
             'open_requests': self.front.open_requests,
             'gateways': self.addresses(),
+            'halls_out': sorted(self.backends.halls_out),
             'runners': {
                 key: {
                     'state': backend.instance.state,
@@ -295,6 +335,8 @@
     messages.ReadRoutes,
     messages.Heartbeat,
     messages.Leave,
+    messages.ReadHalls,
+    messages.SetHall,
     messages.Join,
     messages.RankReport,
 )
@@ -367,5 +409,5 @@
     entry = build(app, dialect, connect)
     app.tasks += serve(entry, entryapi.handlers(entry, spelling), early)
     app.tasks.append(httpserver.metrics_task(app))
-    app.tasks.append(settingswatch.task(app, path, entry.leader.follow_seeds))
+    app.tasks.append(settingswatch.task(app, path, entry.follow_settings))
     trio.run(app.run)
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -147,6 +147,8 @@
         self.name = name
         self._gateways: dict[str, str] = {}
         self._own_part: set[str] = set()
+        #: Halls that are out of service.
+        self.halls_out: set[str] = set()
         self.by_id: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         #: Since when all runners of a service are closed.
@@ -255,6 +257,14 @@
             self._gateways = dict(halls)
             self._share_out()
 
+    def follow_halls(self, out: set[str]) -> bool:
+        """Follow the view: the halls out of service; whether that is new."""
+        if out == self.halls_out:
+            return False
+        self.halls_out = out
+        self._announce()
+        return True
+
     def own_part(self) -> set[str]:
         """Return the ids of the runners that this gateway fills first."""
         return self._own_part
@@ -276,7 +286,25 @@
             self._own_part.update(ids[place :: len(near)])
 
     def of_service(self, service: str) -> list[Backend]:
-        """Return the runners of a service that are not leaving."""
+        """Return the runners of a service that may get requests.
+
+        Those that leave and those in halls out of service get none.
+        """
+        return [
+            backend
+            for backend in self._staying(service)
+            if backend.instance.hall not in self.halls_out
+        ]
+
+    def is_all_out(self, service: str) -> bool:
+        """Return whether all runners of a service are in halls that are out.
+
+        That no request can be served is then known, and none need wait.
+        """
+        listed = self._staying(service)
+        return bool(listed) and not self.of_service(service)
+
+    def _staying(self, service: str) -> list[Backend]:
         return [
             backend
             for backend in self._by_service.get(service, [])
--- a/mountridge/routing/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -3,15 +3,15 @@
 """The calls that an entry process answers besides callers' requests.
 
 Who asks are callers (where to send requests), health checks, runners
-(heartbeats, leaves) and operators (routes documents). Another spelling of
-the same calls is another `Spelling`.
+(heartbeats, leaves) and operators (routes documents, halls out of service).
+Another spelling of the same calls is another `Spelling`.
 """
 
 import typing
 
 import msgspec
 
-from mountridge.documents import instances
+from mountridge.documents import halls, instances
 from mountridge import errors, messages
 from mountridge.net import httpserver
 
@@ -41,6 +41,12 @@
     async def leave(self, instance_id: str) -> None:
         """Take out a runner."""
 
+    async def read_halls(self) -> list[halls.HallState]:
+        """Return the halls that were ever out of service."""
+
+    async def set_hall(self, name: str, is_out: bool) -> halls.HallState:
+        """Take a hall out of service, or put it back."""
+
 
 class Spelling(typing.NamedTuple):
     """Paths of the calls, and how their bodies are read and written."""
@@ -52,6 +58,9 @@
     leave: bytes
     read_heartbeat: typing.Callable[[str, bytes], messages.Heartbeat]
     write_addresses: typing.Callable[[list[str], float], dict]
+    halls: bytes  # lists them; prefix of a name and one of the next two
+    drain_hall: bytes
+    restore_hall: bytes
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -109,6 +118,9 @@
     b'/leave',
     read_heartbeat,
     write_addresses,
+    b'/v1/halls/',
+    b'/drain',
+    b'/restore',
 )
 
 
@@ -169,4 +181,23 @@
         instance_id = path[len(prefix) : -len(spelling.leave)]
         await entry.leave(instance_id.decode('latin-1'))
         return {}
+    if path.startswith(spelling.halls):
+        return await _hall_call(entry, spelling, path)
+    raise errors.NoRoute(path.decode('latin-1'))
+
+
+async def _hall_call(entry: Entry, spelling: Spelling, path: bytes) -> dict:
+    """Carry out a call on halls and return the body of its answer."""
+    rest = path[len(spelling.halls) :]
+    if not rest:
+        listed = await entry.read_halls()
+        return {'halls': [state._asdict() for state in listed]}
+    for suffix, is_out in (
+        (spelling.drain_hall, True),
+        (spelling.restore_hall, False),
+    ):
+        if rest.endswith(suffix):
+            name = rest[: -len(suffix)].decode('latin-1')
+            state = await entry.set_hall(name, is_out)
+            return state._asdict()
     raise errors.NoRoute(path.decode('latin-1'))
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -43,7 +43,8 @@
 #: that has lost a rank forms anew within 1 to 3 s, a process that has just
 #: started knows routes and runners within 2 s, a full runner has a slot
 #: within the second or so that an answer takes. A process that is about to
-#: end leaves all others, at once.
+#: end leaves all others, at once. When operators put a hall back can't be
+#: told; by then all gateways obey what they have ordered until now.
 COME_BACK_S: dict[type[errors.MountridgeError], float] = {
     errors.Draining: 0.1,
     errors.NoRoutes: 1.8,
@@ -51,6 +52,7 @@
     errors.RunnerRefused: 1.2,
     errors.RunnerReplaced: 1.8,
     errors.GroupClosed: 1.8,
+    errors.HallsOut: 5.0,
 }
 #: For causes that are not listed.
 COME_BACK_ELSE_S = 1.0
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -5,7 +5,7 @@
 A request waits only where a runner may come or open soon: where none is
 known, where the groups of all are closed, and where another request is
 finding out whether the runners of a view are still there. What can't be
-served in time is refused at once.
+served in time is refused at once, as where all halls are out of service.
 """
 
 import random
@@ -82,6 +82,8 @@
 
     def _may_come(self, exchange: Exchange) -> bool:
         """Return whether a runner may come soon, or a group open."""
+        if self.known.is_all_out(exchange.service):
+            return False
         if not self._known(exchange) or self._is_proving(exchange):
             return True
         closed_for_s = self._closed_for_s(exchange)
@@ -98,6 +100,9 @@
         return self.known.closed_for_s(exchange.service, now_s)
 
     def _none_left(self, exchange: Exchange) -> errors.MountridgeError:
+        if self.known.is_all_out(exchange.service):
+            out = ', '.join(sorted(self.known.halls_out))
+            return errors.HallsOut(f'out of service: {out}')
         closed_for_s = self._closed_for_s(exchange)
         if closed_for_s is not None:
             return errors.GroupClosed(f'closed for {closed_for_s:.1f} s')
--- a/mountridge/settingswatch.py
+++ b/mountridge/settingswatch.py
@@ -23,7 +23,8 @@
 ) -> application.Task:
     """Return a task that hands newer settings to ``take``.
 
-    ``take`` uses the seeds alone; all else needs a start of the process.
+    ``take`` uses the seeds and the halls alone; all else needs a start of
+    the process.
     """
     changed = trio.Event()
 
@@ -52,7 +53,7 @@
         if given == seen:
             return seen
         take(settings.load(path))
-        logger.info('settings reloaded', taken='entry.seeds')
+        logger.info('settings reloaded', taken='entry.seeds, halls')
         return given
     except (OSError, errors.BadSettings) as problem:
         logger.error('settings not reloaded', reason=str(problem))
--- a/mountridge/state/statemachine.py
+++ b/mountridge/state/statemachine.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from mountridge.documents import instances, tables
+from mountridge.documents import halls, instances, tables
 from mountridge import errors, messages
 from mountridge.state import claims, commands, views
 
@@ -65,6 +65,7 @@
         self.members_by_name: dict[str, views.Member] = {}
         self.routes_version = 0
         self.instances: dict[str, instances.Instance] = {}
+        self.halls: dict[str, halls.HallState] = {}
 
     def apply(self, index: int, command: commands.Command) -> typing.Any:
         """Apply the command at ``index`` and return its reply.
@@ -95,6 +96,10 @@
             key.partition('/')[2]: views.unpack_instance(value)
             for key, value in self.view.under(views.INSTANCE_PREFIX).items()
         }
+        self.halls = {
+            key.partition('/')[2]: views.unpack_hall(value)
+            for key, value in self.view.under(views.HALL_PREFIX).items()
+        }
 
     def routes(self) -> messages.RoutesReply:
         """Return the routes document held; version 0 where none is."""
@@ -248,6 +253,43 @@
     return messages.Registered()
 
 
+def _set_hall(
+    machine: StateMachine, index: int, command: commands.SetHall
+) -> halls.HallState:
+    """Change a hall where its revision still holds.
+
+    What holds already is acknowledged again.
+
+    :raises HallChanged: another order came between.
+    """
+    never_out = halls.HallState(command.hall, False, 0, 0.0)
+    known = machine.halls.get(command.hall, never_out)
+    if known.is_out == command.is_out:
+        return known
+    if known.revision != command.revision:
+        raise errors.HallChanged(
+            f'at revision {known.revision}, not {command.revision}'
+        )
+    held = halls.HallState(command.hall, command.is_out, index, command.at_s)
+    machine.halls[command.hall] = held
+    key = views.HALL_PREFIX + command.hall
+    machine.view.set(index, key, views.pack(held))
+    if not command.is_out:
+        _count_as_cold(machine, index, command.hall)
+    return held
+
+
+def _count_as_cold(machine: StateMachine, index: int, hall: str) -> None:
+    """Let the runners of a hall be cold until they say otherwise.
+
+    They may have started anew while nothing was sent to them.
+    """
+    for instance in list(machine.instances.values()):
+        if instance.hall == hall and instance.state != instances.LEFT:
+            cold = instance._replace(is_cold=True)
+            _hold_instance(machine, index, cold)
+
+
 def _next_version(
     machine: StateMachine, index: int, command: commands.NextVersion
 ) -> int:
@@ -289,6 +331,7 @@
     commands.PutRoutes: _put_routes,
     commands.SetInstance: _set_instance,
     commands.NextVersion: _next_version,
+    commands.SetHall: _set_hall,
 }
 
 
