--- a/mountridge/routing/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -3,8 +3,8 @@
 """The calls that an entry process answers besides callers' requests.
 
 Who asks are callers (where to send requests), health checks, runners
-(heartbeats, leaves) and operators (routes documents). Another spelling of
-the same calls is another `Spelling`.
+(heartbeats, leaves) and operators (routes documents, halls out of service).
+Another spelling of the same calls is another `Spelling`.
 """
 
 import contextlib
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from mountridge.documents import instances
+from mountridge.documents import halls, instances
 from mountridge import errors, messages
 from mountridge.net import httpserver
 
@@ -45,6 +45,12 @@
     def malformed(self, raw_id: bytes, problem: errors.BadHeartbeat) -> None:
         """Count and log a word of a runner that can't be read."""
 
+    async def read_halls(self) -> list[halls.HallState]:
+        """Return the halls that were ever out of service."""
+
+    async def set_hall(self, name: str, is_out: bool) -> halls.HallState:
+        """Take a hall out of service, or put it back."""
+
 
 class Spelling(typing.NamedTuple):
     """Paths of the calls, and how their bodies are read and written."""
@@ -57,6 +63,9 @@
     read_heartbeat: typing.Callable[[str, bytes], messages.Heartbeat]
     read_leave: typing.Callable[[bytes], int]  # gives the start, or 0
     write_addresses: typing.Callable[[list[str], float], dict]
+    halls: bytes  # lists them; prefix of a name and one of the next two
+    drain_hall: bytes
+    restore_hall: bytes
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -126,6 +135,9 @@
     read_heartbeat,
     read_leave,
     write_addresses,
+    b'/v1/halls/',
+    b'/drain',
+    b'/restore',
 )
 
 
@@ -183,6 +195,25 @@
             raw_id = path[len(prefix) : -len(ending)]
             await take(entry, spelling, raw_id, request.body)
             return {}
+    if path.startswith(spelling.halls):
+        return await _hall_call(entry, spelling, path)
+    raise errors.NoRoute(path.decode('latin-1'))
+
+
+async def _hall_call(entry: Entry, spelling: Spelling, path: bytes) -> dict:
+    """Carry out a call on halls and return the body of its answer."""
+    rest = path[len(spelling.halls) :]
+    if not rest:
+        listed = await entry.read_halls()
+        return {'halls': [state._asdict() for state in listed]}
+    for suffix, is_out in (
+        (spelling.drain_hall, True),
+        (spelling.restore_hall, False),
+    ):
+        if rest.endswith(suffix):
+            name = rest[: -len(suffix)].decode('latin-1')
+            state = await entry.set_hall(name, is_out)
+            return state._asdict()
     raise errors.NoRoute(path.decode('latin-1'))
 
 
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -44,7 +44,8 @@
 #: started knows routes and runners within 2 s, a full runner has a slot
 #: within the second or so that an answer takes. A process that is about to
 #: end leaves all others, at once, and so does one where all runners that can
-#: turn cold have other owners.
+#: turn cold have other owners. When operators put a hall back can't be told;
+#: by then all gateways obey what they have ordered until now.
 COME_BACK_S: dict[type[errors.MountridgeError], float] = {
     errors.Draining: 0.1,
     errors.NoRoutes: 1.8,
@@ -53,6 +54,7 @@
     errors.RunnerReplaced: 1.8,
     errors.GroupClosed: 1.8,
     errors.RunnersCold: 0.1,
+    errors.HallsOut: 5.0,
 }
 #: For causes that are not listed.
 COME_BACK_ELSE_S = 1.0
