--- a/features/steps/lives_steps.py
+++ b/features/steps/lives_steps.py
@@ -351,10 +351,14 @@
 # Malformed words.
 
 #: Fields of the project's own form, and as the platform spells them.
-SPELT = {'hall': 'zone', 'born_ms': 'born', 'cold_ms': 'cold-remaining-ms'}
+SPELT = {
+    'hall': 'zone', 'software': 'version', 'born_ms': 'born',
+    'cold_ms': 'cold-remaining-ms',
+}  # fmt: skip
 GOOD = {
     'service': 's', 'address': ADDRESSES['X'], 'hall': 'north', 'seq': 7,
-    'slots': 4, 'state': 'ready', 'born_ms': 995000, 'cold_ms': 0,
+    'software': 'v', 'slots': 4, 'state': 'ready', 'born_ms': 995000,
+    'cold_ms': 0,
 }  # fmt: skip
 NAMED = {
     'service': 'service', 'address': 'address', 'state': 'state',
