--- a/features/steps/lives_steps.py
+++ b/features/steps/lives_steps.py
@@ -99,6 +99,11 @@
         assert _held(world) == held, _held(world)
 
 
+@then('it holds {held} while one leader takes all words')
+def check_held_steadily(context, held):
+    assert _held(context.worlds[0]) == held, _held(context.worlds[0])
+
+
 @given('a replicated state in which a runner has started again')
 def restarted_state(context):
     world = context.world = lives_world.World()
@@ -351,10 +356,14 @@
 # Malformed words.
 
 #: Fields of the project's own form, and as the platform spells them.
-SPELT = {'hall': 'zone', 'born_ms': 'born', 'cold_ms': 'cold-remaining-ms'}
+SPELT = {
+    'hall': 'zone', 'software': 'version', 'born_ms': 'born',
+    'cold_ms': 'cold-remaining-ms',
+}  # fmt: skip
 GOOD = {
     'service': 's', 'address': ADDRESSES['X'], 'hall': 'north', 'seq': 7,
-    'slots': 4, 'state': 'ready', 'born_ms': 995000, 'cold_ms': 0,
+    'software': 'v', 'slots': 4, 'state': 'ready', 'born_ms': 995000,
+    'cold_ms': 0,
 }  # fmt: skip
 NAMED = {
     'service': 'service', 'address': 'address', 'state': 'state',
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -917,6 +917,11 @@
         'is_late = not self.leases.heard_of_late(name, late_s, now_s)',
         'is_late = False', 'losses', 'Orders to ranks',
     ),
+    Mutant(
+        'lives: late counts that change nothing are heard', 'registry',
+        'if heartbeat.seq < max(known.seq, self._newest_seq.get(life, 0)):',
+        'if False:', 'lives',
+    ),
 )  # fmt: skip
 
 
