--- a/features/start.feature
+++ b/features/start.feature
@@ -37,3 +37,12 @@
   Scenario: A settings file that is neither is refused
     Given a settings file that is broken
     Then it is refused with its code and path
+
+  Scenario Outline: The platform's <role> finds all that it imports at its start
+    When the platform starts the <role> with no settings file
+    Then it ends with the code of bad settings
+
+    Examples:
+      | role    |
+      | entry   |
+      | sidecar |
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -3,6 +3,7 @@
 """Steps on what a process loads and opens before it serves."""
 
 import json
+import os
 import pathlib
 import socket
 import subprocess
@@ -150,3 +151,19 @@
         assert problem.code == errors.BadSettings.code
         return
     raise AssertionError('it was taken')
+
+
+@when('the platform starts the {role} with no settings file')
+def start_without_settings(context, role):
+    context.ended = subprocess.run(
+        [sys.executable, 'platform/serve.py', role],
+        env={**os.environ, 'MOUNTRIDGE_NODE_FILE': '/no/such/file'},
+        capture_output=True,
+        text=True,
+    )
+
+
+@then('it ends with the code of bad settings')
+def check_bad_settings(context):
+    told = context.ended.stderr
+    assert told.startswith(f'error {errors.BadSettings.code}:'), told
