--- a/mountridge/control/formation.py
+++ b/mountridge/control/formation.py
@@ -156,8 +156,8 @@
         bounds = app.settings['bounds']
         self._most_voters = 2 * max(1, bounds['controller_losses']) + 1
         self._hall_losses = bounds['hall_losses']
-        #: A box is leaving its former place for another one.
-        self._is_joining = False
+        #: Boxes that change their former place for another one now.
+        self._joining = 0
         #: What the last line on the spread said.
         self._told: tuple | None = None
         signals.leader_known.connect(self._follow_leader, sender=replica)
@@ -172,26 +172,30 @@
         if self._is_known(join):
             return messages.Registered()
         logger.info('controller joins', **join._asdict())
-        self._is_joining = True
+        self._joining += 1
         try:
-            await self._take(join)
+            with trio.move_on_after(CHANGE_S) as scope:
+                await self._take(join)
         finally:
-            self._is_joining = False
+            self._joining -= 1
+        if scope.cancelled_caught:
+            raise errors.RefusedChange('it was not committed in time')
         return messages.Registered()
 
     def _is_known(self, join: messages.Join) -> bool:
         config = self.replica.node.config
         if config.addresses().get(join.node_id) != join.address:
             return False
-        return config.halls.get(join.node_id, '') == join.hall
+        return not join.hall or config.halls.get(join.node_id) == join.hall
 
     async def _take(self, join: messages.Join) -> None:
         """Add a controller in place of former ones of the same name."""
-        for key in list(self.replica.node.config.addresses()):
-            if key != join.node_id and key.partition('.')[0] == join.name:
-                logger.info('controller replaced', node_id=key)
+        own = (join.node_id, join.address)
+        for known in list(self.replica.node.config.addresses().items()):
+            if known != own and known[0].partition('.')[0] == join.name:
+                logger.info('controller replaced', node_id=known[0])
                 config = self.replica.node.config
-                await self.replica.change_config(config.without(key))
+                await self.replica.change_config(config.without(known[0]))
         config = self.replica.node.config
         joined = config.join(join.node_id, join.address, join.hall)
         await self.replica.change_config(joined)
@@ -242,7 +246,7 @@
                 continue
             self._tell_spread()
             wanted = self._wanted()
-            if wanted is None or self._is_joining:
+            if wanted is None or self._joining:
                 continue
             try:
                 with trio.fail_after(CHANGE_S):
