Scenarios of waiting in line, first seconds, owners; nothing where unbound

A second try now waits up to a window for its turn, since a stream that has begun is past the time that a request may wait.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -32,6 +32,13 @@
       | 103      | 5     | 192     | 3     | 0.5    | 0.5    | 260   | 9    |
       | 37       | 3     | 72      | 5     | 0.2    | 0.2    | 140   | 0.3  |
 
+  Scenario: Where runners bear any number nothing is bounded
+    Given 39 gateways in 3 halls and 72 runners of 5 slots
+    And reports come each 0.2 s and are told each 0.2 s
+    And a cold runner of theirs bears 0 requests a second, which is any number
+    When all send 140 requests a second for 4 s, and each takes 1.3 s
+    Then each request goes where it went before there was a bound
+
   Scenario: Parts follow the gateways that there are, and cover all runners
     Given 103 gateways in 5 halls and 192 runners of 3 slots
     Then each runner is in the part of one gateway of its hall
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -7,6 +7,7 @@
 import random
 
 from behave import given, then, when
+import xxhash
 
 from mountridge.documents import instances
 from mountridge import messages
@@ -15,6 +16,8 @@
 #: As on the bench: a report each 0.12 s, 0.05 s old when it comes.
 REPORT_S, WAY_S = 0.12, 0.05
 WINDOW_S = 0.15
+#: Of all sends of one play, made on the code that knew no bound.
+UNBOUND = '71fc5689ad74472a'
 
 
 class _Site:
@@ -112,6 +115,21 @@
     context.site.report_s, context.site.way_s = rest_s, told_s / 2
 
 
+@given(
+    'a cold runner of theirs bears 0 requests a second, which is any number'
+)
+def bear_any(context):
+    for known in context.site.known:
+        known.warmup.follow_services({'s': 0.0})
+        known.warmup.follow_gateways(context.site.halls, 0.0)
+
+
+@then('each request goes where it went before there was a bound')
+def went_as_before(context):
+    sent = repr(sorted(context.site.arrivals.items())).encode()
+    assert xxhash.xxh64_hexdigest(sent) == UNBOUND, context.site.sent
+
+
 @when(
     'all send {per_s:d} requests a second for {span_s:d} s, '
     'and each takes {took_s:g} s'
--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -445,3 +445,276 @@
 def check_some(context, some):
     """The gateways do send all that they may, or nothing would be shown."""
     assert max(context.found) >= some, context.found
+
+
+# One gateway.
+
+
+def _runner(number, hall='h0', is_cold=False):
+    return instances.Instance(
+        f'i-{number}', 's', f'10.0.0.{number}:1', hall, 'v', SLOTS,
+        instances.READY, 0, is_cold,
+    )  # fmt: skip
+
+
+def _gateways(count, halls):
+    return {f'g-{n}': f'h{n % halls}' for n in range(count)}
+
+
+@when('{gateways:d} gateways in {halls:d} halls share {runners:d} runners')
+def share_runners(context, gateways, halls, runners):
+    per_s, over, slack = context.bears
+    context.parts = {}
+    listed = [_runner(n, f'h{n % halls}') for n in range(runners)]
+    names = _gateways(gateways, halls)
+    for name, hall in names.items():
+        own = warmup.Warmup(name, hall, over, slack)
+        own.follow_services({'s': per_s})
+        own.follow_gateways(names, 0.0)
+        for runner in listed:
+            part = own.part(runner, 0.0)
+            is_first = own.is_first(runner)
+            held = context.parts.setdefault((runner, len(names) > 1), {})
+            if part:
+                held[name, hall] = (part, is_first)
+
+
+@then('each runner has one first owner, in its hall')
+def one_first(context):
+    for (runner, _), held in context.parts.items():
+        halls = [hall for (_, hall), (_, first) in held.items() if first]
+        assert halls == [runner.hall], (runner, held)
+
+
+@then('it has owners in other halls, and its parts add up to {most:d} at most')
+def owners_elsewhere(context, most):
+    for (runner, are_more), held in context.parts.items():
+        away = [hall for _, hall in held if hall != runner.hall]
+        assert away or not are_more, (runner, held)
+        assert sum(part for part, _ in held.values()) <= most, held
+
+
+@then('each gateway owns {least:d} runners at least')
+def owns_some(context, least):
+    owned = collections.Counter(
+        name for held in context.parts.values() for name, _ in held
+    )
+    print(owned)
+    assert min(owned.values()) >= least or not least, owned
+
+
+class _Gateway1:
+    """One of 39 gateways, its picker and the runners that it knows."""
+
+    def __init__(self, runners, started_s=float('-inf')):
+        self.rng = random.Random(5)
+        self.own = warmup.Warmup('g-0', 'h0', 1.5, 5.0, started_s)
+        self.own.follow_services({'s': 14.0})
+        self.own.follow_gateways(_gateways(39, 3), 0.0)
+        self.known = backends.Backends('g-0', self.own)
+        self.known.follow(runners)
+        service = types.SimpleNamespace(engine=None)
+        index = types.SimpleNamespace(services={'s': service})
+        app = types.SimpleNamespace(
+            settings={'hall': 'h0'},
+            now_s=trio.current_time,
+            metrics=metrics.Metrics(None),
+        )
+        self.picker = picking.Picker(
+            app, lambda: index, self.known, lambda: 39, self.rng
+        )
+        #: What became of requests, by number, in order: (number, after how
+        #: long, the runner or the refusal).
+        self.told = []
+
+    def exchange(self, priority=1, tried=()):
+        now_s = trio.current_time()
+        return types.SimpleNamespace(
+            service='s', tried=set(tried), begun_s=now_s, until_s=now_s + 8,
+            team=None, route=types.SimpleNamespace(priority=priority),
+        )  # fmt: skip
+
+    async def ask(self, number, priority=1, tried=()):
+        exchange = self.exchange(priority, tried)
+        became = None
+        try:
+            picked = await self.picker.pick(exchange)
+            now_s = trio.current_time()
+            self.known.began(picked.backend, now_s).leaves(now_s)
+            became = picked.backend.instance.instance_id
+        except errors.MountridgeError as problem:
+            became = problem
+        took_s = trio.current_time() - exchange.begun_s
+        self.told.append((number, round(took_s, 3), became))
+        return became
+
+
+def _play(play):
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _with_part(part, count):
+    """Return runners of which the gateway has such a part."""
+    own = warmup.Warmup('g-0', 'h0', 1.5, 5.0)
+    own.follow_services({'s': 14.0})
+    own.follow_gateways(_gateways(39, 3), 0.0)
+    runners = [_runner(number) for number in range(200)]
+    return [r for r in runners if own.part(r, 0.0) == part][:count]
+
+
+@given('a gateway that may send 1 request in a window to each of 2 runners')
+def make_gateway(context):
+    context.runners = _with_part(1, 2)
+    context.started_ago_s = None
+
+
+@given('it has started {ago_s:g} s ago')
+def started(context, ago_s):
+    context.started_ago_s = ago_s
+
+
+@given('other gateways own both')
+def other_owners(context):
+    context.runners = _with_part(0, 2)
+
+
+@given('the first of them is cold, and both have 1 of 5 slots taken')
+def first_cold(context):
+    first, second = context.runners
+    context.runners = [first._replace(is_cold=True), second]
+
+
+@when('requests of priorities {priorities} come at one moment')
+def come_at_once(context, priorities):
+    async def play():
+        context.gateway = _Gateway1(context.runners)
+        async with trio.open_nursery() as nursery:
+            for number, priority in enumerate(priorities.split(), 1):
+                nursery.start_soon(context.gateway.ask, number, int(priority))
+                await trio.sleep(0.0001)
+
+    _play(play)
+
+
+@then('{numbers} are sent in this order, the last two {after_s:g} s later')
+def sent_in_order(context, numbers, after_s):
+    told = [each for each in context.gateway.told if isinstance(each[2], str)]
+    assert [str(each[0]) for each in told] == numbers.split(), told
+    assert [round(each[1], 2) for each in told] == [0, 0, after_s, after_s]
+
+
+@then(
+    '{numbers} are refused within {span_s:g} s with {code:d},'
+    ' to come back after {after_s:g} s'
+)
+def refused_soon(context, numbers, span_s, code, after_s):
+    told = [x for x in context.gateway.told if not isinstance(x[2], str)]
+    assert [str(each[0]) for each in told] == numbers.split(), told
+    for _, took_s, problem in told:
+        assert took_s <= span_s and problem.code == code, told
+        back_s = took_s + problem.retry_after_s
+        assert after_s - 0.01 <= back_s <= after_s * 1.5, told
+
+
+@when('the first of 2 requests fails at its first runner')
+def first_fails(context):
+    async def play():
+        gateway = context.gateway = _Gateway1(context.runners)
+        first = await gateway.ask(1)
+        await gateway.ask(1, tried={first})
+        await gateway.ask(2)
+
+    _play(play)
+
+
+@then('its second try goes to the other runner')
+def to_the_other(context):
+    (_, _, first), (_, _, second), _ = context.gateway.told
+    assert {first, second} == {r.instance_id for r in context.runners}
+
+
+@then('the second request waits for {wait_s:g} s')
+def second_waits(context, wait_s):
+    assert context.gateway.told[2][:2] == (2, wait_s), context.gateway.told
+
+
+@when('2 requests come, and the sends are such that each {what}')
+def taken_back(context, what):
+    async def play():
+        gateway = context.gateway = _Gateway1(context.runners)
+        for _ in range(2):
+            picked = await gateway.picker.pick(gateway.exchange())
+            send = gateway.known.began(picked.backend, trio.current_time())
+            if what != 'never left':
+                send.leaves(trio.current_time())
+            send.take_back()
+        await gateway.ask(3)
+
+    _play(play)
+
+
+@then('another request finds a runner at once')
+def finds_at_once(context):
+    ((_, took_s, became),) = context.gateway.told
+    assert took_s == 0 and isinstance(became, str), context.gateway.told
+
+
+@when('a request comes')
+def one_comes(context):
+    async def play():
+        started_s = trio.current_time() - context.started_ago_s
+        context.gateway = _Gateway1(context.runners, started_s)
+        await context.gateway.ask(1)
+
+    _play(play)
+
+
+@then('it is sent {after_s:g} s later')
+def sent_later(context, after_s):
+    ((_, took_s, became),) = context.gateway.told
+    assert took_s == after_s and isinstance(became, str), took_s
+
+
+@when('a request comes, and another one {later_s:g} s later')
+def two_come(context, later_s):
+    async def play():
+        context.gateway = _Gateway1(context.runners)
+        await context.gateway.ask(1)
+        await trio.sleep(later_s)
+        await context.gateway.ask(2)
+
+    _play(play)
+
+
+@then(
+    'the first waits for a runner,'
+    ' and the other is refused at once with {code:d}'
+)
+def hopeless(context, code):
+    (_, first_s, _), (_, second_s, problem) = context.gateway.told
+    assert first_s > 1 and second_s == 0, context.gateway.told
+    assert problem.code == code, problem
+
+
+@when('40 requests come, each 2 s after the other')
+def forty_come(context):
+    async def play():
+        gateway = context.gateway = _Gateway1(context.runners)
+        for number in range(40):
+            await trio.sleep(2)
+            for runner in context.runners:
+                load = messages.RunnerLoad(
+                    runner.instance_id, 1, 0, 100, 1, True
+                )
+                gateway.known.report(load, trio.current_time())
+            await gateway.ask(number)
+            for backend in gateway.known.by_id.values():
+                backend.own = 0
+
+    _play(play)
+
+
+@then('all go to the second')
+def all_second(context):
+    went = {became for _, _, became in context.gateway.told}
+    assert went == {context.runners[1].instance_id}, went
--- a/features/warmup.feature
+++ b/features/warmup.feature
@@ -17,8 +17,8 @@
 
     Examples:
       | per_s | which | n |
-      | 0     | more  | 3 |
-      | 14    | less  | 4 |
+      | 0     | more  | 5 |
+      | 14    | less  | 5 |
 
   Scenario Outline: The bound holds whatever gateways know: <fault>
     Given a cold runner bears 14 requests a second, 1.5 times that and 5 more
@@ -37,3 +37,59 @@
       | 66       | all but the second at once           | 13   |
       | 7        | all but the second at once           | 10   |
       | 3        | all but the second at once           | 10   |
+
+  Scenario Outline: Each runner of <runners> has owners in its hall and elsewhere
+    Given a cold runner bears 14 requests a second, 1.5 times that and 5 more
+    When <gateways> gateways in <halls> halls share <runners> runners
+    Then each runner has one first owner, in its hall
+    And it has owners in other halls, and its parts add up to 13 at most
+    And each gateway owns <least> runners at least
+
+    Examples:
+      | gateways | halls | runners | least |
+      | 1        | 1     | 3       | 3     |
+      | 3        | 3     | 3       | 3     |
+      | 39       | 3     | 72      | 10    |
+      | 66       | 3     | 63      | 3     |
+      | 103      | 5     | 192     | 10    |
+      | 390      | 4     | 192     | 0     |
+
+  Scenario: What waits goes out by urgency, then in order of arrival
+    Given a gateway that may send 1 request in a window to each of 2 runners
+    When requests of priorities 1 1 1 0 1 0 come at one moment
+    Then 1 2 4 6 are sent in this order, the last two 1.05 s later
+    And 5 3 are refused within 0.1 s with 1212, to come back after 2.1 s
+
+  Scenario: A second try is counted, and waits for another runner
+    Given a gateway that may send 1 request in a window to each of 2 runners
+    When the first of 2 requests fails at its first runner
+    Then its second try goes to the other runner
+    And the second request waits for 1.05 s
+
+  Scenario Outline: A send that <what> takes no place
+    Given a gateway that may send 1 request in a window to each of 2 runners
+    When 2 requests come, and the sends are such that each <what>
+    Then another request finds a runner at once
+
+    Examples:
+      | what                               |
+      | is answered that another was meant |
+      | never left                         |
+
+  Scenario: A gateway that has just started sends nothing in its first second
+    Given a gateway that may send 1 request in a window to each of 2 runners
+    And it has started 0.25 s ago
+    When a request comes
+    Then it is sent 0.8 s later
+
+  Scenario: A gateway all of whose runners have other owners says so
+    Given a gateway that may send 1 request in a window to each of 2 runners
+    And other gateways own both
+    When a request comes, and another one 5 s later
+    Then the first waits for a runner, and the other is refused at once with 1212
+
+  Scenario: A cold runner gets less than a warm one
+    Given a gateway that may send 1 request in a window to each of 2 runners
+    And the first of them is cold, and both have 1 of 5 slots taken
+    When 40 requests come, each 2 s after the other
+    Then all go to the second
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -17,7 +17,6 @@
 
 from mountridge import application, errors, utils
 from mountridge.documents import routes
-from mountridge.logs import logger
 from mountridge.routing import backends, closures, lines, routedexchanges
 from mountridge.routing import warmup
 
@@ -111,11 +110,14 @@
         if picked is not None:
             self._unowned_s.pop(exchange.service, None)
             return picked
-        until_s = now_s + max(0.0, self._longest_wait_s(exchange, now_s))
         self._app.metrics.incr('cold.waited')
         if exchange.tried:
+            # A stream that has begun is past that, and worth a pause.
+            left_s = exchange.until_s - now_s
+            until_s = now_s + min(warmup.WINDOW_S, RUNNER_WAIT_PART * left_s)
             return await self._wait_for_turn(exchange, None, until_s)
         place = line.join(_priority(exchange))
+        until_s = now_s + max(0.0, self._longest_wait_s(exchange, now_s))
         try:
             return await self._wait_for_turn(exchange, place, until_s)
         finally:
@@ -176,12 +178,6 @@
     def _too_cold(
         self, exchange: Exchange, ahead: int, turn_in_s: float
     ) -> errors.RunnersCold:
-        logger.info(
-            'turn too late',
-            service=exchange.service,
-            ahead=ahead,
-            turn_in_ms=routedexchanges.ms(turn_in_s),
-        )
         return errors.RunnersCold(
             f'{ahead} wait, the next turn is in {turn_in_s:.1f} s',
             retry_after_s=utils.spread(turn_in_s, self._rng),
--- a/mountridge/routing/warmup.py
+++ b/mountridge/routing/warmup.py
@@ -18,7 +18,7 @@
 from mountridge.documents import instances
 from mountridge.net import lasthop
 
-__all__ = ['NEVER', 'Parts', 'Send', 'Warmup', 'parts']
+__all__ = ['NEVER', 'Parts', 'Send', 'WINDOW_S', 'Warmup', 'parts']
 
 #: Sends are bounded in each second. A little longer, since the bytes of two
 #: sends may leave a busy box that much closer together than they were written.
