--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -24,6 +24,8 @@
 SPAN_S, DEADLINE_S, MOST_TRIES = 4.0, 8.0, 5
 #: Callers that have waited through the loss: 134 a second for 2 s and more.
 WAITED = 300
+#: Random schedules that are played for each fault.
+SEEDS = 6
 
 
 def most_in_a_second(times_s):
@@ -247,3 +249,475 @@
 def check_refused(context, most):
     world = context.world
     assert world.codes.total() * 100 <= most * world.asked, world.codes
+
+
+# Random schedules.
+
+#: How often each gateway tries to send to each runner: far more than it may.
+TRY_S, LAG_S, LEASE_S = 0.04, 3.0, 3.0
+
+
+class _Gateway:
+    """One gateway, the view that it has and what it may send."""
+
+    def __init__(self, name, hall):
+        self.name, self.hall = name, hall
+        self.up_s = 0.0
+        self.is_cut = False
+        self.own = None
+
+
+class _Schedule:
+    """Gateways that send all they may while their views differ."""
+
+    def __init__(self, seed, gateways, halls, bears):
+        self.rng = random.Random(seed)
+        self.bears = bears
+        self.runners = [
+            instances.Instance(
+                f'i-{n}', 's', f'10.0.0.{n}:1', f'h{n % halls}', 'v', SLOTS,
+                instances.READY,
+            )
+            for n in range(6)
+        ]  # fmt: skip
+        self.gateways = []
+        #: (since when, the view): what the leader holds.
+        first = {f'g-{n}': f'h{n % halls}' for n in range(gateways)}
+        self.views = [(float('-inf'), first)]
+        for number in range(gateways):
+            self.add(number, halls, 0.0)
+        self.arrived_s = collections.defaultdict(list)
+
+    def add(self, number, halls, now_s):
+        gateway = _Gateway(f'g-{number}', f'h{number % halls}')
+        self.gateways.append(gateway)
+        self.start(gateway, now_s)
+
+    def start(self, gateway, now_s):
+        """Start a gateway: it knows nothing of a former life."""
+        per_s, over, slack = self.bears
+        gateway.up_s, gateway.is_cut = now_s, False
+        began_s = now_s if now_s else float('-inf')
+        gateway.own = warmup.Warmup(
+            gateway.name, gateway.hall, over, slack, began_s
+        )
+        gateway.own.follow_services({'s': per_s})
+        self.register(gateway, now_s)
+        gateway.own.follow_gateways(self.views[-1][1], now_s)
+
+    def register(self, gateway, now_s):
+        view = {**self.views[-1][1], gateway.name: gateway.hall}
+        if view != self.views[-1][1]:
+            self.views.append((now_s, view))
+
+    def expel(self, now_s):
+        """Let the leader forget those that are cut off or down for long."""
+        view = dict(self.views[-1][1])
+        for gateway in self.gateways:
+            is_away = gateway.is_cut or gateway.up_s > now_s
+            if is_away and now_s - gateway.away_s > LEASE_S:
+                view.pop(gateway.name, None)
+        if view != self.views[-1][1]:
+            self.views.append((now_s, view))
+
+    def down(self, gateway, now_s, span_s):
+        gateway.away_s, gateway.up_s = now_s, now_s + span_s
+
+    def cut(self, gateway, now_s):
+        gateway.away_s, gateway.is_cut = now_s, True
+
+    def heal(self, gateway, now_s):
+        gateway.is_cut = False
+        self.register(gateway, now_s)
+
+    def play(self, faults, span_s):
+        """Play ``faults``: times and what is done then."""
+        now_s, faults = 0.0, sorted(faults, key=lambda each: each[0])
+        while now_s < span_s:
+            now_s += TRY_S
+            while faults and faults[0][0] <= now_s:
+                faults.pop(0)[1](now_s)
+            self.expel(now_s)
+            for gateway in self.gateways:
+                if gateway.up_s > now_s:
+                    continue
+                if gateway.own is None:
+                    self.start(gateway, now_s)
+                if not gateway.is_cut and self.rng.random() < TRY_S:
+                    lag_s = self.rng.uniform(0, LAG_S)
+                    seen = [v for at, v in self.views if at <= now_s - lag_s]
+                    gateway.own.follow_gateways(seen[-1], now_s)
+                self.send(gateway, now_s)
+
+    def send(self, gateway, now_s):
+        at_s = now_s + self.rng.uniform(0, TRY_S)
+        for runner in self.runners:
+            gateway.own.deal(at_s)
+            if not gateway.own.part(runner, at_s):
+                continue
+            if gateway.own.is_free(runner, at_s):
+                send = gateway.own.send(runner, at_s)
+                late_s = at_s + self.rng.choice([0.0, 0.001, 0.3])
+                send.leaves(late_s)
+                self.arrived_s[runner.instance_id].append(late_s)
+
+    def most(self):
+        return max(
+            most_in_a_second(sorted(times))
+            for times in self.arrived_s.values()
+        )
+
+
+def _restarts(world, rng):
+    """Kill gateways at random moments; each starts again soon."""
+    for _ in range(60):
+        gateway = rng.choice(world.gateways)
+        yield rng.uniform(1, 11), _killed(world, gateway, rng.uniform(0.1, 1))
+
+
+def _killed(world, gateway, span_s):
+    def kill(now_s):
+        world.down(gateway, now_s, span_s)
+        gateway.own = None
+
+    return kill
+
+
+def _herd(world, rng):
+    """Kill all at one moment, twice."""
+    for at_s in (3.0, 6.0):
+        for gateway in world.gateways:
+            yield at_s, _killed(world, gateway, rng.uniform(0.1, 0.6))
+
+
+def _hall(world, rng):
+    """Lose a hall for longer than a lease, and have it back."""
+    for gateway in world.gateways:
+        if gateway.hall == 'h0':
+            yield 2.0, _killed(world, gateway, rng.uniform(4.0, 6.0))
+
+
+def _cuts(world, rng):
+    """Cut gateways off for a time, each from its own moment."""
+    for gateway in rng.sample(world.gateways, len(world.gateways) // 2):
+        at_s = rng.uniform(1, 4)
+        yield at_s, lambda now_s, g=gateway: world.cut(g, now_s)
+        heal_s = at_s + rng.uniform(1, 6)
+        yield heal_s, lambda now_s, g=gateway: world.heal(g, now_s)
+
+
+def _joins(world, rng):
+    """Let new gateways come, under names that were never seen."""
+    for number in range(6):
+        yield rng.uniform(1, 11), lambda now_s, n=number: world.add(
+            1000 + n, 3, now_s
+        )
+
+
+def _all(world, rng):
+    for fault in (_restarts, _hall, _cuts, _joins):
+        yield from fault(world, rng)
+
+
+FAULTS = {
+    'gateways are killed and start again': _restarts,
+    'all are killed at one moment, twice': _herd,
+    'a hall is lost and comes back': _hall,
+    'half are cut off for a time': _cuts,
+    'new gateways join': _joins,
+    'all but the second at once': _all,
+}
+
+
+@when('{gateways:d} gateways send all that they may while {fault}')
+def random_schedules(context, gateways, fault):
+    context.found = []
+    for seed in range(SEEDS):
+        world = _Schedule(seed, gateways, 3, context.bears)
+        faults = list(FAULTS[fault](world, random.Random(seed)))
+        world.play(faults, 12.0)
+        context.found.append(world.most())
+
+
+@then('no runner gets over {most:d} in any second')
+def check_all(context, most):
+    assert max(context.found) <= most, context.found
+
+
+@then('some get {some:d} or more')
+def check_some(context, some):
+    """The gateways do send all that they may, or nothing would be shown."""
+    assert max(context.found) >= some, context.found
+
+
+# One gateway.
+
+
+def _runner(number, hall='h0', is_cold=False):
+    return instances.Instance(
+        f'i-{number}', 's', f'10.0.0.{number}:1', hall, 'v', SLOTS,
+        instances.READY, 0, is_cold,
+    )  # fmt: skip
+
+
+def _gateways(count, halls):
+    return {f'g-{n}': f'h{n % halls}' for n in range(count)}
+
+
+@when('{gateways:d} gateways in {halls:d} halls share {runners:d} runners')
+def share_runners(context, gateways, halls, runners):
+    per_s, over, slack = context.bears
+    context.parts = {}
+    listed = [_runner(n, f'h{n % halls}') for n in range(runners)]
+    names = _gateways(gateways, halls)
+    for name, hall in names.items():
+        own = warmup.Warmup(name, hall, over, slack)
+        own.follow_services({'s': per_s})
+        own.follow_gateways(names, 0.0)
+        for runner in listed:
+            part = own.part(runner, 0.0)
+            is_first = own.is_first(runner)
+            held = context.parts.setdefault((runner, len(names) > 1), {})
+            if part:
+                held[name, hall] = (part, is_first)
+
+
+@then('each runner has one first owner, in its hall')
+def one_first(context):
+    for (runner, _), held in context.parts.items():
+        halls = [hall for (_, hall), (_, first) in held.items() if first]
+        assert halls == [runner.hall], (runner, held)
+
+
+@then('it has owners in other halls, and its parts add up to {most:d} at most')
+def owners_elsewhere(context, most):
+    for (runner, are_more), held in context.parts.items():
+        away = [hall for _, hall in held if hall != runner.hall]
+        assert away or not are_more, (runner, held)
+        assert sum(part for part, _ in held.values()) <= most, held
+
+
+@then('each gateway owns {least:d} runners at least')
+def owns_some(context, least):
+    owned = collections.Counter(
+        name for held in context.parts.values() for name, _ in held
+    )
+    print(owned)
+    assert min(owned.values()) >= least or not least, owned
+
+
+class _Gateway1:
+    """One of 39 gateways, its picker and the runners that it knows."""
+
+    def __init__(self, runners, started_s=float('-inf')):
+        self.rng = random.Random(5)
+        self.own = warmup.Warmup('g-0', 'h0', 1.5, 5.0, started_s)
+        self.own.follow_services({'s': 14.0})
+        self.own.follow_gateways(_gateways(39, 3), 0.0)
+        self.known = backends.Backends('g-0', self.own)
+        self.known.follow(runners)
+        service = types.SimpleNamespace(engine=None)
+        index = types.SimpleNamespace(services={'s': service})
+        app = types.SimpleNamespace(
+            settings={'hall': 'h0'},
+            now_s=trio.current_time,
+            metrics=metrics.Metrics(None),
+        )
+        self.picker = picking.Picker(
+            app, lambda: index, self.known, lambda: 39, self.rng
+        )
+        #: What became of requests, by number, in order: (number, after how
+        #: long, the runner or the refusal).
+        self.told = []
+
+    def exchange(self, priority=1, tried=()):
+        now_s = trio.current_time()
+        return types.SimpleNamespace(
+            service='s', tried=set(tried), begun_s=now_s, until_s=now_s + 8,
+            team=None, route=types.SimpleNamespace(priority=priority),
+        )  # fmt: skip
+
+    async def ask(self, number, priority=1, tried=()):
+        exchange = self.exchange(priority, tried)
+        became = None
+        try:
+            picked = await self.picker.pick(exchange)
+            now_s = trio.current_time()
+            self.known.began(picked.backend, now_s).leaves(now_s)
+            became = picked.backend.instance.instance_id
+        except errors.MountridgeError as problem:
+            became = problem
+        took_s = trio.current_time() - exchange.begun_s
+        self.told.append((number, round(took_s, 3), became))
+        return became
+
+
+def _play(play):
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _with_part(part, count):
+    """Return runners of which the gateway has such a part."""
+    own = warmup.Warmup('g-0', 'h0', 1.5, 5.0)
+    own.follow_services({'s': 14.0})
+    own.follow_gateways(_gateways(39, 3), 0.0)
+    runners = [_runner(number) for number in range(200)]
+    return [r for r in runners if own.part(r, 0.0) == part][:count]
+
+
+@given('a gateway that may send 1 request in a window to each of 2 runners')
+def make_gateway(context):
+    context.runners = _with_part(1, 2)
+    context.started_ago_s = None
+
+
+@given('it has started {ago_s:g} s ago')
+def started(context, ago_s):
+    context.started_ago_s = ago_s
+
+
+@given('other gateways own both')
+def other_owners(context):
+    context.runners = _with_part(0, 2)
+
+
+@given('the first of them is cold, and both have 1 of 5 slots taken')
+def first_cold(context):
+    first, second = context.runners
+    context.runners = [first._replace(is_cold=True), second]
+
+
+@when('requests of priorities {priorities} come at one moment')
+def come_at_once(context, priorities):
+    async def play():
+        context.gateway = _Gateway1(context.runners)
+        async with trio.open_nursery() as nursery:
+            for number, priority in enumerate(priorities.split(), 1):
+                nursery.start_soon(context.gateway.ask, number, int(priority))
+                await trio.sleep(0.0001)
+
+    _play(play)
+
+
+@then('{numbers} are sent in this order, the last two {after_s:g} s later')
+def sent_in_order(context, numbers, after_s):
+    told = [each for each in context.gateway.told if isinstance(each[2], str)]
+    assert [str(each[0]) for each in told] == numbers.split(), told
+    assert [round(each[1], 2) for each in told] == [0, 0, after_s, after_s]
+
+
+@then(
+    '{numbers} are refused within {span_s:g} s with {code:d},'
+    ' to come back after {after_s:g} s'
+)
+def refused_soon(context, numbers, span_s, code, after_s):
+    told = [x for x in context.gateway.told if not isinstance(x[2], str)]
+    assert [str(each[0]) for each in told] == numbers.split(), told
+    for _, took_s, problem in told:
+        assert took_s <= span_s and problem.code == code, told
+        back_s = took_s + problem.retry_after_s
+        assert after_s - 0.01 <= back_s <= after_s * 1.5, told
+
+
+@when('the first of 2 requests fails at its first runner')
+def first_fails(context):
+    async def play():
+        gateway = context.gateway = _Gateway1(context.runners)
+        first = await gateway.ask(1)
+        await gateway.ask(1, tried={first})
+        await gateway.ask(2)
+
+    _play(play)
+
+
+@then('its second try goes to the other runner')
+def to_the_other(context):
+    (_, _, first), (_, _, second), _ = context.gateway.told
+    assert {first, second} == {r.instance_id for r in context.runners}
+
+
+@then('the second request waits for {wait_s:g} s')
+def second_waits(context, wait_s):
+    assert context.gateway.told[2][:2] == (2, wait_s), context.gateway.told
+
+
+@when('2 requests come, and the sends are such that each {what}')
+def taken_back(context, what):
+    async def play():
+        gateway = context.gateway = _Gateway1(context.runners)
+        for _ in range(2):
+            picked = await gateway.picker.pick(gateway.exchange())
+            send = gateway.known.began(picked.backend, trio.current_time())
+            if what != 'never left':
+                send.leaves(trio.current_time())
+            send.take_back()
+        await gateway.ask(3)
+
+    _play(play)
+
+
+@then('another request finds a runner at once')
+def finds_at_once(context):
+    ((_, took_s, became),) = context.gateway.told
+    assert took_s == 0 and isinstance(became, str), context.gateway.told
+
+
+@when('a request comes')
+def one_comes(context):
+    async def play():
+        started_s = trio.current_time() - context.started_ago_s
+        context.gateway = _Gateway1(context.runners, started_s)
+        await context.gateway.ask(1)
+
+    _play(play)
+
+
+@then('it is sent {after_s:g} s later')
+def sent_later(context, after_s):
+    ((_, took_s, became),) = context.gateway.told
+    assert took_s == after_s and isinstance(became, str), took_s
+
+
+@when('a request comes, and another one {later_s:g} s later')
+def two_come(context, later_s):
+    async def play():
+        context.gateway = _Gateway1(context.runners)
+        await context.gateway.ask(1)
+        await trio.sleep(later_s)
+        await context.gateway.ask(2)
+
+    _play(play)
+
+
+@then(
+    'the first waits for a runner,'
+    ' and the other is refused at once with {code:d}'
+)
+def hopeless(context, code):
+    (_, first_s, _), (_, second_s, problem) = context.gateway.told
+    assert first_s > 1 and second_s == 0, context.gateway.told
+    assert problem.code == code, problem
+
+
+@when('40 requests come, each 2 s after the other')
+def forty_come(context):
+    async def play():
+        gateway = context.gateway = _Gateway1(context.runners)
+        for number in range(40):
+            await trio.sleep(2)
+            for runner in context.runners:
+                load = messages.RunnerLoad(
+                    runner.instance_id, 1, 0, 100, 1, True
+                )
+                gateway.known.report(load, trio.current_time())
+            await gateway.ask(number)
+            for backend in gateway.known.by_id.values():
+                backend.own = 0
+
+    _play(play)
+
+
+@then('all go to the second')
+def all_second(context):
+    went = {became for _, _, became in context.gateway.told}
+    assert went == {context.runners[1].instance_id}, went
--- a/mountridge/routing/warmup.py
+++ b/mountridge/routing/warmup.py
@@ -18,7 +18,7 @@
 from mountridge.documents import instances
 from mountridge.net import lasthop
 
-__all__ = ['NEVER', 'Parts', 'Send', 'Warmup', 'parts']
+__all__ = ['NEVER', 'Parts', 'Send', 'WINDOW_S', 'Warmup', 'parts']
 
 #: Sends are bounded in each second. A little longer, since the bytes of two
 #: sends may leave a busy box that much closer together than they were written.
@@ -30,6 +30,11 @@
 #: back under their name within it; while all gateways count the same names
 #: they choose the same owners.
 KEPT_S = 30.0
+#: For so long after its start a gateway sends one request at most to a runner
+#: in a window. The view that it begins with may lack gateways that start with
+#: it, after the loss of a hall all but itself; by then it has theirs: a lease
+#: runs out after 3 s, and the view comes up to 2 s later.
+SETTLED_S = 5.0
 #: The owner that fills a runner first has one in this many of the half of the
 #: bound. It knows its own requests there without a report.
 FIRST_PART = 4
@@ -99,6 +104,7 @@
         #: What a former life of this process sent in its last second counts
         #: too, and is not known.
         self._quiet_until_s = started_s + WINDOW_S
+        self._settled_s = started_s + SETTLED_S
         #: Halls of all gateways that may be owners, by name.
         self._halls = {name: hall}
         #: When those of them that the view no longer has are forgotten.
@@ -108,6 +114,7 @@
         #: Sends in a window, by id of a runner; 0 for those of other owners.
         self._parts: dict[str, int] = {}
         self._first: set[str] = set()
+        self._deal = 1
         self._sends: dict[str, collections.deque[Send]] = {}
         self._cleared_s = float('-inf')
 
@@ -147,6 +154,7 @@
         self._deal_anew()
 
     def _deal_anew(self) -> None:
+        self._deal += 1
         self._parts.clear()
         self._first.clear()
 
@@ -156,15 +164,22 @@
         """Return whether the runners of a service can turn cold."""
         return service in self._bounds
 
-    def part(self, runner: instances.Instance, now_s: float) -> int:
-        """Return how many requests it may get from here in a window."""
+    def deal(self, now_s: float) -> int:
+        """Return a number that is another one once parts are others."""
         if now_s >= self._next_forget_s:
             self._forget(now_s)
+        return self._deal
+
+    def part(self, runner: instances.Instance, now_s: float) -> int:
+        """Return how many requests it may get from here in a window.
+
+        0 where it has other owners, by the last `deal`.
+        """
         found = self._parts.get(runner.instance_id)
         if found is None:
             found = self._find_part(runner)
             self._parts[runner.instance_id] = found
-        return found
+        return found if now_s >= self._settled_s else min(1, found)
 
     def is_first(self, runner: instances.Instance) -> bool:
         """Return whether this gateway is its first owner.
@@ -196,18 +211,15 @@
 
     # What was sent.
 
-    def free_s(self, runner: instances.Instance, now_s: float) -> float:
-        """Return from when on it may get one more request from here.
-
-        `NEVER` where it has other owners.
-        """
+    def is_free(self, runner: instances.Instance, now_s: float) -> bool:
+        """Return whether an owned runner may get one more request now."""
+        if now_s < self._quiet_until_s:
+            return False
+        if runner.instance_id not in self._sends:
+            return True
         most = self.part(runner, now_s)
-        if not most:
-            return NEVER
         last_s = self._last_s(runner, most)
-        if len(last_s) < most:
-            return self._quiet_until_s
-        return max(self._quiet_until_s, last_s[0] + WINDOW_S)
+        return len(last_s) < most or last_s[0] + WINDOW_S <= now_s
 
     def _last_s(self, runner: instances.Instance, most: int) -> list[float]:
         """Return the times of the last ``most`` sends to it, in order."""
