--- a/features/halls.feature
+++ b/features/halls.feature
@@ -118,6 +118,18 @@
     When the settings name south, and after they are read again west too
     Then an order for west is taken
 
+  Scenario Outline: Operators run mountridge halls <command>
+    Given an entry's orders for halls
+    When an operator runs mountridge halls <command>
+    Then it ends with <code> and tells <text>
+
+    Examples:
+      | command       | code | text                                   |
+      | list          | 0    | south in service 7                     |
+      | drain south   | 0    | hall south, state out, revision 8      |
+      | restore south | 0    | hall south, state in service, revision 7 |
+      | drain west/   | 1    | error 1100                             |
+
   Scenario Outline: The return of a hall is a ramp, with <per_s> requests a second
     Given 39 gateways in 3 halls and 72 runners of 5 slots
     And reports come each 0.2 s and are told each 0.0975 s
--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -8,13 +8,14 @@
 import types
 
 from behave import given, then, when
+from click import testing
 import msgspec
 import trio
 import trio.testing
 
 from features.worlds import system as system_world
 from mountridge.documents import halls, instances, routes
-from mountridge import errors, messages, metrics
+from mountridge import clihalls, errors, messages, metrics
 from mountridge.net import dialects, httpserver
 from mountridge.routing import entryapi, hallorders
 from mountridge.state import commands, statemachine
@@ -586,12 +587,6 @@
 @when('it reads an order whose caller has left')
 def caller_left(context):
     async def main():
-        async def set_hall(name, is_out):
-            return await context.orders.set(name, is_out)
-
-        entry = types.SimpleNamespace(set_hall=set_hall)
-        made = entryapi.handlers(entry, entryapi.NATIVE)
-        server = httpserver.Server(made.control, routes.Limits, lambda: False)
         near, far = trio.testing.memory_stream_pair()
         await near.send_all(
             b'POST /v1/halls/south/drain HTTP/1.1\r\nHost: a\r\n'
@@ -599,7 +594,7 @@
         )
         await near.aclose()
         # As a box that stood still: both are there when it reads.
-        await server.serve_connection(far)
+        await _control(context).serve_connection(far)
 
     trio.run(main)
 
@@ -610,6 +605,39 @@
     assert messages.SetHall not in sent, sent
 
 
+def _control(context):
+    """Return a server that answers control calls by the entry's part."""
+    entry = types.SimpleNamespace(
+        set_hall=context.orders.set, read_halls=context.orders.read
+    )
+    made = entryapi.handlers(entry, entryapi.NATIVE)
+    return httpserver.Server(made.control, routes.Limits, lambda: False)
+
+
+@when('an operator runs mountridge halls {command}')
+def run_command(context, command):
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        address = '%s:%d' % listener.socket.getsockname()
+        args = [*command.split(), '--entry', address]
+        serve = _control(context).serve_connection
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, [listener])
+            context.shown = await trio.to_thread.run_sync(
+                testing.CliRunner().invoke, clihalls.group, args
+            )
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then('it ends with {code:d} and tells {text}')
+def check_command(context, code, text):
+    shown = context.shown
+    assert shown.exit_code == code, shown.output
+    assert text in ' '.join(shown.output.split()), shown.output
+
+
 # The replicated state.
 
 
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -13,7 +13,8 @@
 import trio
 import yaml
 
-from mountridge import application, cliroutes, clitools, errors, logs, messages
+from mountridge import application, clihalls, cliroutes, clitools, errors
+from mountridge import logs, messages
 from mountridge.consensus import entries, storage
 from mountridge.documents import sheets, tables
 from mountridge.net import keys
@@ -524,3 +525,4 @@
 
 
 main.add_command(cliroutes.group)
+main.add_command(clihalls.group)
