--- a/features/halls.feature
+++ b/features/halls.feature
@@ -147,3 +147,8 @@
     When a hall is taken out, put back, and its runners are held
     Then its runners are cold until they say otherwise, also after a snapshot
     And a snapshot from before there were halls is read as none out
+
+  Scenario: A controller that was deposed tells nothing of halls
+    Given a replicated state
+    When one that no quorum confirms as the leader is asked for its halls
+    Then it tells none
--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -14,8 +14,10 @@
 import trio.testing
 
 from features.worlds import system as system_world
+from mountridge import clihalls
+from mountridge.control import halloffice
 from mountridge.documents import halls, instances, routes
-from mountridge import clihalls, errors, messages, metrics
+from mountridge import errors, messages, metrics
 from mountridge.net import dialects, httpserver
 from mountridge.routing import entryapi, hallorders
 from mountridge.state import commands, statemachine
@@ -651,7 +653,13 @@
         )
         machine.apply(number + 1, commands.SetInstance(runner, 1.0))
     machine.apply(4, commands.SetHall('south', True, 0, 2.0))
-    machine.apply(5, commands.SetHall('south', False, 4, 3.0))
+    back = machine.apply(5, commands.SetHall('south', False, 4, 3.0))
+    # A copy of the same order, and one of an older.
+    copy = commands.SetHall('south', False, 4, 9.0)
+    assert machine.apply(6, copy) == back
+    with contextlib.suppress(errors.HallChanged):
+        machine.apply(7, commands.SetHall('south', True, 0, 9.0))
+        raise AssertionError('an order on an older revision was taken')
 
 
 @then('its runners are cold until they say otherwise, also after a snapshot')
@@ -665,7 +673,7 @@
             'south', False, 5, 3.0
         )
     warm = restored.instances['i-1']._replace(is_cold=False)
-    restored.apply(6, commands.SetInstance(warm, 4.0))
+    restored.apply(8, commands.SetInstance(warm, 4.0))
     assert not restored.instances['i-1'].is_cold
 
 
@@ -676,6 +684,34 @@
     assert restored.halls == {}
 
 
+class _NoQuorum:
+    """A replica that thinks it leads, and is told by no quorum."""
+
+    def check_leader(self):
+        pass
+
+    async def confirm(self):
+        raise errors.NotLeader()
+
+
+@when('one that no quorum confirms as the leader is asked for its halls')
+def ask_deposed(context):
+    async def main():
+        office = halloffice.HallOffice(
+            None, context.machine, _NoQuorum(), lambda: None
+        )
+        context.reply = None
+        with contextlib.suppress(errors.NotLeader):
+            context.reply = await office.on_read(None, messages.ReadHalls())
+
+    trio.run(main)
+
+
+@then('it tells none')
+def check_none_told(context):
+    assert context.reply is None, context.reply
+
+
 # The return of a hall.
 
 
--- a/mountridge/control/halls.py
+++ b/mountridge/control/halloffice.py
@@ -14,10 +14,10 @@
 from mountridge.logs import logger
 from mountridge.state import commands, statemachine
 
-__all__ = ['Halls']
+__all__ = ['HallOffice']
 
 
-class Halls:
+class HallOffice:
     """Answers `ReadHalls` and `SetHall` while this controller leads."""
 
     def __init__(
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -13,7 +13,7 @@
 
 from mountridge import application, errors, messages, utils
 from mountridge.consensus import consensus, entries, replicas, storage
-from mountridge.control import changes, halls, registry
+from mountridge.control import changes, halloffice, registry
 from mountridge.groups import groups
 from mountridge.logs import logger
 from mountridge.state import claims, commands, leases, limits, members
@@ -48,7 +48,9 @@
         self.leases = leases.LeaseTable(0.0, 0.0)
         self.apportioner = limits.Apportioner(0.0)
         self.registry = registry.Registry(app, self.machine, self.replica)
-        self.halls = halls.Halls(app, self.machine, self.replica, self.push)
+        self.halls = halloffice.HallOffice(
+            app, self.machine, self.replica, self.push
+        )
         #: What engines allow of expert maps, by runner; set by the entry.
         self.sheet: typing.Callable = lambda instance_id: None
         self.groups = groups.Groups(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -603,6 +603,87 @@
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
         'if False:', 'forwarding',
     ),
+    Mutant(
+        'halls: the last committed order holds', 'statemachine',
+        'if known.revision != command.revision:', 'if False:', 'halls',
+    ),
+    Mutant(
+        'halls: what holds already is not acknowledged', 'statemachine',
+        'if known.is_out == command.is_out:', 'if False:', 'halls',
+        'state of halls',
+    ),
+    Mutant(
+        'halls: runners are warm after a return', 'statemachine',
+        'if not command.is_out:', 'if False:', 'halls', 'state of halls',
+    ),
+    Mutant(
+        'halls: a snapshot loses them', 'statemachine',
+        'self.view.under(views.HALL_PREFIX)', "self.view.under('-')",
+        'halls', 'state of halls',
+    ),
+    Mutant(
+        'halls: a leader tells what no quorum confirms', 'halloffice',
+        '        await self._replica.confirm()\n', '', 'halls', 'deposed',
+    ),
+    Mutant(
+        'halls: an order of any age is sent', 'hallorders',
+        '''            if self.app.now_s() - read_s >= FRESH_S:
+                raise errors.NoController''',
+        '''            if False:
+                raise errors.NoController''',
+        'halls', 'stands still',
+    ),
+    Mutant(
+        'halls: an order that met another is given up', 'hallorders',
+        '                continue\n', '                raise\n',
+        'halls', 'decided anew',
+    ),
+    Mutant(
+        'halls: the caller is not watched', 'httpserver',
+        'if not data:\n            scope.cancel()',
+        'if not data:\n            pass', 'halls', 'caller has left',
+    ),
+    Mutant(
+        'halls: settings that are read again change none', 'hallorders',
+        "        self._halls = settings['halls']", '        pass',
+        'halls', 'read again',
+    ),
+    Mutant(
+        'halls: any name is taken', 'hallorders',
+        'if known and name not in known:', 'if False:',
+        'halls', 'name of a hall',
+    ),
+    Mutant(
+        'halls: gateways send there', 'backends',
+        'if backend.instance.hall not in self.halls_out', 'if True',
+        'halls', 'Two halls',
+    ),
+    Mutant(
+        'halls: requests wait where all are out', 'picking',
+        '''if self.known.is_all_out(exchange.service):
+            return False''',
+        '''if False:
+            return False''',
+        'halls', 'All halls',
+    ),
+    Mutant(
+        'halls: the view of halls is not followed', 'entry',
+        '        self._follow_halls()\n        self._follow_routes()',
+        '        self._follow_routes()', 'halls', 'Two halls',
+    ),
+    Mutant(
+        'halls: a return is a wave', 'returns',
+        'return max(0.0, 1.0 - back_s / RAMP_S)', 'return 0.0',
+        'halls', 'is a ramp',
+    ),
+    Mutant(
+        'halls: the own part knows no ramp', 'backends',
+        'best = self._of_own_part(sound, occupancy, rng)',
+        '''best = self._of_own_part(
+            sound, lambda b: b.occupancy(self.rest_s, now_s), rng
+        )''',
+        'halls', 'is a ramp',
+    ),
 )  # fmt: skip
 
 
