--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -2,16 +2,20 @@
 
 """Steps on halls out of service: orders under faults, and who obeys them."""
 
+import collections
 import contextlib
 import json
 import types
 
 from behave import given, then, when
+from click import testing
 import msgspec
 import trio
 import trio.testing
 
 from features.worlds import system as system_world
+from mountridge import clihalls
+from mountridge.control import halloffice
 from mountridge.documents import halls, instances, routes
 from mountridge import errors, messages, metrics
 from mountridge.net import dialects, httpserver
@@ -585,12 +589,6 @@
 @when('it reads an order whose caller has left')
 def caller_left(context):
     async def main():
-        async def set_hall(name, is_out):
-            return await context.orders.set(name, is_out)
-
-        entry = types.SimpleNamespace(set_hall=set_hall)
-        made = entryapi.handlers(entry, entryapi.NATIVE)
-        server = httpserver.Server(made.control, routes.Limits, lambda: False)
         near, far = trio.testing.memory_stream_pair()
         await near.send_all(
             b'POST /v1/halls/south/drain HTTP/1.1\r\nHost: a\r\n'
@@ -598,7 +596,7 @@
         )
         await near.aclose()
         # As a box that stood still: both are there when it reads.
-        await server.serve_connection(far)
+        await _control(context).serve_connection(far)
 
     trio.run(main)
 
@@ -609,6 +607,39 @@
     assert messages.SetHall not in sent, sent
 
 
+def _control(context):
+    """Return a server that answers control calls by the entry's part."""
+    entry = types.SimpleNamespace(
+        set_hall=context.orders.set, read_halls=context.orders.read
+    )
+    made = entryapi.handlers(entry, entryapi.NATIVE)
+    return httpserver.Server(made.control, routes.Limits, lambda: False)
+
+
+@when('an operator runs mountridge halls {command}')
+def run_command(context, command):
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        address = '%s:%d' % listener.socket.getsockname()
+        args = [*command.split(), '--entry', address]
+        serve = _control(context).serve_connection
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, [listener])
+            context.shown = await trio.to_thread.run_sync(
+                testing.CliRunner().invoke, clihalls.group, args
+            )
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then('it ends with {code:d} and tells {text}')
+def check_command(context, code, text):
+    shown = context.shown
+    assert shown.exit_code == code, shown.output
+    assert text in ' '.join(shown.output.split()), shown.output
+
+
 # The replicated state.
 
 
@@ -622,7 +653,13 @@
         )
         machine.apply(number + 1, commands.SetInstance(runner, 1.0))
     machine.apply(4, commands.SetHall('south', True, 0, 2.0))
-    machine.apply(5, commands.SetHall('south', False, 4, 3.0))
+    back = machine.apply(5, commands.SetHall('south', False, 4, 3.0))
+    # A copy of the same order, and one of an older.
+    copy = commands.SetHall('south', False, 4, 9.0)
+    assert machine.apply(6, copy) == back
+    with contextlib.suppress(errors.HallChanged):
+        machine.apply(7, commands.SetHall('south', True, 0, 9.0))
+        raise AssertionError('an order on an older revision was taken')
 
 
 @then('its runners are cold until they say otherwise, also after a snapshot')
@@ -636,7 +673,7 @@
             'south', False, 5, 3.0
         )
     warm = restored.instances['i-1']._replace(is_cold=False)
-    restored.apply(6, commands.SetInstance(warm, 4.0))
+    restored.apply(8, commands.SetInstance(warm, 4.0))
     assert not restored.instances['i-1'].is_cold
 
 
@@ -645,3 +682,70 @@
     restored = statemachine.StateMachine()
     restored.restore(context.old)
     assert restored.halls == {}
+
+
+class _NoQuorum:
+    """A replica that thinks it leads, and is told by no quorum."""
+
+    def check_leader(self):
+        pass
+
+    async def confirm(self):
+        raise errors.NotLeader()
+
+
+@when('one that no quorum confirms as the leader is asked for its halls')
+def ask_deposed(context):
+    async def main():
+        office = halloffice.HallOffice(
+            None, context.machine, _NoQuorum(), lambda: None
+        )
+        context.reply = None
+        with contextlib.suppress(errors.NotLeader):
+            context.reply = await office.on_read(None, messages.ReadHalls())
+
+    trio.run(main)
+
+
+@then('it tells none')
+def check_none_told(context):
+    assert context.reply is None, context.reply
+
+
+# The return of a hall.
+
+
+@when(
+    'hall "{hall}" is out until {back_s:g} s, with {per_s:d} requests a second'
+    ' that take {took_s:g} s'
+)
+def play_return(context, hall, back_s, per_s, took_s):
+    site = context.site
+    for known in site.known:
+        known.follow_halls({hall}, 0.0)
+    send = site.send
+
+    def obey(number, now_s):
+        if now_s >= back_s:
+            for known in site.known:
+                known.follow_halls(set(), now_s)
+        return send(number, now_s)
+
+    site.send = obey
+    site.play(per_s / len(site.known), back_s + 3, took_s)
+    context.quarters = collections.Counter(
+        int((at_s - back_s) // 0.25)
+        for key, came_s in site.arrivals.items()
+        for at_s in came_s
+        if site.known[0].by_id[key].instance.hall == hall
+    )
+
+
+@then(
+    'its runners get at most {first:d} requests in the first 0.25 s,'
+    ' and {most:d} in each'
+)
+def check_ramp(context, first, most):
+    counts = context.quarters
+    assert min(counts) >= 0, 'sent while it was out'
+    assert counts[0] <= first and max(counts.values()) <= most, counts
