A request that ran out of time at a runner is not called not run

The time ran out while a try was under way, and only ended tries counted as perhaps run. Two rows of the forwarding scenarios failed before.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -28,6 +28,8 @@
       | unsafe    | sends more behind its answer         | 200 and whole     | 1    |
       | unsafe    | tells no length and closes           | 200 and whole     | 1    |
       | unsafe    | cannot be reached                    | 200 and whole     | 1    |
+      | safe      | never answers                        | 504 and unknown   | 1    |
+      | unsafe    | never answers                        | 504 and unknown   | 1    |
 
   Scenario: What may have run is not called not run after another refusal
     Given a runner that closes with no answer, and one that says that it has not run it
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -179,7 +179,7 @@
             raise self._out_of_time(exchange)
 
     def _out_of_time(self, exchange: Exchange) -> errors.MountridgeError:
-        if exchange.may_have_run:
+        if exchange.may_have_run or exchange.is_under_way:
             return errors.TimedOut()
         return errors.DeadlinePassed()
 
@@ -207,6 +207,7 @@
         problem: errors.MountridgeError,
     ) -> None:
         now_s = self.app.now_s()
+        exchange.is_under_way = False
         if problem.outcome != errors.NOT_RUN:
             exchange.may_have_run = True
         if not isinstance(problem, NOT_ITS_FAULT):
@@ -252,6 +253,7 @@
         backend = picked.backend
         request = exchange.request
         exchange.tries += 1
+        exchange.is_under_way = True
         exchange.tried.add(backend.instance.instance_id)
         backend.began(self.app.now_s())
         try:
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -43,6 +43,8 @@
         self.misdirected = 0
         #: Whether any try may have run.
         self.may_have_run = False
+        #: Whether a try was sent that has not ended; it may be running.
+        self.is_under_way = False
         self.last_event_id: int | None = None
         self.events_sent = 0
         self.first_data_s: float | None = None
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -603,6 +603,11 @@
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
         'if False:', 'forwarding',
     ),
+    Mutant(
+        'forwarding: what is under way is called not run', 'forwarding',
+        'if exchange.may_have_run or exchange.is_under_way:',
+        'if exchange.may_have_run:', 'forwarding', 'never answers',
+    ),
 )  # fmt: skip
 
 
