--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -65,7 +65,8 @@
     failed = 0
     for kept in yaml.safe_load((HERE / 'seeds.yaml').read_text()):
         click.echo(f'seed {kept["seed"]}: {kept["cause"]}', err=True)
-        failed += not _play(kept['seed'], kept['minutes'])
+        sizes = str(HERE / kept['sizes']) if 'sizes' in kept else ''
+        failed += not _play(kept['seed'], kept['minutes'], sizes)
     sys.exit(1 if failed else 0)
 
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -116,7 +116,7 @@
         if error.get('outcome') == 'not run' or status in PROMISES_NOT_RUN:
             self.promised.add(asked.request_id)
             self._check_not_run(asked.request_id)
-        is_denied = status in DENIALS
+        is_denied = status in DENIALS and asked.kind['kind'] != 'probe'
         self.check('no denials', not is_denied, asked=asked, error=error)
 
     def _check_not_run(self, request_id: str) -> None:
@@ -148,12 +148,14 @@
 
     def _check_out(self, asked: Asked, runner, now_s: float) -> None:
         calm_since_s = now_s - self.sizes['out_s']
+        places = (runner.hall, runner.name)
+        since_s = min(self.out_s.get(place, math.inf) for place in places)
+        if since_s == math.inf:
+            return
         if not self.in_touch(asked.entry, calm_since_s):
             return
         if not self.is_calm([f'link-{runner.name}'], calm_since_s):
             return
-        places = (runner.hall, runner.name)
-        since_s = min(self.out_s.get(place, math.inf) for place in places)
         over_s = calm_since_s - since_s
         rule = 'out of service gets nothing'
         self.check(rule, over_s < 0, places=places, over_s=over_s, asked=asked)
--- a/tools/soak/loads.py
+++ b/tools/soak/loads.py
@@ -3,6 +3,7 @@
 """Callers: ask the directory, keep connections, send, stream, leave early."""
 
 import json
+import math
 import random
 
 import trio
@@ -63,21 +64,29 @@
         front = await self._choose()
         if not front:
             return
-        now_s = trio.current_time()
-        request_id = f'{kind["name"]}-{self.rng.getrandbits(64):016x}'
-        number = int(front.partition(':')[0].rpartition('.')[2]) - 1
-        asked = checks.Asked(request_id, kind, f'entry-{number}', now_s)
-        self.watch.asked[request_id] = asked
-        self.asked += 1
-        patience_s = kind['deadline_ms'] / 1000 + PATIENCE_S
-        if self.rng.random() < self.made.sizes['leave_part']:
-            patience_s = LEAVES_S * self.rng.random()
-        answer = await self._send(asked, front, now_s + patience_s)
+        leaves = self.rng.random() < self.made.sizes['leave_part']
+        patience_s = LEAVES_S * self.rng.random() if leaves else math.inf
+        answer = await self.ask(kind, front, patience_s)
         is_last = answer.headers.get(b'connection') == b'close'
         if self.front == front and (is_last or answer.status in (0, 503)):
             self.front, self.known_until_s = '', 0.0
+        self.asked += 1
         self.served += answer.is_whole and answer.status == 200
+
+    async def ask(
+        self, kind: dict, front: str, patience_s: float = math.inf
+    ) -> checks.Answer:
+        """Send one request to an entry, and let its answer be checked."""
+        now_s = trio.current_time()
+        request_id = f'{kind["name"]}-{self.rng.getrandbits(64):016x}'
+        entry = self.made.names[self.made.fronts.index(front)]
+        asked = checks.Asked(request_id, kind, entry, now_s)
+        self.watch.asked[request_id] = asked
+        deadline_s = kind['deadline_ms'] / 1000 + PATIENCE_S
+        until_s = now_s + min(deadline_s, patience_s)
+        answer = await self._send(asked, front, until_s)
         self.watch.answered(asked, answer, trio.current_time())
+        return answer
 
     async def _send(
         self, asked: checks.Asked, front: str, until_s: float
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -3,25 +3,23 @@
 """Operators: change routes, race, send again, take halls out and back."""
 
 import json
-import random
+import typing
 
 import trio
 
-from mountridge.net import dialects
 from standins import engine
-from tools.soak import checks, fleet, schedule
+from tools.soak import checks, loads, schedule
 
 __all__ = ['Operator']
 
-NAMES = dialects.NATIVE.headers
 #: An order without an acknowledgement is sent so often, to other entries.
 MOST_SENDS = 4
-#: A request of a probe is answered by then.
-PROBE_MS = 2500
+#: A request for the route of one version.
+PROBE = {'kind': 'probe', 'deadline_ms': 2500, 'prompt': 0, 'output': 0}
 
 
 def _route(
-    name: str, kind: str = 'safe', service: str = 'plain', ms: float = PROBE_MS
+    name: str, kind: str = 'safe', service: str = 'plain', ms: float = 2500.0
 ) -> list:
     streams = kind == 'streaming'
     place = ['soak.example', f'/{name}/', kind, ms, 500.0, 1]
@@ -53,12 +51,10 @@
 class Operator:
     """Sends orders and reads back what holds."""
 
-    def __init__(
-        self, made: fleet.Fleet, watch: checks.Watch, rng: random.Random, note
-    ):
-        self.made = made
-        self.watch = watch
-        self.rng = rng
+    def __init__(self, caller: loads.Caller, note: typing.Callable):
+        self.made = caller.made
+        self.watch = caller.watch
+        self.caller = caller
         self.note = note
         #: Halls that are out of service, or may be.
         self.out: set[str] = set()
@@ -124,29 +120,16 @@
         Each version is asked for by a request of its own.
         """
         life, newest = self.made.lives[name], self.watch.sent
+        front = self.made.fronts[self.made.names.index(name)]
         for version in range(newest, newest - checks.KEPT_VERSIONS, -1):
-            status = await self._ask_at(name, version)
+            kind = {**PROBE, 'name': f'at-{version}'}
+            status = (await self.caller.ask(kind, front)).status
             if status in (200, 404) and life == self.made.lives[name]:
                 self.watch.probe(name, life, version, status == 200)
             if status == 200:
                 return version
         return 0
 
-    async def _ask_at(self, name: str, version: int) -> int:
-        request_id = f'at-{self.rng.getrandbits(64):016x}'
-        now_s = trio.current_time()
-        kind = {'name': f'at-{version}', 'kind': 'safe'}
-        asked = checks.Asked(request_id, kind, name, now_s)
-        self.watch.asked[request_id] = asked
-        headers = [
-            (b'Host', b'soak.example'),
-            (NAMES.request_id, request_id.encode()),
-            (NAMES.deadline_ms, b'%d' % PROBE_MS),
-        ]
-        front = self.made.fronts[self.made.names.index(name)]
-        path = f'/at-{version}/{request_id}'.encode()
-        return (await self.made.ask(front, path, headers=headers))[0]
-
     async def _turn_hall(self, pick: int) -> None:
         """Take a hall out of service, or put it back if one is out.
 
--- a/tools/soak/report.py
+++ b/tools/soak/report.py
@@ -9,7 +9,6 @@
 import typing
 
 import trio
-import yaml
 
 __all__ = ['Report']
 
@@ -56,6 +55,6 @@
         for name in ('broken', 'checked', 'done'):
             verdict[name] = dict(sorted(getattr(self, name).items()))
         self._events.close()
-        path = self.folder / 'verdict.yaml'
-        path.write_text(yaml.safe_dump(verdict, sort_keys=False))
+        path = self.folder / 'verdict.json'
+        path.write_text(json.dumps(verdict, indent=1))
         return verdict
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -37,7 +37,6 @@
 
     faults: list[Fault]
     orders: list[Order]
-    faults_end_s: float
     end_s: float
 
 
@@ -53,7 +52,7 @@
     ]
     faults += _draw_faults(rng, sizes, first_s, last_s)
     orders = _draw_orders(rng, sizes, last_s)
-    return Plan(faults, orders, last_s, span_s)
+    return Plan(faults, orders, span_s)
 
 
 def _draw_faults(
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -2,12 +2,12 @@
 
 """One run: start, play the plan, look on, judge, end what was started."""
 
+import json
 import pathlib
 import random
 import typing
 
 import trio
-import yaml
 
 from tools.soak import checks, faults, fleet, loads, operators
 from tools.soak import report, runners, schedule
@@ -32,51 +32,39 @@
         self.watch = checks.Watch(made.sizes, self.report)
         self.built = runners.build(made, self.watch, rng)
         self.faults = faults.Faults(made, self.built, self.watch)
-        parts = (made, self.watch)
-        self.operator = operators.Operator(*parts, rng, self.report.note)
+        # One more caller, the first, is the operators'.
         self.callers = [
-            loads.Caller(*parts, random.Random(rng.random()))
-            for _ in range(made.sizes['callers'])
+            loads.Caller(made, self.watch, random.Random(rng.random()))
+            for _ in range(made.sizes['callers'] + 1)
         ]
+        note = self.report.note
+        self.operator = operators.Operator(self.callers[0], note)
 
     async def run(self) -> dict:
         """Play the whole plan and return the verdict."""
         async with trio.open_nursery() as nursery:
             for link in self.faults.links.values():
                 nursery.start_soon(link.run)
-            self._begin_runners(nursery)
+            nursery.start_soon(self.built.ranks.passes)
+            lives = zip(self.built.runners, self.built.handlers)
+            for runner, handler in lives:
+                nursery.start_soon(runner.run, handler, self.made, self.watch)
             with trio.fail_after(START_S):
                 await self.operator.first()
             await trio.sleep(SETTLE_S)
             self.report.begun_s = trio.current_time()
-            self._begin_callers(nursery)
+            kinds = self.made.sizes['kinds']
+            per_s = sum(k['per_s'] for k in kinds) / len(self.callers[1:])
+            for caller in self.callers[1:]:
+                nursery.start_soon(caller.run, kinds, per_s)
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._probe)
             async with trio.open_nursery() as playing:
                 self._play(playing)
             await self._judge()
             nursery.cancel_scope.cancel()
-        group = self.built.group
-        asked, served = self._counts()
-        return self.report.end(
-            {
-                'passes': group.step,
-                'map': group.ranks[0].map_version,
-                'asked': asked,
-                'served': served,
-            }
-        )
-
-    def _begin_runners(self, nursery: trio.Nursery) -> None:
-        nursery.start_soon(self.built.ranks.passes)
-        for runner, handler in zip(self.built.runners, self.built.handlers):
-            nursery.start_soon(runner.run, handler, self.made, self.watch)
-
-    def _begin_callers(self, nursery: trio.Nursery) -> None:
-        kinds = self.made.sizes['kinds']
-        per_s = sum(kind['per_s'] for kind in kinds) / len(self.callers)
-        for caller in self.callers:
-            nursery.start_soon(caller.run, kinds, per_s)
+        counts = dict(zip(('asked', 'served'), self._counts()))
+        return self.report.end({'passes': self.built.group.step, **counts})
 
     def _play(self, nursery: trio.Nursery) -> None:
         async def at(act: typing.Callable, what: typing.Any) -> None:
@@ -84,10 +72,10 @@
             self.report.note('begin', **what._asdict())
             await act(what)
 
-        for fault in self.plan.faults:
-            nursery.start_soon(at, self.faults.carry_out, fault)
-        for order in self.plan.orders:
-            nursery.start_soon(at, self.operator.carry_out, order)
+        for each in self.plan.faults:
+            nursery.start_soon(at, self.faults.carry_out, each)
+        for each in self.plan.orders:
+            nursery.start_soon(at, self.operator.carry_out, each)
 
     async def _judge(self) -> None:
         """Wait until service is good again, measure it, and end."""
@@ -135,10 +123,8 @@
 def play(seed: int, span_s: float, sizes: dict, folder: pathlib.Path) -> dict:
     """Play one run and return its verdict; all it left is in ``folder``."""
     plan = schedule.draw(seed, sizes, span_s)
-    drawn = {'sizes': sizes, 'faults': plan.faults, 'orders': plan.orders}
-    for name in ('faults', 'orders'):
-        drawn[name] = [dict(each._asdict()) for each in drawn[name]]
-    (folder / 'schedule.yaml').write_text(yaml.safe_dump(drawn))
+    told = json.dumps({'sizes': sizes, **plan._asdict()}, indent=1)
+    (folder / 'schedule.json').write_text(told)
     net, lock = fleet.take_net()
 
     async def run() -> dict:
