--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -513,6 +513,7 @@
             backend.instance
             for backend in self._by_service.get(service, [])
             if backend.instance.state == instances.READY
+            and backend.instance.hall not in self.halls_out
             and backend.instance.instance_id not in tried
         ]
         return self.warmup.turn_s(runners, ahead, now_s)
--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -43,6 +43,8 @@
         self.group = group
         self.rng = rng
         self.faults = [Faults() for _ in group.ranks]
+        #: How often each request was begun, by its id.
+        self.runs: dict[bytes, int] = {}
 
     async def passes(self) -> None:
         """Make passes for ever."""
@@ -89,15 +91,24 @@
 
     async def _serve(self, number: int, request, responder) -> None:
         rank = self.group.ranks[number]
-        told = [(NAMES.request_id, request.header(NAMES.request_id) or b'')]
+        request_id = request.header(NAMES.request_id) or b''
+        told = [(NAMES.request_id, request_id)]
         if len(rank.waiting) >= 2 * self.group.sheet.slots:
             told.append((NAMES.not_run, b'1'))
             await httpserver.json_reply(responder, 503, {}, told)
             return
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
         call = dialects.read_call(request, NAMES)
         first = int(call.last_event_id or 0)
         left = call.output_tokens - first * self.group.sheet.stride
         run = engine.Run(call.prompt_tokens, max(1, left), first)
+        # Resumed behind its last event: only the end is left to give.
+        run.done = first > 0 and left <= 0
+        if run.done:
+            kind = (b'Content-Type', b'text/event-stream')
+            await responder.start(200, told + [kind])
+            await responder.finish()
+            return
         rank.waiting.append(run)
         try:
             await self._stream(number, run, responder, told)
@@ -184,19 +195,30 @@
     service: str,
     address: str,
     slots: int,
-    born_ms: typing.Callable[[], int] = lambda: 0,
+    told: typing.Callable[[], dict] = dict,
+    heard: typing.Callable[[dict], None] = lambda body: None,
 ) -> None:
     """Send a runner's heartbeats for ever.
 
-    ``born_ms`` gives its start, 0 for none; with a later one it counts anew.
+    ``told`` gives what it says besides; with a later ``born_ms`` it counts
+    anew. ``heard`` takes each heartbeat that was acknowledged.
     """
-    seq, told_ms = 0, 0
+    seq = born_ms = 0
     while True:
-        seq = 1 if born_ms() > told_ms else seq + 1
-        told_ms = born_ms()
-        body = heartbeat(service, address, seq, slots, told_ms)
+        besides = told()
+        seq = 1 if besides.get('born_ms', 0) > born_ms else seq + 1
+        born_ms = besides.get('born_ms', 0)
+        body = {
+            'service': service,
+            'address': address,
+            'hall': 'north',
+            'seq': seq,
+            'slots': slots,
+            **besides,
+        }
         path = b'/v1/instances/%s/heartbeat' % key.encode()
-        await post(path, body)
+        if await post(path, json.dumps(body).encode()) == 200:
+            heard(body)
         await trio.sleep(1.0)
 
 
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -34,6 +34,9 @@
 #: Addresses of the loopback net that the processes of the lab use.
 HOST = ports.network()
 START_S = 20.0
+#: A control call is answered by then; a change of routes takes up to 3 s.
+ASK_S = 4.0
+CONTROL_HEADERS = [(b'Host', b'control')]
 NAMES = dialects.NATIVE.headers
 
 
@@ -58,11 +61,17 @@
         self.first_ms = HdrHistogram(1, 60_000, 2)
 
 
+def _started(group: engine.Group, rank: int) -> dict:
+    """Return what a rank's heartbeat says of its start."""
+    return {'born_ms': group.born_ms[rank]}
+
+
 class Lab:
     """The processes, runners and callers of one load."""
 
-    def __init__(self, load: dict, folder: str):
+    def __init__(self, load: dict, folder: str, host: str = HOST):
         self.load = load
+        self.host = host
         self.folder = pathlib.Path(folder)
         self.rng = random.Random(load['seed'])
         self.kinds = [Kind(**each) for each in load['kinds']]
@@ -71,8 +80,8 @@
         #: Numbers of the entries that the settings name as seeds.
         self.seeds = [1, 2, 3]
         self.pool = lasthop.Pool(NAMES, trio.current_time)
-        self.control = f'{HOST}1:8002'
-        self.fronts = [f'{HOST}{n + 1}:8000' for n in range(load['entries'])]
+        self.control = f'{host}1:8002'
+        self.fronts = [f'{host}{n + 1}:8000' for n in range(load['entries'])]
 
     # Processes.
 
@@ -85,11 +94,11 @@
             'keys': {'off': True},
         }
         merged = {**common, **settings}
-        seeds = {'seeds': [f'{HOST}{n}' for n in self.seeds]}
+        seeds = {'seeds': [f'{self.host}{n}' for n in self.seeds]}
         merged['entry'] = {**settings.get('entry', {}), **seeds}
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(merged))
-        with open(self.folder / f'{name}.log', 'wb') as log:
+        with open(self.folder / f'{name}.log', 'ab') as log:
             args = [sys.executable, '-m', 'mountridge', merged['role'], path]
             made = subprocess.Popen(args, stdout=log, stderr=log)
         self.processes.append(made)
@@ -101,7 +110,7 @@
 
     def start_entry(self, number: int, founding: bool) -> None:
         """Start one entry, the first being number 0."""
-        host = f'{HOST}{number + 1}'
+        host = f'{self.host}{number + 1}'
         entry = {
             'front': f'{host}:8000',
             'readiness': f'{host}:8001',
@@ -118,10 +127,14 @@
     def start_sidecars(self) -> None:
         """Start a sidecar beside each emulated engine."""
         for number in range(self.load['ranks']):
-            host = f'{HOST}{100 + number}'
-            engine_at = {'engine': f'{host}:9000', 'report_s': 0.1}
-            settings = {'role': 'sidecar', 'sidecar': engine_at}
-            self.start(f'sidecar-{number}', host, settings)
+            self.start_sidecar(number)
+
+    def start_sidecar(self, number: int) -> None:
+        """Start the sidecar of one rank."""
+        host = f'{self.host}{100 + number}'
+        engine_at = {'engine': f'{host}:9000', 'report_s': 0.1}
+        settings = {'role': 'sidecar', 'sidecar': engine_at}
+        self.start(f'sidecar-{number}', host, settings)
 
     def stop_all(self) -> None:
         """End what was started, by its process ids."""
@@ -135,20 +148,29 @@
 
     async def post(self, path: bytes, body: bytes) -> int:
         """Send a control call; return its status, 503 where unreached."""
-        headers = [
-            (b'Host', b'control'),
-            (b'Content-Length', b'%d' % len(body)),
-        ]
+        return (await self.ask(self.control, path, body))[0]
+
+    async def ask(
+        self,
+        address: str,
+        path: bytes,
+        body: bytes = b'',
+        headers: list[tuple[bytes, bytes]] = CONTROL_HEADERS,
+    ) -> tuple[int, bytes]:
+        """Send a call to a process; return its answer's status and body.
+
+        The status is 503 where it can't be reached, or not in time.
+        """
+        sized = [*headers, (b'Content-Length', b'%d' % len(body))]
         try:
-            with trio.move_on_after(3):
+            with trio.move_on_after(ASK_S):
                 async with self.pool.request(
-                    self.control, b'POST', path, headers, body, None
+                    address, b'POST', path, sized, body, None
                 ) as reply:
-                    await reply.whole()
-                    return reply.head.status
+                    return reply.head.status, await reply.whole()
         except errors.MountridgeError:
-            return 503
-        return 503
+            return 503, b''
+        return 503, b''
 
     def document(self) -> bytes:
         """Return the routes document of the load."""
@@ -187,18 +209,18 @@
         nursery.start_soon(self.restart_ranks, group)
         runners = [
             (
-                f'{HOST}{100 + n}:9000', f'i-{n}', 'llm', served.handler(n),
-                functools.partial(group.born_ms.__getitem__, n),
+                f'{self.host}{100 + n}:9000', f'i-{n}', 'llm',
+                served.handler(n), functools.partial(_started, group, n),
             )
             for n in range(sheet.ranks)
         ]  # fmt: skip
         for number in range(2):
             plain = engineserver.Plain(number, 0.02, self.rng)
-            address = f'{HOST}{200 + number}:9000'
+            address = f'{self.host}{200 + number}:9000'
             runners.append(
-                (address, f'p-{number}', 'plain', plain.handle, lambda: 0)
+                (address, f'p-{number}', 'plain', plain.handle, dict)
             )
-        for address, key, service, handler, born_ms in runners:
+        for address, key, service, handler, told in runners:
             server = httpserver.Server(
                 handler, engineserver.limits, lambda: False
             )
@@ -210,7 +232,7 @@
                 service,
                 address,
                 sheet.slots,
-                born_ms,
+                told,
             )
         return group
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1003,20 +1003,54 @@
         )''',
         'halls', 'is a ramp',
     ),
+    Mutant(
+        'forwarding: what is under way is called not run', 'forwarding',
+        'if exchange.may_have_run or exchange.is_under_way:',
+        'if exchange.may_have_run:', 'forwarding', 'never answers',
+    ),
+    Mutant(
+        'forwarding: what may not be repeated is', 'forwarding',
+        'if problem.outcome != errors.NOT_RUN and not route.repeatable:',
+        'if False:', 'forwarding', 'unsafe request whose first',
+    ),
+    Mutant(
+        'last hop: cut answers look whole', 'lasthop',
+        'as problem:\n            raise errors.BadAnswer(str(problem))\n'
+        '        except trio', 'as problem:\n            return\n'
+        '        except trio', 'forwarding', 'breaks off',
+    ),
+    Mutant(
+        'budgets: no bound', 'budgets',
+        'if len(repeated) + 1 > most:', 'if False:', 'entry', 'budget',
+    ),
+    Mutant(
+        'entry: a planned stop waits for no answer', 'entry',
+        'while self.front.open_requests and self.app.now_s() < until_s:',
+        'while False:', 'entry',
+    ),
 )  # fmt: skip
 
 
+def copy_with(mutant: Mutant, place: pathlib.Path) -> int:
+    """Copy the tree to ``place`` with the fault put in.
+
+    Returns how often what it replaces stands there; it must be once.
+    """
+    skip = shutil.ignore_patterns('.git', '.venv', '__pycache__')
+    shutil.copytree(ROOT, place, ignore=skip)
+    path = next((place / 'mountridge').rglob(f'{mutant.module}.py'))
+    text = path.read_text()
+    path.write_text(text.replace(mutant.old, mutant.new))
+    return text.count(mutant.old)
+
+
 def run(mutant: Mutant) -> tuple[str, list[str]]:
     """Return (what became of it, scenarios that failed)."""
     with tempfile.TemporaryDirectory() as folder:
         place = pathlib.Path(folder) / 'tree'
-        skip = shutil.ignore_patterns('.git', '.venv', '__pycache__')
-        shutil.copytree(ROOT, place, ignore=skip)
-        path = next((place / 'mountridge').rglob(f'{mutant.module}.py'))
-        text = path.read_text()
-        if text.count(mutant.old) != 1:
-            return f'stands {text.count(mutant.old)} times', []
-        path.write_text(text.replace(mutant.old, mutant.new))
+        found_times = copy_with(mutant, place)
+        if found_times != 1:
+            return f'stands {found_times} times', []
         command = [sys.executable, '-m', 'behave', '--no-color', '-f', 'null']
         command.append(f'features/{mutant.feature}.feature')
         if mutant.scenarios:
