--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -149,7 +149,12 @@
 
 
 async def register(
-    post: typing.Callable, key: str, service: str, address: str, slots: int
+    post: typing.Callable,
+    key: str,
+    service: str,
+    address: str,
+    slots: int,
+    hall: str,
 ) -> None:
     """Send a runner's heartbeats for ever."""
     seq = 0
@@ -158,7 +163,7 @@
         body = {
             'service': service,
             'address': address,
-            'hall': 'north',
+            'hall': hall,
             'seq': seq,
             'slots': slots,
         }
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -31,6 +31,9 @@
 SAMPLE = pathlib.Path(__file__).parent.parent / 'samples' / 'lab.yaml'
 #: Addresses of the loopback net that the processes of the lab use.
 HOST = '127.0.7.'
+#: The engines and one plain runner are in the first hall, another in the
+#: second.
+HALLS = ('north', 'south')
 START_S = 20.0
 NAMES = dialects.NATIVE.headers
 
@@ -183,14 +186,15 @@
         served = engineserver.Ranks(group, self.rng)
         nursery.start_soon(served.passes)
         runners = [
-            (f'{HOST}{100 + n}:9000', f'i-{n}', 'llm', served.handler(n))
+            (f'{HOST}{100 + n}:9000', f'i-{n}', 'llm', served.handler(n), 0)
             for n in range(sheet.ranks)
         ]
         for number in range(2):
             plain = engineserver.Plain(number, 0.02, self.rng)
             address = f'{HOST}{200 + number}:9000'
-            runners.append((address, f'p-{number}', 'plain', plain.handle))
-        for address, key, service, handler in runners:
+            made = (address, f'p-{number}', 'plain', plain.handle, number)
+            runners.append(made)
+        for address, key, service, handler, hall in runners:
             server = httpserver.Server(
                 handler, engineserver.limits, lambda: False
             )
@@ -202,9 +206,22 @@
                 service,
                 address,
                 sheet.slots,
+                HALLS[hall],
             )
         return group
 
+    async def drain(self, hall: str, at_s: float, for_s: float) -> None:
+        """Take a hall out of service for a while, as operators do."""
+        await trio.sleep(at_s)
+        for suffix, rest_s in ((b'/drain', for_s), (b'/restore', 0.0)):
+            path = b'/v1/halls/' + hall.encode() + suffix
+            began_s = trio.current_time()
+            while await self.post(path, b'') != 200:
+                await trio.sleep(0.1)
+            took_s = trio.current_time() - began_s
+            print(f'{path.decode()}: acknowledged after {took_s:.3f} s')
+            await trio.sleep(rest_s)
+
     # Callers.
 
     async def call(self, kind: Kind) -> None:
@@ -264,6 +281,8 @@
             await self._begin()
             span_s = self.load['span_s']
             until_s = trio.current_time() + span_s
+            for drain in self.load.get('drains', []):
+                nursery.start_soon(lambda each=drain: self.drain(**each))
             async with trio.open_nursery() as asking:
                 await self.callers(asking, until_s)
             nursery.cancel_scope.cancel()
