--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -294,9 +294,12 @@
 
         Those that leave and those in halls out of service get none.
         """
+        listed = self._staying(service)
+        if not self.halls_out:
+            return listed
         return [
             backend
-            for backend in self._staying(service)
+            for backend in listed
             if backend.instance.hall not in self.halls_out
         ]
 
@@ -321,8 +324,9 @@
 
         That no request can be served is then known, and none need wait.
         """
-        listed = self._staying(service)
-        return bool(listed) and not self.of_service(service)
+        if not self.halls_out or self.of_service(service):
+            return False
+        return bool(self._staying(service))
 
     def _staying(self, service: str) -> list[Backend]:
         return [
