--- a/standins/lab.py
+++ b/standins/lab.py
@@ -33,6 +33,9 @@
 SAMPLE = pathlib.Path(__file__).parent.parent / 'samples' / 'lab.yaml'
 #: Addresses of the loopback net that the processes of the lab use.
 HOST = ports.network()
+#: The engines and one plain runner are in the first hall, another in the
+#: second.
+HALLS = ('north', 'south')
 START_S = 20.0
 #: A control call is answered by then; a change of routes takes up to 3 s.
 ASK_S = 4.0
@@ -217,8 +220,9 @@
         for number in range(2):
             plain = engineserver.Plain(number, 0.02, self.rng)
             address = f'{self.host}{200 + number}:9000'
+            told = functools.partial(dict, hall=HALLS[number])
             runners.append(
-                (address, f'p-{number}', 'plain', plain.handle, dict)
+                (address, f'p-{number}', 'plain', plain.handle, told)
             )
         for address, key, service, handler, told in runners:
             server = httpserver.Server(
@@ -248,6 +252,18 @@
             born_ms = round(time.time() * 1000)
             group.restart(number, born_ms, trio.current_time())
 
+    async def drain(self, hall: str, at_s: float, for_s: float) -> None:
+        """Take a hall out of service for a while, as operators do."""
+        await trio.sleep(at_s)
+        for suffix, rest_s in ((b'/drain', for_s), (b'/restore', 0.0)):
+            path = b'/v1/halls/' + hall.encode() + suffix
+            began_s = trio.current_time()
+            while await self.post(path, b'') != 200:
+                await trio.sleep(0.1)
+            took_s = trio.current_time() - began_s
+            print(f'{path.decode()}: acknowledged after {took_s:.3f} s')
+            await trio.sleep(rest_s)
+
     # Callers.
 
     async def call(self, kind: Kind) -> None:
@@ -307,6 +323,8 @@
             await self._begin()
             span_s = self.load['span_s']
             until_s = trio.current_time() + span_s
+            for drain in self.load.get('drains', []):
+                nursery.start_soon(lambda each=drain: self.drain(**each))
             async with trio.open_nursery() as asking:
                 await self.callers(asking, until_s)
             nursery.cancel_scope.cancel()
