--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -69,7 +69,6 @@
         self._asking: dict[trio.CancelScope, str] = {}
         #: Set at the end of the search for the leader that goes on.
         self._searching: trio.Event | None = None
-        self._is_found = False
 
     @property
     def current(self) -> tuple[str, str]:
@@ -191,12 +190,11 @@
         One search serves all calls. ``besides`` was asked and does not lead
         as far as can be told here, so others name it no more.
         """
-        while self._searching is not None:
+        if self._searching is not None:
+            # Given up with its call, it is begun anew by the next answer.
             await self._searching.wait()
-            if self._is_found:
-                return
+            return
         self._searching = trio.Event()
-        self._is_found = False
         try:
             async with trio.open_nursery() as nursery:
                 for address in list(self._names):
@@ -226,7 +224,6 @@
             await trio.sleep(PAUSE_S)
         if address != self._current:
             logger.info('leader found', address=address, before=self._current)
-        self._is_found = True
         self.follow(address)
         nursery.cancel_scope.cancel()
 
