--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -721,3 +721,50 @@
 def all_second(context):
     went = {became for _, _, became in context.gateway.told}
     assert went == {context.runners[1].instance_id}, went
+
+
+# Views that lack gateways.
+
+
+@given('{gateways:d} gateways in {halls:d} halls that {know}')
+def gateways_that(context, gateways, halls, know):
+    per_s, over, slack = context.bears
+    context.names = _gateways(gateways, halls)
+    has_begun = know == 'have just begun'
+    context.owns = {}
+    for name, hall in context.names.items():
+        # Of a hall that is lost only its own gateways begin anew.
+        is_new = has_begun and hall == 'h0'
+        began_s = 0.0 if is_new else float('-inf')
+        own = warmup.Warmup(name, hall, over, slack, began_s)
+        own.follow_services({'s': per_s})
+        if not is_new:
+            own.follow_gateways(context.names, 0.0)
+        context.owns[name] = own
+
+
+@when(
+    'each gets a view without {who}, and {after_s:g} s later sends all it may'
+)
+def send_by_view(context, who, after_s):
+    context.sent = collections.Counter()
+    for name, own in context.owns.items():
+        lacks_all = who == 'any other'
+        view = {
+            other: hall
+            for other, hall in context.names.items()
+            if other == name or not (lacks_all or hall == 'h0')
+        }
+        own.follow_gateways(view, 0.0)
+        own.deal(after_s)
+        for number in range(10):
+            runner = _runner(number)
+            while own.part(runner, after_s) and own.is_free(runner, after_s):
+                own.send(runner, after_s).leaves(after_s)
+                context.sent[runner.instance_id] += 1
+
+
+@then('the runners of hall h0 get at most {most:d} from all together')
+def check_sum(context, most):
+    assert len(context.sent) == 10, context.sent
+    assert max(context.sent.values()) <= most, context.sent
--- a/features/warmup.feature
+++ b/features/warmup.feature
@@ -93,3 +93,14 @@
     And the first of them is cold, and both have 1 of 5 slots taken
     When 40 requests come, each 2 s after the other
     Then all go to the second
+
+  Scenario Outline: Owners where views lack <who>
+    Given a cold runner bears 14 requests a second, 1.5 times that and 5 more
+    And 39 gateways in 3 halls that <know>
+    When each gets a view without <who>, and <after_s> s later sends all it may
+    Then the runners of hall h0 get at most <most> from all together
+
+    Examples:
+      | know             | who                        | after_s | most |
+      | know all others  | any other                  | 2       | 13   |
+      | have just begun  | others of hall h0          | 2       | 26   |
--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -149,10 +149,16 @@
 
 
 async def register(
-    post: typing.Callable, key: str, service: str, address: str, slots: int
+    post: typing.Callable,
+    key: str,
+    service: str,
+    address: str,
+    slots: int,
+    cold_s: float = 0.0,
 ) -> None:
-    """Send a runner's heartbeats for ever."""
+    """Send a runner's heartbeats for ever; it is cold for ``cold_s``."""
     seq = 0
+    warm_s = trio.current_time() + cold_s
     while True:
         seq += 1
         body = {
@@ -161,6 +167,7 @@
             'hall': 'north',
             'seq': seq,
             'slots': slots,
+            'cold_ms': max(0.0, 1000 * (warm_s - trio.current_time())),
         }
         path = b'/v1/instances/%s/heartbeat' % key.encode()
         await post(path, json.dumps(body).encode())
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -603,6 +603,70 @@
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
         'if False:', 'forwarding',
     ),
+    Mutant(
+        'warmup: no window', 'warmup',
+        'return len(last_s) < most or last_s[0] + WINDOW_S <= now_s',
+        'return True', 'warmup',
+    ),
+    Mutant(
+        'warmup: all gateways own all runners', 'warmup',
+        'return found.others if ahead <= found.near else 0',
+        'return found.others', 'warmup',
+    ),
+    Mutant(
+        'warmup: all gateways elsewhere own all runners', 'warmup',
+        'return found.others if ahead < found.away else 0',
+        'return found.others', 'warmup',
+    ),
+    Mutant(
+        'warmup: the whole bound for one view', 'warmup',
+        'half = max(1, int(bound) // 2)', 'half = int(bound)', 'warmup',
+    ),
+    Mutant(
+        'warmup: a start forgets what was sent', 'warmup',
+        'if now_s < self._quiet_until_s:\n            return False',
+        'if False:\n            return False', 'warmup',
+    ),
+    Mutant(
+        'warmup: no time to settle', 'warmup',
+        'return found if now_s >= self._settled_s else min(1, found)',
+        'return found', 'warmup',
+    ),
+    Mutant(
+        'warmup: no owner elsewhere', 'warmup',
+        'return Parts(first, 1, left // 2, left - left // 2)',
+        'return Parts(first, 1, left, 0)', 'warmup',
+    ),
+    Mutant(
+        'warmup: lost gateways are forgotten at once', 'warmup',
+        'KEPT_S = 30.0', 'KEPT_S = 0.0', 'warmup',
+    ),
+    Mutant(
+        'warmup: what was turned away counts', 'warmup',
+        "self.at_s = float('-inf')", 'pass', 'warmup',
+    ),
+    Mutant(
+        'warmup: also where runners bear any number', 'warmup',
+        'if per_s > 0', 'if per_s >= 0', 'placement',
+    ),
+    Mutant(
+        'backends: cold runners like others', 'backends',
+        'more += COLD_COST', 'pass', 'warmup',
+    ),
+    Mutant(
+        'lines: only in order of arrival', 'lines',
+        'place = Place((priority, next(self._arrivals)))',
+        'place = Place((0, next(self._arrivals)))', 'warmup',
+    ),
+    Mutant(
+        'picking: who comes late waits all the same', 'picking',
+        'if turn_s != warmup.NEVER and turn_s > until_s:', 'if False:',
+        'warmup',
+    ),
+    Mutant(
+        'picking: all owned elsewhere is waited for', 'picking',
+        'return now_s - since_s < closures.HOPE_S', 'return True', 'warmup',
+    ),
 )  # fmt: skip
 
 
