--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -197,15 +197,13 @@
     slots: int,
     told: typing.Callable[[], dict] = dict,
     heard: typing.Callable[[dict], None] = lambda body: None,
-    cold_s: float = 0.0,
 ) -> None:
-    """Send a runner's heartbeats for ever; it is cold for ``cold_s``.
+    """Send a runner's heartbeats for ever.
 
     ``told`` gives what it says besides; with a later ``born_ms`` it counts
     anew. ``heard`` takes each heartbeat that was acknowledged.
     """
     seq = born_ms = 0
-    warm_s = trio.current_time() + cold_s
     while True:
         besides = told()
         seq = 1 if besides.get('born_ms', 0) > born_ms else seq + 1
@@ -216,7 +214,6 @@
             'hall': 'north',
             'seq': seq,
             'slots': slots,
-            'cold_ms': max(0.0, 1000 * (warm_s - trio.current_time())),
             **besides,
         }
         path = b'/v1/instances/%s/heartbeat' % key.encode()
