A leave that was made on nothing held ends no later start; counts of old lives go

Cause: a leave proposed while nothing was held carries no number of a life, and the check of that number was passed over at apply, so a start that was committed first was ended, and without starts for good. The new scenario fails without it. The age in the line on a new life was always 0, since the time was noted first, and counts of replaced lives stayed until the term's end.

--- a/features/lives.feature
+++ b/features/lives.feature
@@ -76,6 +76,11 @@
       | heartbeat |
       | leave     |
 
+  Scenario: A leave of a former life that was under way when nothing was held
+    Given a replicated state in which a runner has started again
+    When a leave of an older start, made on nothing held, is committed after it
+    Then the new life holds
+
   Scenario: Words in any order leave the newest life of each runner
     Given words of runners that start again, at few addresses
     When they come late, twice, and with leaders between
--- a/features/steps/lives_steps.py
+++ b/features/steps/lives_steps.py
@@ -121,6 +121,13 @@
     context.world.machine.apply(9, command)
 
 
+@when('a leave of an older start, made on nothing held, is committed after it')
+def commit_unheld_leave(context):
+    said = instances.Instance('a', '', '', '', '', 0, instances.LEFT, 990)
+    command = commands.SetInstance(said, lives_world.BEGIN_S)
+    context.world.machine.apply(9, command)
+
+
 @then('the new life holds')
 def check_new_life(context):
     assert _held(context.world) == 'a X 995 2', _held(context.world)
--- a/mountridge/control/registry.py
+++ b/mountridge/control/registry.py
@@ -78,10 +78,12 @@
         if isinstance(order, lives.Refusal):
             return self._refuse(given, known, order)
         key = given.instance_id
-        self._heard_s[key] = self.app.now_s()
-        self._newest_seq[key, given.born_ms] = given.seq
         if order is not lives.Order.SAME:
             self._tell_life(given, known, order)
+        if known is not None and known.born_ms != given.born_ms:
+            self._newest_seq.pop((key, known.born_ms), None)
+        self._heard_s[key] = self.app.now_s()
+        self._newest_seq[key, given.born_ms] = given.seq
         reply = await self._propose(given)
         held = self.machine.instances.get(key)
         if held is None or held.born_ms != given.born_ms:
@@ -190,7 +192,9 @@
             'held_born_ms': known.born_ms,
             'held_seq': known.seq,
             'lives': known.lives,
-            'heard_age_s': heard_s and self.app.now_s() - heard_s,
+            'heard_age_s': (
+                None if heard_s is None else self.app.now_s() - heard_s
+            ),
         }
 
     async def on_leave(
--- a/mountridge/state/statemachine.py
+++ b/mountridge/state/statemachine.py
@@ -281,8 +281,18 @@
         is_final = lives.is_over(known) and not known.may_return
         if is_final and given.born_ms <= known.born_ms:
             return
-        if given.lives and given.lives != known.lives:
+        if given.lives not in (0, known.lives):
             return
+        if not given.lives:
+            # Nothing was held when it was proposed.
+            if given.born_ms and given.born_ms < known.born_ms:
+                return
+            given = known._replace(
+                state=given.state,
+                born_ms=max(given.born_ms, known.born_ms),
+                seq=given.seq,
+                may_return=given.may_return,
+            )
     _hold_instance(machine, index, given._replace(since_ms=now_ms))
 
 
