Cold runners: bounds that routes raise, halls without gateways, moves

Causes, found by reading: the sends of a runner were kept in a queue as long as the bound at its first send, so that a raised bound was never reached and not held (200 sends in 0.8 s for a part of 10); a runner whose hall has no gateway had a first owner's part that nobody takes, and up to 14 of 13 beside it, or no owner; parts were kept by id when the hall changes. The time to settle follows the lease of the settings. The new scenarios fail without it.

--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -768,3 +768,83 @@
 def check_sum(context, most):
     assert len(context.sent) == 10, context.sent
     assert max(context.sent.values()) <= most, context.sent
+
+
+@given('a gateway that sends all that it may to a runner of its own')
+def make_lone_gateway(context):
+    context.own = warmup.Warmup('g-0', 'h0', 1.0, 0.0)
+    context.own.follow_gateways(_gateways(2, 1), 0.0)
+    context.sent_s = []
+
+
+@when(
+    'the routes let a cold runner bear {before:g}, and {after_s:g} s later'
+    ' {after:g} requests a second'
+)
+def raise_bound(context, before, after_s, after):
+    runner = _runner(1)
+    context.own.follow_services({'s': before})
+    for step in range(int(200 * after_s)):
+        now_s = step / 100
+        if now_s == after_s:
+            context.own.follow_services({'s': after})
+            context.part = context.own.part(runner, now_s)
+        if context.own.is_free(runner, now_s):
+            context.own.send(runner, now_s).leaves(now_s)
+            context.sent_s.append(now_s)
+
+
+@then('it sends no more than its part in any window')
+def check_part(context):
+    sent_s = context.sent_s
+    assert context.part > 1 and len(sent_s) > context.part
+    for first_s in sent_s:
+        count = sum(
+            first_s <= at_s < first_s + warmup.WINDOW_S for at_s in sent_s
+        )
+        assert count <= context.part, (first_s, count, context.part)
+
+
+@when('2 gateways elsewhere share a runner that bears {bound:g} in a second')
+def share_from_elsewhere(context, bound):
+    names = {'g-0': 'h1', 'g-1': 'h1'}
+    context.shares = []
+    for name, hall in names.items():
+        own = warmup.Warmup(name, hall, 1.0, 0.0)
+        own.follow_services({'s': bound})
+        own.follow_gateways(names, 0.0)
+        context.shares.append(own.part(_runner(1, 'h0'), 0.0))
+
+
+@then('it has an owner, and its parts add up to {most:d} at most')
+def check_shares(context, most):
+    assert 0 < sum(context.shares) <= most, context.shares
+
+
+@given('a gateway that knows a runner in hall h0')
+def know_runners(context):
+    context.own = _one_of_39()
+    context.before = [
+        context.own.part(_runner(n, 'h0'), 0.0) for n in range(200)
+    ]
+
+
+@when('the runner starts again under its id in hall h1')
+def move_runners(context):
+    context.after = [
+        context.own.part(_runner(n, 'h1'), 0.0) for n in range(200)
+    ]
+
+
+@then('the gateway has the part there of one that never knew the other place')
+def check_moved(context):
+    fresh = _one_of_39()
+    expected = [fresh.part(_runner(n, 'h1'), 0.0) for n in range(200)]
+    assert context.after == expected and expected != context.before
+
+
+def _one_of_39():
+    own = warmup.Warmup('g-0', 'h0', 1.5, 5.0)
+    own.follow_services({'s': 14.0})
+    own.follow_gateways(_gateways(39, 3), 0.0)
+    return own
--- a/features/warmup.feature
+++ b/features/warmup.feature
@@ -104,3 +104,23 @@
       | know             | who                        | after_s | most |
       | know all others  | any other                  | 2       | 13   |
       | have just begun  | others of hall h0          | 2       | 26   |
+
+  Scenario: The routes raise what a cold runner bears while requests go on
+    Given a gateway that sends all that it may to a runner of its own
+    When the routes let a cold runner bear 4, and 2 s later 40 requests a second
+    Then it sends no more than its part in any window
+
+  Scenario Outline: Owners of a runner in a hall without gateways, bound <bound>
+    When 2 gateways elsewhere share a runner that bears <bound> in a second
+    Then it has an owner, and its parts add up to <most> at most
+
+    Examples:
+      | bound | most |
+      | 2     | 1    |
+      | 6     | 3    |
+      | 26    | 13   |
+
+  Scenario: A runner that comes back in another hall has the owners of that hall
+    Given a gateway that knows a runner in hall h0
+    When the runner starts again under its id in hall h1
+    Then the gateway has the part there of one that never knew the other place
--- a/mountridge/control/formation.py
+++ b/mountridge/control/formation.py
@@ -83,8 +83,9 @@
 ) -> entries.Config | None:
     """Return the next set where any halls may go and a majority stays.
 
-    Who is to replace another is added first, so that there are never fewer
-    voters than the losses of boxes demand.
+    Where there are as many voters as the losses of boxes demand, who is to
+    replace another is added first. Before that, of an odd number one goes
+    first: for a look and a commit there is one fewer.
     """
     if len(config.voters) > places.most:
         gone = spread.best_removal(config, places.silent, leader, places.halls)
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -73,6 +73,7 @@
                 bounds['cold_over'],
                 bounds['cold_slack'],
                 listening.BEGAN_S,
+                app.settings['lease']['lease_s'],
             ),
         )
         self.index: routes.Index | None = None
--- a/mountridge/routing/warmup.py
+++ b/mountridge/routing/warmup.py
@@ -30,15 +30,15 @@
 #: back under their name within it; while all gateways count the same names
 #: they choose the same owners.
 KEPT_S = 30.0
-#: For so long after its start a gateway sends one request at most to a runner
-#: in a window. The view that it begins with may lack gateways that start with
-#: it, after the loss of a hall all but itself; by then it has theirs: a lease
-#: runs out after 3 s, and the view comes up to 2 s later.
-SETTLED_S = 5.0
+#: For a lease and so long after its start a gateway sends one request at most
+#: to a runner in a window. The view that it begins with may lack gateways that
+#: start with it, after the loss of a hall all but itself; by then it has
+#: theirs, up to 2 s after their leases are known.
+VIEW_LATE_S = 2.0
 #: The owner that fills a runner first has one in this many of the half of the
 #: bound. It knows its own requests there without a report.
 FIRST_PART = 4
-#: The time of what will not be.
+#: A time that is never reached: no runner is owned, nothing to be forgotten.
 NEVER = float('inf')
 
 
@@ -56,16 +56,19 @@
 
     ``near`` gateways are in the hall of the runner and ``away`` elsewhere.
     Few gateways all own each runner. Of many, half of the owners are in
-    other halls, so that no loss of a hall takes all of them.
+    other halls, so that no loss of a hall takes all of them; for a bound
+    below 4 there is one owner alone.
     """
     half = max(1, int(bound) // 2)
+    if not near:
+        return Parts(0, max(1, half // max(1, away)), 0, min(half, away))
     others = max(1, near + away - 1)
     first = max(1, half // FIRST_PART, half // (others + 1))
     left = half - first
     if others <= left:
         return Parts(first, left // others, near, away)
-    if not near or not away:
-        return Parts(first, 1, left, left)
+    if not away:
+        return Parts(first, 1, left, 0)
     return Parts(first, 1, left // 2, left - left // 2)
 
 
@@ -98,22 +101,24 @@
         over: float = 1.0,
         slack: float = 0.0,
         started_s: float = float('-inf'),
+        lease_s: float = 3.0,
     ):
         self._name, self._hall = name, hall
         self._over, self._slack = over, slack
         #: What a former life of this process sent in its last second counts
         #: too, and is not known.
         self._quiet_until_s = started_s + WINDOW_S
-        self._settled_s = started_s + SETTLED_S
+        self._settled_s = started_s + lease_s + VIEW_LATE_S
         #: Halls of all gateways that may be owners, by name.
         self._halls = {name: hall}
         #: When those of them that the view no longer has are forgotten.
         self._forget_s: dict[str, float] = {}
         self._next_forget_s = NEVER
         self._bounds: dict[str, float] = {}
-        #: Sends in a window, by id of a runner; 0 for those of other owners.
-        self._parts: dict[str, int] = {}
-        self._first: set[str] = set()
+        #: Sends in a window, by id, service and hall of a runner; 0 for those
+        #: of other owners.
+        self._parts: dict[tuple[str, str, str], int] = {}
+        self._first: set[tuple[str, str, str]] = set()
         self._deal = 1
         self._sends: dict[str, collections.deque[Send]] = {}
         self._cleared_s = float('-inf')
@@ -175,10 +180,10 @@
 
         0 where it has other owners, by the last `deal`.
         """
-        found = self._parts.get(runner.instance_id)
+        found = self._parts.get(_place(runner))
         if found is None:
             found = self._find_part(runner)
-            self._parts[runner.instance_id] = found
+            self._parts[_place(runner)] = found
         return found if now_s >= self._settled_s else min(1, found)
 
     def is_first(self, runner: instances.Instance) -> bool:
@@ -186,7 +191,7 @@
 
         Known once its `part` is.
         """
-        return runner.instance_id in self._first
+        return _place(runner) in self._first
 
     def _find_part(self, runner: instances.Instance) -> int:
         # Loaded only by processes that need it.
@@ -205,7 +210,7 @@
         if not is_near:
             return found.others if ahead < found.away else 0
         if ahead == 0:
-            self._first.add(runner.instance_id)
+            self._first.add(_place(runner))
             return found.first
         return found.others if ahead <= found.near else 0
 
@@ -226,8 +231,6 @@
         sends = self._sends.get(runner.instance_id)
         if not sends:
             return []
-        if most == 1:
-            return [sends[-1].at_s]
         return sorted(send.at_s for send in sends)[-most:]
 
     def turn_s(
@@ -257,11 +260,9 @@
             return made
         if now_s - self._cleared_s > KEPT_S:
             self._clear(now_s)
-        found = self._sends.get(runner.instance_id)
-        if found is None:
-            most = max(1, int(self._bounds[runner.service]) // 2)
-            found = collections.deque(maxlen=most)
-            self._sends[runner.instance_id] = found
+        found = self._sends.setdefault(runner.instance_id, collections.deque())
+        while found and found[0].at_s <= now_s - WINDOW_S:
+            found.popleft()
         found.append(made)
         return made
 
@@ -273,3 +274,8 @@
             for key, sends in self._sends.items()
             if any(send.at_s > now_s - WINDOW_S for send in sends)
         }
+
+
+def _place(runner: instances.Instance) -> tuple[str, str, str]:
+    """Return what decides who owns a runner, beside the gateways."""
+    return runner.instance_id, runner.service, runner.hall
