--- a/mountridge/control/leadership.py
+++ b/mountridge/control/leadership.py
@@ -13,7 +13,8 @@
 
 __all__ = ['Leadership']
 
-#: How long an answer is held; below what those that ask wait for it.
+#: How long an answer is held; below `members.CALL_S`, for which those that
+#: ask wait.
 HOLD_S = 0.3
 
 
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -307,8 +307,10 @@
     async def set_hall(self, name: str, is_out: bool) -> halls.HallState:
         """Take a hall out of service, or put it back.
 
-        :raises BadRequest: no hall has this name.
+        :raises BadRequest: the name is malformed.
+        :raises UnknownHall: no hall of the deployment has it.
         :raises NoController: it may have been carried out, or not.
+        :raises HallChanged: other orders for this hall came first.
         """
         return await self.hall_orders.set(name, is_out)
 
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -106,8 +106,8 @@
     def is_life_of(self, instance: instances.Instance) -> bool:
         """Return whether a registration is the same life of the runner."""
         mine = self.instance
-        is_later = instance.lives != mine.lives
-        return not is_later and instance.born_ms == mine.born_ms
+        told = (instance.lives, instance.born_ms)
+        return told == (mine.lives, mine.born_ms)
 
     def began(self, now_s: float) -> None:
         """Count an own request as sent."""
--- a/mountridge/routing/hallorders.py
+++ b/mountridge/routing/hallorders.py
@@ -20,11 +20,11 @@
 
 __all__ = ['FRESH_S', 'HallOrders', 'check_name']
 
-#: An order is read, and the hall's revision for it, while the operator
-#: still waits for the answer: for a second.
+#: Operators wait this long for an answer before they send again; an order
+#: that is older is not sent to the leader.
 FRESH_S = 1.0
-#: How long the commit of an order may take. Above an election; operators
-#: that have left by then have ended the call.
+#: How long the leader may take to commit. Longer than an election, so that
+#: an order outlasts one.
 SET_S = 3.0
 #: Names of halls, as settings and registrations write them.
 NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,63}')
@@ -68,7 +68,8 @@
     async def set(self, name: str, is_out: bool) -> halls.HallState:
         """Take a hall out of service, or put it back, once that is held.
 
-        :raises BadRequest: no hall has this name.
+        :raises BadRequest: the name is malformed.
+        :raises UnknownHall: no hall of the deployment has it.
         :raises NoController: it may have been carried out, or not.
         :raises HallChanged: other orders for this hall came first.
         """
--- a/mountridge/routing/lines.py
+++ b/mountridge/routing/lines.py
@@ -35,8 +35,8 @@
     def join(self, priority: int) -> Place:
         """Return a new place, behind all that are as urgent.
 
-        Where it goes before others, the last of them is told: its turn may
-        come too late now.
+        Where it goes before others, only the last of them is woken: its turn
+        is the latest, so it is refused first where it comes too late.
         """
         place = Place((priority, next(self._arrivals)))
         bisect.insort(self._places, place, key=_key)
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -25,10 +25,11 @@
 Exchange = routedexchanges.Exchange
 
 #: How long a request waits for a runner where none is known, and the part
-#: of its time. After a loss of all power new runners register within 1.2 s;
-#: a caller that is refused may come back only once, and later than that.
+#: of its remaining time that it may wait for any. After a loss of all power
+#: new runners register within 1.2 s; a caller that is refused may come back
+#: only once, and later than that.
 RUNNER_WAIT_S = 1.2
-RUNNER_WAIT_PART = 0.4
+WAIT_PART = 0.4
 #: How long a request waits in all for a group that is closed and may open
 #: soon, and the part of its time. Callers give a stream up that has shown
 #: nothing for 2 s, and a first event takes up to 0.5 s where many wait.
@@ -97,8 +98,8 @@
     ) -> backends.Picked | None:
         """Return a runner that may get one more; None as `_pick_now`.
 
-        Second tries came before all that have had none, and other runners
-        are left for them, so they wait in no line.
+        A second try has waited before, and some runners are closed to it, so
+        it joins no line and takes the first runner that is free.
 
         :raises RunnersCold: the turn would come too late.
         """
@@ -112,9 +113,10 @@
             return picked
         self._app.metrics.incr('cold.waited')
         if exchange.tried:
-            # A stream that has begun is past that, and worth a pause.
+            # `GROUP_WAIT_S` bounds the wait for a first event; a stream that
+            # is resumed has shown some, and may wait a whole window.
             left_s = exchange.until_s - now_s
-            until_s = now_s + min(warmup.WINDOW_S, RUNNER_WAIT_PART * left_s)
+            until_s = now_s + min(warmup.WINDOW_S, WAIT_PART * left_s)
             return await self._wait_for_turn(exchange, None, until_s)
         place = line.join(_priority(exchange))
         until_s = now_s + max(0.0, self._longest_wait_s(exchange, now_s))
@@ -190,7 +192,7 @@
         wait_s = RUNNER_WAIT_S
         if self._known(exchange):
             wait_s = exchange.begun_s + GROUP_WAIT_S - now_s
-        return min(wait_s, RUNNER_WAIT_PART * (exchange.until_s - now_s))
+        return min(wait_s, WAIT_PART * (exchange.until_s - now_s))
 
     def _may_come(self, exchange: Exchange) -> bool:
         """Return whether a runner may come soon, or a group open."""
--- a/mountridge/state/lives.py
+++ b/mountridge/state/lives.py
@@ -28,9 +28,9 @@
 #: Longest that a word is under way: its sender gives a call up after a
 #: second, but a box that stood still may pass it on when it wakes.
 LATE_S = 10.0
-#: Fields of a registration that its runner tells, without its count; the
-#: others are kept by the controllers.
-_TOLD = instances.Instance._fields.index('seq')
+#: Number of leading fields of a registration that its runner tells with each
+#: heartbeat; from `seq` on the controllers keep them.
+_TOLD_FIELDS = instances.Instance._fields.index('seq')
 
 
 class Refusal(enum.StrEnum):
@@ -60,7 +60,7 @@
 
 def says_same(given: instances.Instance, known: instances.Instance) -> bool:
     """Return whether a word tells nothing that is not held."""
-    return given[:_TOLD] == known[:_TOLD]
+    return given[:_TOLD_FIELDS] == known[:_TOLD_FIELDS]
 
 
 def judge(
--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -191,7 +191,8 @@
         as far as can be told here, so others name it no more.
         """
         if self._searching is not None:
-            # Given up with its call, it is begun anew by the next answer.
+            # It ends with the call that began it; a call that still has no
+            # leader then begins another.
             await self._searching.wait()
             return
         self._searching = trio.Event()
@@ -215,6 +216,9 @@
                 await self._caller(address).call(question, CALL_S)
                 break
             except errors.MountridgeError as problem:
+                logger.debug(
+                    'no leader there', address=address, reason=str(problem)
+                )
                 known = set(self._names)
                 named = self._named(problem)
                 if named and named not in known:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -860,13 +860,13 @@
     ),
     Mutant(
         'losses: any learner will do', 'spread',
-        'return excess(changed, halls), by_hall(changed).get(hall, 0), key',
-        'return 0, 0, key', 'losses', 'Voters stand',
+        'return excess(changed, hall_losses), by_hall(changed)',
+        'return 0, {}', 'losses', 'Voters stand',
     ),
     Mutant(
         'losses: whoever is removed', 'spread',
-        '            excess(changed, halls),\n            key == leader,',
-        '            key == leader,', 'losses', 'Voters stand',
+        '            excess(changed, hall_losses),\n            key == ',
+        '            key == ', 'losses', 'Voters stand',
     ),
     Mutant(
         'losses: a place is made before it can be filled', 'formation',
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -26,6 +26,8 @@
 #: What is sent within this after the order to stop may be cut in the last
 #: sixth of that time, if its runner is still at work.
 LATE_SENT_S = 3.0
+#: The last sixth of that time begins here.
+CUT_FROM_PART = 5 / 6
 #: Tokens of one event; the emulated engine's stride.
 STRIDE = 5
 _EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
@@ -136,7 +138,7 @@
             return
         took_s = now_s - asked.at_s
         after_s = asked.at_s - self.stopped_s[asked.entry]
-        is_late = after_s + took_s > GRACE_S * 5 / 6
+        is_late = after_s + took_s > GRACE_S * CUT_FROM_PART
         if after_s < LATE_SENT_S and is_late:
             return  # its runner took nearly all the time that a stop has
         if took_s * 1000 >= asked.kind['deadline_ms']:
@@ -185,7 +187,8 @@
 
     def heartbeat(self, runner, body: dict, now_s: float) -> None:
         """Take a heartbeat of a runner that was acknowledged."""
-        if body['state'] == 'draining' == runner.state:
+        # One that is acknowledged late may be from before the drain ended.
+        if body['state'] == 'draining' and runner.state == 'draining':
             self.out_s.setdefault(runner.name, now_s)
 
     # Operators.
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -62,11 +62,13 @@
         for name in listed:
             self._harming[name] += 1
             self.watch.harmed_s[name] = math.inf
-        yield
-        for name in listed:
-            self._harming[name] -= 1
-            if not self._harming[name]:
-                self.watch.harmed_s[name] = trio.current_time()
+        try:
+            yield
+        finally:
+            for name in listed:
+                self._harming[name] -= 1
+                if not self._harming[name]:
+                    self.watch.harmed_s[name] = trio.current_time()
 
     # Links.
 
@@ -191,9 +193,8 @@
 
     async def _rank(self, fault: Fault) -> None:
         """Let one rank be slow."""
-        group, number = self.built.group, fault.pick % len(
-            self.built.group.ranks
-        )
+        group = self.built.group
+        number = fault.pick % len(group.ranks)
         with self._harm(f'link-i-{number}'):
             group.ranks[number].slow = 1 + MOST_SLOW * fault.strength
             await trio.sleep(fault.span_s)
