--- a/mountridge/control/spread.py
+++ b/mountridge/control/spread.py
@@ -43,7 +43,8 @@
 def excess(config: entries.Config, hall_losses: int) -> int:
     """Return how many voters too many stand in the fullest halls.
 
-    Those are ``hall_losses`` halls; 0 where the rest is a majority, were all voters there.
+    Those are ``hall_losses`` halls. 0 where the rest is a majority, were all
+    voters there.
     """
     return max(0, -left_over(config, config.voters, hall_losses))
 
