One state for halls that were never out; gateways of a view unpacked once

The record of a hall that was never out stood in the entry's part and in the state machine; it is made in one place. A change of the view unpacked all members twice, for who is live and for who may still send.

--- a/mountridge/documents/halls.py
+++ b/mountridge/documents/halls.py
@@ -4,7 +4,7 @@
 
 import typing
 
-__all__ = ['HallState']
+__all__ = ['HallState', 'never_out']
 
 
 class HallState(typing.NamedTuple):
@@ -16,3 +16,8 @@
     #: order that was made on an older revision changes nothing.
     revision: int
     since_s: float  # wall clock of the leader at that change
+
+
+def never_out(name: str) -> HallState:
+    """Return the state of a hall that was never taken out of service."""
+    return HallState(name, False, 0, 0.0)
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -157,13 +157,13 @@
         self._follow_routes()
         packed = view.under(views.INSTANCE_PREFIX)
         registered = [views.unpack_instance(v) for v in packed.values()]
+        gateways = self._all_gateways()
         self.backends.follow_gateways(
-            {member.name: member.hall for member in self.gateways()}
+            {m.name: m.hall for m in gateways if m.state == 'live'}
         )
         # Those that leave still send what they were given before.
         self.backends.warmup.follow_gateways(
-            {member.name: member.hall for member in self._all_gateways()},
-            self.app.now_s(),
+            {m.name: m.hall for m in gateways}, self.app.now_s()
         )
         for address in self.backends.follow(registered):
             self.app.start_task(self.forwarder.pool.forget, address)
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -414,13 +414,24 @@
         drawn from those that all their unseen requests will fill.
         """
         sound = self._sound(service, tried, was_refused, now_s)
-        is_bound = self.warmup.is_bound(service)
-        if is_bound:
+        if self.warmup.is_bound(service):
             is_free = self.warmup.is_free
             sound = [b for b in sound if is_free(b.instance, now_s)]
         if not sound:
             return None
+        return self._best(service, hall, sound, gateways, rng, now_s)
 
+    def _best(
+        self,
+        service: str,
+        hall: str,
+        sound: list[Backend],
+        gateways: int,
+        rng: random.Random,
+        now_s: float,
+    ) -> Picked:
+        """Return which of the runners that may be taken gets a request."""
+        is_bound = self.warmup.is_bound(service)
         returning = self._returning(now_s)
 
         def occupancy(backend: Backend) -> float:
--- a/mountridge/state/statemachine.py
+++ b/mountridge/state/statemachine.py
@@ -317,8 +317,7 @@
 
     :raises HallChanged: another order came between.
     """
-    never_out = halls.HallState(command.hall, False, 0, 0.0)
-    known = machine.halls.get(command.hall, never_out)
+    known = machine.halls.get(command.hall, halls.never_out(command.hall))
     if known.is_out == command.is_out:
         return known
     if known.revision != command.revision:
