Mutants whose code has moved find their place again, and a check for that

Three of 214 replaced text that no longer stood, so they proved nothing; the new scenario fails on them. The copies no longer take along the built libraries.

--- a/features/steps/house_steps.py
+++ b/features/steps/house_steps.py
@@ -8,6 +8,8 @@
 
 from behave import then
 
+from tools import mutants
+
 #: Deployments of the users, their days, and the programs that play them.
 NAMES = re.compile(
     r'\b(ertis|mittelland|siam|swma|lnm|pavlodar|\w*bench|armor|relais'
@@ -83,3 +85,13 @@
         and not (name == 'application' and place > APPLICATION_ABOVE)
     ]
     assert not found, found
+
+
+@then('what each mutant replaces stands once in its module')
+def check_mutants(context):
+    found = []
+    for mutant in mutants.MUTANTS:
+        text = mutants.path_in(pathlib.Path(), mutant).read_text()
+        if text.count(mutant.old) != 1:
+            found.append(mutant.name)
+    assert not found, found
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -424,7 +424,8 @@
     ),
     Mutant(
         'entry: silence lasts though one is heard', 'members',
-        'self._silent_until_s.pop(address, None)', 'pass', 'entry',
+        '                self._silent_until_s.pop(address, None)',
+        '                pass', 'entry',
         'heard of again',
     ),
     Mutant(
@@ -479,7 +480,8 @@
     ),
     Mutant(
         'placing: slow runners like others', 'backends',
-        'sound = [b for b in sound if b.pace < SLOW_PACE] or sound', '',
+        'return [b for b in sound if b.pace < SLOW_PACE] or sound',
+        'return sound',
         'mapplans', 'slow runner',
     ),
     Mutant(
@@ -710,9 +712,24 @@
     ),
     Mutant(
         'lives: the log takes old leaves', 'statemachine',
-        'if given.lives and given.lives != known.lives:',
+        'if given.lives not in (0, known.lives):',
         'if False:', 'lives',
     ),
+    Mutant(
+        'lives: a leave made on nothing held ends a later start',
+        'statemachine',
+        'if given.born_ms and given.born_ms < known.born_ms:', 'if False:',
+        'lives', 'nothing was held',
+    ),
+    Mutant(
+        'warmup: a part goes with a runner to another hall', 'warmup',
+        'return runner.instance_id, runner.service, runner.hall',
+        "return runner.instance_id, '', ''", 'warmup', 'another hall',
+    ),
+    Mutant(
+        'warmup: a first owner in a hall without gateways', 'warmup',
+        '    if not near:\n', '    if False:\n', 'warmup', 'without gateways',
+    ),
     Mutant(
         'lives: a start in the future', 'registry',
         'if given.born_ms > (self.app.wall_s() + FUTURE_S) * 1000:',
@@ -1090,14 +1107,19 @@
 )  # fmt: skip
 
 
+def path_in(place: pathlib.Path, mutant: Mutant) -> pathlib.Path:
+    """Return the module of a mutant in the tree at ``place``."""
+    return next((place / 'mountridge').rglob(f'{mutant.module}.py'))
+
+
 def copy_with(mutant: Mutant, place: pathlib.Path) -> int:
     """Copy the tree to ``place`` with the fault put in.
 
     Returns how often what it replaces stands there; it must be once.
     """
-    skip = shutil.ignore_patterns('.git', '.venv', '__pycache__')
+    skip = shutil.ignore_patterns('.git', '.venv', '__pycache__', 'target')
     shutil.copytree(ROOT, place, ignore=skip)
-    path = next((place / 'mountridge').rglob(f'{mutant.module}.py'))
+    path = path_in(place, mutant)
     text = path.read_text()
     path.write_text(text.replace(mutant.old, mutant.new))
     return text.count(mutant.old)
