--- a/features/standins.feature
+++ b/features/standins.feature
@@ -8,3 +8,7 @@
     Then no port is chosen twice
     And none is from the range that the kernel gives to connections
     And each has a loopback network of its own
+
+  Scenario: An emulated runner says what entries ask of a heartbeat
+    When an emulated runner registers and tells nothing besides
+    Then its heartbeat is one that an entry takes
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -8,6 +8,11 @@
 import sys
 
 from behave import then, when
+import trio
+
+from mountridge.documents import instances
+from mountridge.routing import entryapi
+from standins import engineserver
 
 #: Prints ports that it has chosen, and ends once it is told to.
 CHOOSE = """
@@ -54,3 +59,27 @@
 @then('each has a loopback network of its own')
 def check_networks(context):
     assert len(set(context.networks)) == len(context.networks)
+
+
+@when('an emulated runner registers and tells nothing besides')
+def register(context):
+    context.bodies = []
+
+    async def play():
+        with trio.CancelScope() as scope:
+
+            async def take(path, body):
+                context.bodies.append(body)
+                scope.cancel()
+                return 200
+
+            place = ('127.0.0.1:1', 4)
+            await engineserver.register(take, 'i-1', 's', *place)
+
+    trio.run(play)
+
+
+@then('its heartbeat is one that an entry takes')
+def check_heartbeat(context):
+    heartbeat = entryapi.read_heartbeat('i-1', context.bodies[0])
+    assert heartbeat.instance.state == instances.READY, heartbeat
--- a/standins/engineserver.py
+++ b/standins/engineserver.py
@@ -176,7 +176,15 @@
     service: str, address: str, seq: int, slots: int, born_ms: int = 0
 ) -> bytes:
     """Return the body of a heartbeat; 0 tells no start."""
-    body = {
+    told = _told(service, address, seq, slots)
+    return json.dumps(
+        told | ({'born_ms': born_ms} if born_ms else {})
+    ).encode()
+
+
+def _told(service: str, address: str, seq: int, slots: int) -> dict:
+    """Return what each heartbeat must say."""
+    return {
         'service': service,
         'address': address,
         'hall': 'north',
@@ -184,9 +192,6 @@
         'slots': slots,
         'state': 'ready',
     }
-    return json.dumps(
-        body | ({'born_ms': born_ms} if born_ms else {})
-    ).encode()
 
 
 async def register(
@@ -208,14 +213,7 @@
         besides = told()
         seq = 1 if besides.get('born_ms', 0) > born_ms else seq + 1
         born_ms = besides.get('born_ms', 0)
-        body = {
-            'service': service,
-            'address': address,
-            'hall': 'north',
-            'seq': seq,
-            'slots': slots,
-            **besides,
-        }
+        body = _told(service, address, seq, slots) | besides
         path = b'/v1/instances/%s/heartbeat' % key.encode()
         if await post(path, json.dumps(body).encode()) == 200:
             heard(body)
