Sight: what runners ask for beside their answers, and what is sent all the same

A refused try could not be told from one whose runner had asked for rest, nor how old that word was when the next request left. A line and a counter for each rest that is asked for (rest.asked), each request that leaves within one (rest.sent, with its age and the time since placing) and each runner that says it leaves.

--- a/mountridge/net/dialects.py
+++ b/mountridge/net/dialects.py
@@ -6,6 +6,7 @@
 them otherwise gives another `Dialect`; all else stays the same.
 """
 
+import math
 import typing
 
 from mountridge.documents import routes
@@ -19,6 +20,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+#: Statuses by which a runner turns a request away, and may ask for rest.
+REFUSALS = (429, 503)
 #: Headers that concern one connection, or that this project sets itself.
 _PER_CONNECTION = frozenset(
     (
@@ -43,6 +46,8 @@
     token_counts: bytes = b'x-token-counts'  # of the prompt, most out
     prefix_parts: bytes = b'x-prefix-parts'  # ID:TOKENS by commas
     last_event_id: bytes = b'last-event-id'
+    retry_after: bytes = b'retry-after'  # from runners: seconds of rest
+    leaving: bytes = b'x-leaving'  # from runners: it is about to end
 
 
 class Dialect(typing.NamedTuple):
@@ -77,6 +82,11 @@
     instance_id: str | None
     running: int | None
     waiting: int | None
+    #: Seconds for which it wants nothing from the asker; None where it does
+    #: not say. Not a number where that can't be read.
+    rest_s: float | None = None
+    #: It is about to end, by a 1 in that header.
+    is_leaving: bool = False
 
 
 def read_call(request: httpserver.Request, names: HeaderNames) -> Call:
@@ -190,9 +200,22 @@
         None if instance_id is None else _text(instance_id),
         running,
         waiting,
+        _rest_s(status, found.get(names.retry_after)),
+        found.get(names.leaving) == b'1',
     )
 
 
+def _rest_s(status: int, value: bytes | None) -> float | None:
+    """Return the rest that a refusal asks for; NaN where unreadable."""
+    if value is None or status not in REFUSALS:
+        return None
+    try:
+        rest_s = float(value)
+    except ValueError:
+        return math.nan
+    return rest_s if math.isfinite(rest_s) and rest_s >= 0 else math.nan
+
+
 def _load(value: bytes | None) -> tuple[int | None, int | None]:
     """Return the requests running and waiting, None where untold."""
     if value is None:
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -16,7 +16,7 @@
 
 from mountridge.documents import instances
 from mountridge import messages
-from mountridge.routing import closures, returns, warmup
+from mountridge.routing import closures, rests, returns, warmup
 
 __all__ = ['Backend', 'Backends', 'LEAVE_PACE', 'Picked', 'SLOW_PACE']
 
@@ -146,6 +146,7 @@
     load: int
     report_age_s: float
     among: int  # runners that could have been taken
+    placed_s: float
 
 
 class Backends:
@@ -158,6 +159,7 @@
         self.name = name
         #: Its part of the requests to runners that can turn cold.
         self.warmup = bound or warmup.Warmup(name)
+        self.rests = rests.Rests()
         self._gateways: dict[str, str] = {}
         self._own_part: set[str] = set()
         #: Halls that are out of service.
@@ -456,7 +458,7 @@
             best = _take_place(sound, cost, place, rng)
         age_s = now_s - best.reported_s
         load = best.load(self.rest_s, now_s)
-        return Picked(best, load, age_s, len(sound))
+        return Picked(best, load, age_s, len(sound), now_s)
 
     def _sound(
         self, service: str, tried: set[str], was_refused: bool, now_s: float
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -8,6 +8,7 @@
 only where no try could have run.
 """
 
+import math
 import random
 import typing
 
@@ -18,7 +19,7 @@
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, budgets, picking, routedanswers
-from mountridge.routing import routedexchanges, routefilters
+from mountridge.routing import routedexchanges, routefilters, warmup
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -268,7 +269,7 @@
                 self._runner_headers(exchange, backend),
                 request.body,
                 exchange.call.request_id,
-                lambda: send.leaves(self.app.now_s()),
+                lambda: self._leaves(exchange, picked, send),
             ) as reply:
                 if reply.head.status == MISDIRECTED:
                     send.take_back()
@@ -278,6 +279,28 @@
                 send.take_back()
             backend.ended()
 
+    def _leaves(
+        self,
+        exchange: Exchange,
+        picked: backends.Picked,
+        send: warmup.Send,
+    ) -> None:
+        """Note that a request leaves now, and whether that is wanted."""
+        now_s = self.app.now_s()
+        send.leaves(now_s)
+        rest = self.known.rests.at(picked.backend.instance, now_s)
+        if rest is None:
+            return
+        self.app.metrics.incr('rest.sent')
+        logger.info(
+            'sent within a rest',
+            request=exchange.call.request_id,
+            **_told(picked, now_s),
+            asked_ms=_ms(now_s - rest.asked_s),
+            left_ms=_ms(rest.until_s - now_s),
+            placed_ms=_ms(now_s - picked.placed_s),
+        )
+
     def _runner_headers(
         self, exchange: Exchange, backend: backends.Backend
     ) -> list[tuple[bytes, bytes]]:
@@ -312,6 +335,7 @@
             if self.picker.has_ranks(exchange.service):
                 self.known.refused(backend, now_s)
             raise errors.RunnerReplaced(f'it answered {head.status}')
+        self._hear(exchange, backend, head)
         if head.not_run:
             if self.picker.has_ranks(exchange.service):
                 self.known.refused(backend, now_s)
@@ -326,6 +350,35 @@
         )
         backend.succeeded()
 
+    def _hear(
+        self,
+        exchange: Exchange,
+        backend: backends.Backend,
+        head: dialects.ReplyHead,
+    ) -> None:
+        """Take what a runner says of itself beside its answer."""
+        runner = backend.instance
+        if head.rest_s is not None:
+            now_s = self.app.now_s()
+            rest = self.known.rests.ask(runner, head.rest_s, now_s)
+            self.app.metrics.incr('rest.asked')
+            if math.isnan(head.rest_s):
+                self.app.metrics.incr('runner.malformed.rest')
+            logger.info(
+                'runner asks for rest',
+                request=exchange.call.request_id,
+                runner=runner.instance_id,
+                rest_ms=_ms(rest.until_s - now_s),
+            )
+        if head.is_leaving:
+            self.app.metrics.incr('runner.says_leaving')
+            logger.info(
+                'runner says that it leaves',
+                request=exchange.call.request_id,
+                runner=runner.instance_id,
+                registered=runner.state,
+            )
+
     def _leave_slow(
         self, exchange: Exchange, backend: backends.Backend
     ) -> None:
