Agents hear what their runner asks for: rest, and that it leaves

Now it sends nothing for the rest that was asked for, tells gateways that it takes nothing, refuses what waits or comes so that it goes to another agent without use of the retry budget, and tries with one request after it. A refusal that says 'not run' is tried elsewhere. A runner behind an agent has no id, so its word that it leaves holds for 30 s at a time.

Before: 30 and more requests into a rest, claimed calls answered 503.

--- a/features/rests.feature
+++ b/features/rests.feature
@@ -94,3 +94,33 @@
   Scenario: Words of many lives are kept within a bound, the latest ones
     When 5000 lives of runners ask for rest
     Then the words of 2000 are kept, with the latest
+
+  Scenario: An agent's runner asks for rest and turns all away
+    Given a system of 1 gateways, 2 agents and 3 controllers
+    When one runner asks for 3 s of rest for 7 s, while 10 calls a second come
+    Then that runner gets at most 2 requests into a rest
+    And all calls have been answered whole
+    And that runner has run some after it takes requests again
+
+  Scenario: A call that is claimed where its agent's runner asks for rest
+    Given a system of 1 gateways, 2 agents and 3 controllers
+    When one runner asks for 3 s of rest for 4 s, and 20 calls with keys come
+    Then all calls have been answered whole
+    And each of them has run once
+
+  Scenario: An agent's runner says that it leaves
+    Given a system of 1 gateways, 2 agents and 3 controllers
+    When one runner says that it leaves, while 10 calls a second come for 9 s
+    Then that runner gets nothing later than 0.5 s after its word
+    And all calls have been answered whole
+
+  Scenario Outline: What waits at an agent, or is on its way, goes elsewhere
+    Given a system of 1 gateways, 2 agents and 3 controllers
+    When one runner asks for 3 s of rest from <from_s> s on, in 60 calls of 0.06 s
+    Then all calls have been answered whole
+    And none has taken longer than 1.5 s
+
+    Examples: While the agent is idle, and once calls wait there
+      | from_s |
+      | 0.0    |
+      | 0.045  |
--- a/features/steps/rests_steps.py
+++ b/features/steps/rests_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 import trio
 
-from features.worlds import rests
+from features.worlds import rests, system
 from mountridge import errors
 from mountridge.net import dialects
 from mountridge.routing import rests as rests_module
@@ -315,3 +315,126 @@
 def check_kept(context, count):
     assert len(context.words) == count
     assert not context.words.may_place(context.lives[-1], 1.0)
+
+
+# An agent and its one runner.
+
+
+def _turn_away(span_s):
+    return dialects.ReplyHead(503, None, True, None, None, None, span_s)
+
+
+LEAVES = system.ANSWERS._replace(is_leaving=True)
+
+
+CALLS, DRAFTS = ('receipts', 'corrections'), ('crews', 'drafts')
+
+
+def _play_calls(context, head, from_s, to_s, per_s, span_s, row=CALLS):
+    """Send calls while the first agent's runner answers with ``head``."""
+    context.results = []
+
+    async def script(world):
+        await world.begin()
+        runner = world.runners['a1']
+
+        async def change():
+            await trio.sleep(from_s)
+            runner.head = head
+            await trio.sleep(to_s - from_s)
+            runner.head = system.ANSWERS
+            context.back_s = trio.current_time()
+
+        async def call(number):
+            mark = f'm{number}'
+            key = f'{system.WALL_S:.0f}-{mark}'
+            key = key if row == CALLS else ''
+            result = await world.request('g1', *row, mark, key)
+            context.results.append((mark, result))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change)
+            for number in range(round(per_s * span_s)):
+                nursery.start_soon(call, number)
+                await trio.sleep(1 / per_s)
+        return runner, dict(world.runners)
+
+    context.runner, context.runners = system.play_for(context, script)
+
+
+@when(
+    'one runner asks for {rest_s:g} s of rest for {span_s:g} s, while'
+    ' {per_s:g} calls a second come'
+)
+def rest_behind_agent(context, rest_s, span_s, per_s):
+    context.rest_s = rest_s
+    head = _turn_away(rest_s)
+    _play_calls(context, head, 1.0, 1.0 + span_s, per_s, span_s + 6.0)
+
+
+@when(
+    'one runner asks for {rest_s:g} s of rest for {span_s:g} s, and {count:d}'
+    ' calls with keys come'
+)
+def rest_with_keys(context, rest_s, span_s, count):
+    head = _turn_away(rest_s)
+    _play_calls(context, head, 0.0, span_s, count / span_s, span_s)
+
+
+@when(
+    'one runner says that it leaves, while {per_s:g} calls a second come for'
+    ' {span_s:g} s'
+)
+def leave_behind_agent(context, per_s, span_s):
+    _play_calls(context, LEAVES, 1.0, span_s + 5.0, per_s, span_s)
+
+
+@then('that runner gets at most {most:d} requests into a rest')
+def check_agent_rests(context, most):
+    starts_s = [at_s for at_s, _ in context.runner.starts]
+    assert context.runner.refusals
+    for told_s in context.runner.refusals:
+        until_s = told_s + context.rest_s
+        late = [x for x in starts_s if told_s + 0.5 < x < until_s]
+        assert len(late) <= most, (told_s, late)
+
+
+@then('all calls have been answered whole')
+def check_whole(context):
+    for mark, result in context.results:
+        assert result.data == system.whole(mark), (mark, result.problem)
+
+
+@then('that runner has run some after it takes requests again')
+def check_runs_again(context):
+    starts_s = [at_s for at_s, _ in context.runner.starts]
+    assert any(at_s > context.back_s for at_s in starts_s), starts_s[-1]
+
+
+@then('each of them has run once')
+def check_once(context):
+    for mark, _ in context.results:
+        runs = sum(each.runs[mark] for each in context.runners.values())
+        assert runs == 1, (mark, runs)
+
+
+@then('that runner gets nothing later than {late_s:g} s after its word')
+def check_leaves_agent(context, late_s):
+    told_s = context.runner.words[0]
+    late = [x for x, _ in context.runner.starts if x > told_s + late_s]
+    assert not late, (told_s, late)
+
+
+@when(
+    'one runner asks for {rest_s:g} s of rest from {from_s:g} s on, in'
+    ' {count:d} calls of {span_s:g} s'
+)
+def rest_in_burst(context, rest_s, from_s, count, span_s):
+    head, per_s = _turn_away(rest_s), count / span_s
+    _play_calls(context, head, from_s, 1.0, per_s, span_s, DRAFTS)
+
+
+@then('none has taken longer than {most_s:g} s')
+def check_took(context, most_s):
+    took_s = [result.took_s for _, result in context.results]
+    assert max(took_s) <= most_s, sorted(took_s)[-5:]
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -35,6 +35,8 @@
 LEADER_LEASE_S = 0.45
 WALL_S = 1_800_000_000.0
 
+#: What the head of a usual answer says.
+ANSWERS = dialects.ReplyHead(200, None, False, None, None, None)
 SHEET = """team,service,concurrency,rate_per_s,queue_s,priority,repeatable
 crews,drafts,64,1000,5,draft,yes
 control-room,alarms,32,1000,1,alarm,yes
@@ -195,6 +197,11 @@
     return Rule(kind, action, nth)
 
 
+async def _no_pieces():
+    for data in ():
+        yield data
+
+
 class Runner:
     """A fake runner: remembers what it ran, answers in pieces."""
 
@@ -205,16 +212,26 @@
         self.pieces, self.gap_s = 5, 0.02
         self.stalled = self.cuts = False
         self.starts = []
+        #: What its answers say of it; a status of 503 turns all away.
+        self.head = ANSWERS
+        #: When it turned a request away, and told that it leaves.
+        self.refusals, self.words = [], []
 
     @contextlib.asynccontextmanager
     async def request(self, path, headers, body):
         mark = json.loads(body).get('mark', '')
-        self.runs[mark] += 1
         self.starts.append((trio.current_time(), mark))
+        if self.head.status != 200:
+            self.refusals.append(trio.current_time())
+            yield types.SimpleNamespace(head=self.head, pieces=_no_pieces)
+            return
+        if self.head.is_leaving:
+            self.words.append(trio.current_time())
+        self.runs[mark] += 1
         self.running += 1
         try:
             yield types.SimpleNamespace(
-                status=200, pieces=lambda: self.answer(mark)
+                head=self.head, pieces=lambda: self.answer(mark)
             )
         finally:
             self.running -= 1
--- a/mountridge/agent.py
+++ b/mountridge/agent.py
@@ -2,6 +2,7 @@
 
 """The agent: the last hop before a runner, in the slot on its box."""
 
+import math
 import typing
 
 import trio
@@ -10,6 +11,7 @@
 from mountridge.dispatch import decisions, links, outboxes, queues, tickets
 from mountridge.dispatch import upstreams
 from mountridge.logs import logger
+from mountridge.net import dialects, reststates
 from mountridge.state import leases, members, views
 
 __all__ = ['Agent', 'build', 'run']
@@ -20,6 +22,10 @@
 #: Ended answers of claimed calls that can still be sent again.
 KEPT_ANSWERS = 1000
 OUTCOME_RETRY_S = 0.5
+#: The runner behind this agent has no id by which a later one is told from
+#: it. After its word that it leaves, one request at a time finds out: most
+#: planned ends of a runner are over by then.
+LEAVING_S = 30.0
 
 
 class Attempt:
@@ -67,6 +73,8 @@
         self.ended: dict[str, Attempt] = {}
         self.outbox = outboxes.Outbox(app, self.load, self._lost)
         self.draining = False
+        #: What the runner asks of this agent for the time to come.
+        self.rest_state = reststates.RestState()
         self.upstream = upstream or upstreams.Upstream(self.settings['runner'])
 
     # Messages.
@@ -102,6 +110,8 @@
             raise errors.Draining()
         if not self.held.valid(now_s):
             raise errors.NoLease()
+        if not self.rest_state.allows(now_s):
+            raise self._resting(now_s)
         self.tickets.accept(ticket, now_s)
         wait_s = min(ticket.queue_s, ticket.deadline_s)
         try:
@@ -119,6 +129,13 @@
             self.tickets.end(ticket.attempt_id, errors.NOT_RUN, now_s)
             raise
 
+    def _resting(self, now_s: float) -> errors.RunnersResting:
+        left_s = self.rest_state.until_s - now_s
+        return errors.RunnersResting(
+            f'its runner wants nothing for {left_s:.1f} s more',
+            retry_after_s=left_s,
+        )
+
     def on_cancel(self, peer, message: messages.Cancel) -> None:
         """Stop an attempt whose caller has gone, unless it is claimed."""
         attempt = self.attempts.get(message.attempt_id)
@@ -185,14 +202,16 @@
         )
 
     def _start_next(self) -> None:
-        while True:
+        while self.rest_state.may_place(self.app.now_s()):
             item = self.queue.pop(self.app.now_s())
             if item is None:
                 return
             self.tickets.begin(item.attempt_id)
-            self.app.start_task(self._run, self.attempts[item.attempt_id])
+            is_trial = self.rest_state.begin()
+            attempt = self.attempts[item.attempt_id]
+            self.app.start_task(self._run, attempt, is_trial)
 
-    async def _run(self, attempt: Attempt) -> None:
+    async def _run(self, attempt: Attempt, is_trial: bool) -> None:
         ticket = attempt.ticket
         problem: errors.MountridgeError | None = None
         with attempt.scope:
@@ -204,6 +223,8 @@
             except errors.MountridgeError as failed:
                 problem = failed
         self.queue.done(ticket.attempt_id, self.app.now_s())
+        if is_trial:
+            self.rest_state.end_trial()
         if attempt.scope.cancelled_caught:
             problem = errors.RunnerFailed('cancelled by the caller')
         if problem is None:
@@ -224,11 +245,37 @@
         async with self.upstream.request(
             ticket.path, headers, ticket.body
         ) as response:
-            attempt.status = response.status
+            self._hear(response.head)
+            attempt.status = response.head.status
             async for data in response.pieces():
                 attempt.keep(data, self.settings['answer_bytes'])
                 self._send_frame(attempt, data)
 
+    def _hear(self, head: dialects.ReplyHead) -> None:
+        """Take what the runner says of itself.
+
+        :raises RunnerRefused: it says that it has not run the request.
+        """
+        now_s = self.app.now_s()
+        if head.rest_s is not None:
+            self._rest(head.rest_s, now_s)
+        elif head.is_leaving:
+            self._rest(LEAVING_S, now_s)
+        elif not head.not_run and self.rest_state.takes(now_s):
+            self._start_next()
+        if head.not_run:
+            raise errors.RunnerRefused(f'the runner answered {head.status}')
+
+    def _rest(self, span_s: float, now_s: float) -> None:
+        """Send nothing for a while; what waits goes to another agent."""
+        self.rest_state.ask(span_s, now_s)
+        self.app.metrics.incr('rest.asked')
+        rest_ms = round((self.rest_state.until_s - now_s) * 1000)
+        logger.info('runner asks for rest', rest_ms=rest_ms)
+        for item in self.queue.expired(math.inf):
+            self._refuse(item.attempt_id, self._resting(now_s))
+        self.outbox.tell_all()
+
     def _finish(self, attempt: Attempt, outcome: str) -> None:
         ticket = attempt.ticket
         self.attempts.pop(ticket.attempt_id, None)
@@ -304,13 +351,18 @@
             len(self.queue.running),
             len(self.queue),
             self.queue.slots,
-            self.draining or not self.held.valid(self.app.now_s()),
+            self._takes_nothing(),
             self.app.now_s(),
             link.frames_seq,
             link.ticket_seq,
             link.ticket_count,
         )
 
+    def _takes_nothing(self) -> bool:
+        now_s = self.app.now_s()
+        is_willing = self.held.valid(now_s) and self.rest_state.allows(now_s)
+        return self.draining or not is_willing
+
     async def report(self) -> None:
         """Refuse what waited too long, and send load reports."""
         while True:
@@ -333,9 +385,15 @@
                 self.outbox.lose_earlier(member.name, member.incarnation)
 
     def _expire(self, attempt_id: str) -> None:
+        priority = self.attempts[attempt_id].ticket.priority
+        wait_s = self.queue.wait_s(priority)
+        self._refuse(attempt_id, errors.Busy('time in queue is over', wait_s))
+
+    def _refuse(
+        self, attempt_id: str, problem: errors.MountridgeError
+    ) -> None:
+        """Refuse what was accepted and has not begun."""
         attempt = self.attempts[attempt_id]
-        wait_s = self.queue.wait_s(attempt.ticket.priority)
-        problem = errors.Busy('time in queue is over', wait_s)
         self._note(attempt.ticket, 'refuse', str(problem), problem.code)
         self._fail(attempt, problem)
         self._finish(attempt, errors.NOT_RUN)
--- a/mountridge/dispatch/retries.py
+++ b/mountridge/dispatch/retries.py
@@ -42,7 +42,12 @@
     That is no sign of load, and costs no retry of the budget; the number of
     tries bounds it.
     """
-    elsewhere = (errors.Draining, errors.NoLease, errors.StaleIncarnation)
+    elsewhere = (
+        errors.Draining,
+        errors.NoLease,
+        errors.RunnersResting,
+        errors.StaleIncarnation,
+    )
     return isinstance(problem, elsewhere)
 
 
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -20,11 +20,11 @@
 
 
 class Response:
-    """The runner's answer: its status, and its body in pieces."""
+    """The runner's answer: its head, and its body in pieces."""
 
     def __init__(self, reply: lasthop.Reply):
         self._reply = reply
-        self.status = reply.head.status
+        self.head = reply.head
 
     def pieces(self) -> typing.AsyncIterator[bytes]:
         """Yield the body; returns only at its explicit end.
--- /dev/null
+++ b/mountridge/net/reststates.py
@@ -0,0 +1,93 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""What one runner asks of one sender for the time to come, in its answers.
+
+A runner that turns a request away may ask for rest, and one that is about to
+end says so. Nothing runs on either, so by its load each looks like the best
+of all; only its own word tells otherwise.
+"""
+
+import math
+
+__all__ = ['NO_REST', 'RestState']
+
+#: Taken where a runner asks for rest and its span can't be read: about what
+#: a full runner needs to have a slot again.
+UNREAD_S = 1.0
+#: A runner that asks for more than an hour has given another unit.
+MOST_S = 3600.0
+#: When the rest of a runner that asked for none was over.
+NO_REST = float('-inf')
+
+
+class RestState:
+    """What one life of a runner has asked for."""
+
+    __slots__ = ('_is_asked', 'is_leaving', 'is_tried', 'until_s')
+
+    def __init__(self) -> None:
+        self.until_s = NO_REST
+        self.is_leaving = False
+        #: Whether a request is finding out if the rest was long enough.
+        self.is_tried = False
+        self._is_asked = False
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether it has taken nothing yet since it asked for something."""
+        return self._is_asked
+
+    def ask(self, span_s: float, now_s: float) -> float:
+        """Take a rest that is asked for; return when it is over.
+
+        NaN stands for a span that can't be read. A shorter rest that is asked
+        for later does not end a longer one.
+        """
+        span_s = UNREAD_S if math.isnan(span_s) else min(span_s, MOST_S)
+        self.until_s = max(self.until_s, now_s + span_s)
+        self._is_asked = True
+        return self.until_s
+
+    def leave(self) -> bool:
+        """Take the word that it leaves; return whether that is new."""
+        is_new = not self.is_leaving
+        self.is_leaving = self._is_asked = True
+        return is_new
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether a request that was placed may be sent now."""
+        return not self.is_leaving and now_s >= self.until_s
+
+    def may_place(self, now_s: float) -> bool:
+        """Return whether a request may be placed now.
+
+        After a rest there is one at a time, until one is taken: the runner
+        may ask for another rest, and what is on its way then comes into that.
+        """
+        return self.allows(now_s) and not self.is_tried
+
+    def begin(self) -> bool:
+        """Note that a request is sent.
+
+        Returns whether it is the one that tries the runner after a rest, for
+        which `end_trial` must be called in the end.
+        """
+        if not self.is_doubtful or self.is_tried:
+            return False
+        self.is_tried = True
+        return True
+
+    def end_trial(self) -> None:
+        """Note that what came of the request that tried it is known."""
+        self.is_tried = False
+
+    def takes(self, now_s: float) -> bool:
+        """Note that it has taken a request; its rest may be forgotten.
+
+        Returns whether that ends a doubt. A request that it took before it
+        asked for rest says nothing.
+        """
+        if not self.is_doubtful or not self.allows(now_s):
+            return False
+        self._is_asked = self.is_tried = False
+        return True
--- a/mountridge/routing/rests.py
+++ b/mountridge/routing/rests.py
@@ -1,105 +1,66 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""What runners ask of this gateway for the time to come, in their answers.
+"""What all runners ask of this gateway for the time to come.
 
-A runner that turns a request away may ask for rest, and one that is about to
-end says so. Nothing runs on either, so by its load each looks like the best
-of all; only its own word tells otherwise. The words are kept by the life of
-a runner and apart from its registration, which may be lost and come back
-while they hold. They bind the gateway that got them, and no other.
+The words are kept by the life of a runner and apart from its registration,
+which may be lost and come back while they hold. They bind the gateway that
+got them, and no other.
 """
 
-import math
-
 from mountridge.documents import instances
+from mountridge.net import reststates
 
 __all__ = ['NO_REST', 'Rests']
 
-#: Taken where a runner asks for rest and its span can't be read: about what
-#: a full runner needs to have a slot again.
-UNREAD_S = 1.0
-#: A runner that asks for more than an hour has given another unit.
-MOST_S = 3600.0
+NO_REST = reststates.NO_REST
 #: Lives whose words are kept, the latest ones: a whole fleet, a few times.
 MOST_KEPT = 2000
-#: When the rest of a runner that asked for none was over.
-NO_REST = float('-inf')
 
 Life = tuple[str, int, int]
 
 
-class _Word:
-    """What one life of a runner has asked for."""
-
-    __slots__ = ('is_leaving', 'is_tried', 'until_s')
-
-    def __init__(self) -> None:
-        self.until_s = NO_REST
-        self.is_leaving = False
-        #: Whether a request is finding out if the rest was long enough.
-        self.is_tried = False
-
-
 class Rests:
     """The words of all runners, by life."""
 
     def __init__(self) -> None:
-        self._words: dict[Life, _Word] = {}
+        self._states: dict[Life, reststates.RestState] = {}
 
     def __len__(self) -> int:
-        return len(self._words)
+        return len(self._states)
 
     def ask(
         self, runner: instances.Instance, span_s: float, now_s: float
     ) -> float:
-        """Take a rest that a runner asks for; return when it is over.
-
-        NaN stands for a span that can't be read. A shorter rest that is asked
-        for later does not end a longer one.
-        """
-        span_s = UNREAD_S if math.isnan(span_s) else min(span_s, MOST_S)
-        word = self._keep(runner)
-        word.until_s = max(word.until_s, now_s + span_s)
-        return word.until_s
+        """Take a rest that a runner asks for; return when it is over."""
+        return self._keep(runner).ask(span_s, now_s)
 
     def leave(self, runner: instances.Instance) -> bool:
         """Take a runner's word that it leaves; return whether that is new."""
-        word = self._keep(runner)
-        is_new = not word.is_leaving
-        word.is_leaving = True
-        return is_new
+        return self._keep(runner).leave()
 
     def is_leaving(self, runner: instances.Instance) -> bool:
         """Return whether a runner has said that it leaves."""
-        word = self._words.get(_life(runner))
-        return word is not None and word.is_leaving
+        state = self._states.get(_life(runner))
+        return state is not None and state.is_leaving
 
     def until_s(self, runner: instances.Instance) -> float:
         """Return when a runner's rest is over, `NO_REST` where it had none."""
-        word = self._words.get(_life(runner))
-        return NO_REST if word is None else word.until_s
+        state = self._states.get(_life(runner))
+        return NO_REST if state is None else state.until_s
+
+    def is_doubtful(self, runner: instances.Instance) -> bool:
+        """Return whether it has taken nothing yet since it asked."""
+        return _life(runner) in self._states
 
     def allows(self, runner: instances.Instance, now_s: float) -> bool:
         """Return whether a request that was placed may be sent now."""
-        word = self._words.get(_life(runner))
-        if word is None:
-            return True
-        return not word.is_leaving and now_s >= word.until_s
+        state = self._states.get(_life(runner))
+        return state is None or state.allows(now_s)
 
     def may_place(self, runner: instances.Instance, now_s: float) -> bool:
-        """Return whether a request may be placed at a runner now.
-
-        After a rest it gets one at a time, until it has taken one: it may
-        ask for another rest, and what is on its way then comes into that.
-        """
-        if not self.allows(runner, now_s):
-            return False
-        word = self._words.get(_life(runner))
-        return word is None or not word.is_tried
-
-    def is_doubtful(self, runner: instances.Instance) -> bool:
-        """Return whether it has taken nothing yet since it asked for rest."""
-        return _life(runner) in self._words
+        """Return whether a request may be placed at a runner now."""
+        state = self._states.get(_life(runner))
+        return state is None or state.may_place(now_s)
 
     def begin(self, runner: instances.Instance) -> bool:
         """Note that a request goes to a runner.
@@ -107,37 +68,33 @@
         Returns whether it is the one that tries a runner after its rest, for
         which `end_trial` must be called in the end.
         """
-        word = self._words.get(_life(runner))
-        if word is None or word.is_tried:
-            return False
-        word.is_tried = True
-        return True
+        state = self._states.get(_life(runner))
+        return state is not None and state.begin()
 
     def end_trial(self, runner: instances.Instance) -> None:
         """Note that what came of the request that tried it is known."""
-        word = self._words.get(_life(runner))
-        if word is not None:
-            word.is_tried = False
+        state = self._states.get(_life(runner))
+        if state is not None:
+            state.end_trial()
 
     def takes(self, runner: instances.Instance, now_s: float) -> bool:
         """Note that a runner has taken a request; its rest may be forgotten.
 
-        Returns whether it may get more from now on. A request that it took
-        before it asked for rest says nothing.
+        Returns whether it may get more from now on.
         """
-        word = self._words.get(_life(runner))
-        if word is None or word.is_leaving or now_s < word.until_s:
+        state = self._states.get(_life(runner))
+        if state is None or not state.takes(now_s):
             return False
-        del self._words[_life(runner)]
+        del self._states[_life(runner)]
         return True
 
-    def _keep(self, runner: instances.Instance) -> _Word:
+    def _keep(self, runner: instances.Instance) -> reststates.RestState:
         """Return what a runner has asked for, as the latest of all."""
-        word = self._words.pop(_life(runner), None) or _Word()
-        while len(self._words) >= MOST_KEPT:
-            del self._words[next(iter(self._words))]
-        self._words[_life(runner)] = word
-        return word
+        state = self._states.pop(_life(runner), None) or reststates.RestState()
+        while len(self._states) >= MOST_KEPT:
+            del self._states[next(iter(self._states))]
+        self._states[_life(runner)] = state
+        return state
 
 
 def _life(runner: instances.Instance) -> Life:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -624,12 +624,14 @@
         'exchange.unsent += is_unsent', 'pass', 'rests',
     ),
     Mutant(
-        'rests: all come at once when one is over', 'rests',
-        'return word is None or not word.is_tried', 'return True', 'rests',
+        'rests: all come at once when one is over', 'reststates',
+        'return self.allows(now_s) and not self.is_tried',
+        'return self.allows(now_s)', 'rests',
     ),
     Mutant(
-        'rests: a runner that takes requests again stays in doubt', 'rests',
-        '        del self._words[_life(runner)]\n', '        pass\n', 'rests',
+        'rests: a runner that takes requests again stays in doubt',
+        'backends', 'if self.rests.takes(backend.instance, now_s):',
+        'if False:', 'rests',
     ),
     Mutant(
         'rests: one closes its group', 'forwarding',
@@ -650,6 +652,31 @@
         'if over_s is not None and over_s <= until_s:',
         'if over_s is not None:', 'rests',
     ),
+    Mutant(
+        'rests: an agent hears none', 'agent',
+        'if head.rest_s is not None:', 'if False:', 'rests', 'agent',
+    ),
+    Mutant(
+        'rests: an agent takes tickets in one', 'agent',
+        'if not self.rest_state.allows(now_s):', 'if False:', 'rests',
+        'agent',
+    ),
+    Mutant(
+        'rests: what waits at an agent waits on', 'agent',
+        'for item in self.queue.expired(math.inf):',
+        'for item in self.queue.expired(now_s):', 'rests', 'agent',
+    ),
+    Mutant(
+        'rests: an agent hears no word of leaving', 'agent',
+        'elif head.is_leaving:', 'elif False:', 'rests', 'agent',
+    ),
+    Mutant(
+        'rests: a refusal is an answer to the caller', 'agent',
+        """        if head.not_run:
+            raise errors.RunnerRefused""",
+        """        if False:
+            raise errors.RunnerRefused""", 'rests', 'agent',
+    ),
     Mutant(
         'forwarding: what ran is called not run', 'forwarding',
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
