One clock that counts suspensions, and what a gap ends

Deciding times came from the steady clock, which stands still while a machine is suspended: a lease of 3 s was still valid after 4 s of sleep, a request of 2 s was sent 5 s later. Now all that decides takes CLOCK_BOOTTIME, which a scenario checks in the sources; each look tells of a gap above 0.25 s before it is acted on, which ends late requests and renews the lease; a request's time is judged again before its first byte leaves.

Not begun: clocks shifted in the soak.

--- a/features/steps/house_steps.py
+++ b/features/steps/house_steps.py
@@ -38,7 +38,9 @@
     'routing', 'groups', 'control', 'dispatch',
 )  # fmt: skip
 #: Modules beside the packages that all may import.
-BASE = {'errors', 'logs', 'metrics', 'settings', 'signals', 'utils'}
+BASE = {
+    'clocks', 'errors', 'logs', 'metrics', 'settings', 'signals', 'utils',
+}  # fmt: skip
 #: The life of a process stands on the sockets; what is above may import it.
 APPLICATION_ABOVE = PACKAGES.index('net')
 
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -128,6 +128,8 @@
     """Some gateways, and the runners of one service."""
 
     def __init__(self, gateways: int, runners: int, tries: int = 2):
+        #: For how long the machine was suspended; its timers stood still.
+        self.slept_s = 0.0
         self.runners: dict[str, Runner] = {}
         for number in range(runners):
             self.put(Runner(number))
@@ -142,7 +144,7 @@
         app = types.SimpleNamespace(
             settings={'hall': 'north', 'bounds': BOUNDS},
             incarnation=name,
-            now_s=trio.current_time,
+            now_s=self.now_s,
             metrics=metrics.Metrics(None),
         )
         made = forwarding.Forwarder(
@@ -152,6 +154,16 @@
         made.pool = _Pool(self, name)
         return made
 
+    def now_s(self) -> float:
+        """Return the time that the gateways decide by."""
+        return trio.current_time() + self.slept_s
+
+    def suspend(self, span_s: float, is_noticed: bool = True) -> None:
+        """Let real time go on, and no timer."""
+        self.slept_s += span_s
+        for gateway in self.gateways.values() if is_noticed else ():
+            gateway.end_late(self.now_s())
+
     def put(self, runner: Runner) -> None:
         """Put a runner, or a later life of one, at its address."""
         self.runners[runner.instance.address] = runner
@@ -187,7 +199,7 @@
                     self.is_open,
                 )  # fmt: skip
                 for gateway in self.gateways.values():
-                    gateway.known.report(load, trio.current_time())
+                    gateway.known.report(load, self.now_s())
             await trio.sleep(REPORT_S)
 
     async def ask(self, gateway: str, deadline_ms: int = 2500) -> _Responder:
--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -11,7 +11,7 @@
 import trio
 import zmq
 
-from mountridge import errors, messages, metrics, signals, utils
+from mountridge import clocks, errors, messages, metrics, signals, utils
 from mountridge.logs import logger
 from mountridge.net import keys, sockets
 
@@ -47,6 +47,10 @@
         #: Another one at each start: what was before is not carried on.
         self.incarnation = utils.fresh_id()
         self.metrics = metrics.open_metrics(settings)
+        self.clock = clocks.Clock(self.wake)
+        #: Called with the seconds for which this process was suspended,
+        #: before anything is decided after that.
+        self.on_gap: list[typing.Callable[[float], None]] = []
         self.handlers: dict[type, Handler] = {
             messages.Dump: self._dump,
             messages.Stop: self._stop,
@@ -67,8 +71,18 @@
         return zmq.Context(io_threads=1)
 
     def now_s(self) -> float:
-        """Return the monotonic time that deciding functions take."""
-        return time.monotonic()
+        """Return the time that deciding functions take; it never goes back.
+
+        It counts the time for which the machine was suspended.
+        """
+        return self.clock.now_s()
+
+    def wake(self, gap_s: float) -> None:
+        """Tell all that was made before a suspension of ``gap_s``."""
+        self.metrics.incr('clock.gaps')
+        logger.warning('suspended', gap_ms=round(gap_s * 1000))
+        for hook in self.on_gap:
+            hook(gap_s)
 
     def wall_s(self) -> float:
         """Return the wall clock, for records and the age of keys."""
@@ -188,6 +202,10 @@
                     nursery.start_soon(task)
                 signals.started.send(self)
                 logger.info('started')
+                if not clocks.counts_suspension:
+                    lacking = errors.NoRealClock()
+                    reason = str(lacking)
+                    logger.warning('clock', code=lacking.code, reason=reason)
                 await self.stopping.wait()
                 logger.info('stopping')
                 for hook in self.drain:
--- a/mountridge/clitools.py
+++ b/mountridge/clitools.py
@@ -9,7 +9,7 @@
 import click
 import trio
 
-from mountridge import errors
+from mountridge import clocks, errors
 from mountridge.net import dialects, lasthop
 
 __all__ = [
@@ -48,7 +48,7 @@
     """Return the body of an entry's answer, or end with its error."""
 
     async def work() -> tuple[int, bytes]:
-        pool = lasthop.Pool(dialects.NATIVE.headers, trio.current_time)
+        pool = lasthop.Pool(dialects.NATIVE.headers, clocks.now_s)
         headers = [
             (b'Host', address.encode()),
             (b'Content-Length', b'%d' % len(body)),
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -9,8 +9,7 @@
 import contextlib
 import typing
 
-import trio
-
+from mountridge import clocks
 from mountridge.net import dialects, lasthop
 
 __all__ = ['Response', 'Upstream']
@@ -40,7 +39,7 @@
     def __init__(self, url: str):
         self._address = url.removeprefix('http://').rstrip('/')
         names = dialects.NATIVE.headers
-        self._pool = lasthop.Pool(names, trio.current_time, CONNECT_S)
+        self._pool = lasthop.Pool(names, clocks.now_s, CONNECT_S)
 
     @contextlib.asynccontextmanager
     async def request(
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -84,6 +84,7 @@
             self.backends,
             lambda: len(self.gateways()),
         )
+        app.on_gap.append(lambda gap_s: self.forwarder.end_late(app.now_s()))
         self.hall_orders = hallorders.HallOrders(app, self.leader.call)
         self.draining = False
         self._drain_began_s = 0.0
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -45,6 +45,7 @@
     'HallChanged',
     'HallsOut',
     'HeadTooLarge',
+    'NoRealClock',
     'NoRoute',
     'UnknownHall',
     'UnknownService',
@@ -370,6 +371,12 @@
     code = 1501
 
 
+class NoRealClock(MountridgeError):
+    """No clock of this system counts the time of a suspension."""
+
+    code = 1503
+
+
 class BadMessage(MountridgeError):
     """A message between processes is malformed or of another version."""
 
--- a/mountridge/net/listening.py
+++ b/mountridge/net/listening.py
@@ -5,20 +5,21 @@
 Loading them takes 0.5 to 0.7 s on a quarter to a third of a core. Where all
 processes start at the same moment, callers that connect meanwhile then wait
 for that long; refused everywhere, they would use up their tries. Imports
-nothing but small parts of the standard library.
+nothing but the clock and small parts of the standard library.
 """
 
 import json
 import socket
-import time
+
+from mountridge import clocks
 
 __all__ = ['BEGAN_S', 'listen', 'listen_early']
 
 #: Connections that may wait; far more than come to one box within a start.
 BACKLOG = 1024
-#: Monotonic time at which this process began, as nearly as it can tell: this
+#: Time at which this process began, as nearly as it can tell: this
 #: module is the first to be loaded.
-BEGAN_S = time.monotonic()
+BEGAN_S = clocks.now_s()
 
 
 def listen(address: str) -> socket.socket:
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -64,6 +64,7 @@
 MISDIRECTED = 421
 #: What does not count against a runner's health.
 NOT_ITS_FAULT = (
+    errors.DeadlinePassed,
     errors.RunnerRefused,
     errors.RunnerReplaced,
     errors.RunnerSlow,
@@ -100,6 +101,8 @@
             bounds['retry_window_s'],
         )
         self.picker = picking.Picker(app, index, known, gateways, self.rng)
+        #: Until when each open request may take.
+        self._open_until_s: dict[trio.CancelScope, float] = {}
         self.filters = routefilters.chain(index, dialect.headers, self.rng)
 
     async def handle(
@@ -178,12 +181,22 @@
             each(exchange, self.app.now_s())
         self.budget.first(exchange.service, self.app.now_s())
         # trio's own clock has another origin than the application's.
-        left_s = exchange.until_s + LATE_S - self.app.now_s()
-        with trio.move_on_after(left_s) as scope:
-            await self._try_runners(exchange)
+        until_s = exchange.until_s + LATE_S
+        with trio.move_on_after(until_s - self.app.now_s()) as scope:
+            self._open_until_s[scope] = until_s
+            try:
+                await self._try_runners(exchange)
+            finally:
+                del self._open_until_s[scope]
         if scope.cancelled_caught:
             raise self._out_of_time(exchange)
 
+    def end_late(self, now_s: float) -> None:
+        """End requests whose time is over; timers stop in a suspension."""
+        for scope, until_s in self._open_until_s.items():
+            if until_s <= now_s:
+                scope.cancel()
+
     def _out_of_time(self, exchange: Exchange) -> errors.MountridgeError:
         if exchange.may_have_run or exchange.is_under_way:
             return errors.TimedOut()
@@ -275,7 +288,7 @@
                 self._runner_headers(exchange, backend),
                 request.body,
                 exchange.call.request_id,
-                lambda: self._leaves(backend, send),
+                lambda: self._leaves(backend, send, exchange.until_s),
             ) as reply:
                 if reply.head.status == MISDIRECTED:
                     send.take_back()
@@ -287,15 +300,20 @@
                 self.known.rests.end_trial(backend.instance)
             backend.ended()
 
-    def _leaves(self, backend: backends.Backend, send: warmup.Send) -> None:
+    def _leaves(
+        self, backend: backends.Backend, send: warmup.Send, until_s: float
+    ) -> None:
         """Note that a request leaves now, if its runner still wants it.
 
         It was placed before it waited for a connection. What the runner has
         told since holds for it too.
 
         :raises RunnersResting: nothing is sent.
+        :raises DeadlinePassed: nor is it past its time.
         """
         now_s = self.app.now_s()
+        if now_s >= until_s:
+            raise errors.DeadlinePassed()
         if not self.known.rests.allows(backend.instance, now_s):
             self.app.metrics.incr('rest.held_back')
             raise errors.RunnersResting('the runner wants none, since placed')
--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -256,6 +256,8 @@
         self._hurry = trio.Event()
         self._renewed = trio.Event()
         self._was_valid = False
+        # What is held may be out of date; a timer would renew it late.
+        app.on_gap.append(lambda gap_s: self.nudge())
 
     async def run(self) -> None:
         """Renew at each interval, or sooner where someone hurries."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -677,6 +677,26 @@
         """        if False:
             raise errors.RunnerRefused""", 'rests', 'agent',
     ),
+    Mutant(
+        'clocks: time that was slept does not count', 'clocks',
+        'now_s = self._real()', 'now_s = self._steady()', 'suspension',
+    ),
+    Mutant(
+        'clocks: each look tells the same gap', 'clocks',
+        'self._ahead_s += gap_s', 'pass', 'suspension',
+    ),
+    Mutant(
+        'clocks: a late reading sets them apart', 'clocks',
+        'if gap_s > GAP_S:', 'if abs(gap_s) > GAP_S:', 'suspension',
+    ),
+    Mutant(
+        'clocks: requests past their time go on', 'forwarding',
+        'if until_s <= now_s:', 'if False:', 'suspension',
+    ),
+    Mutant(
+        'clocks: what woke late is sent', 'forwarding',
+        'if now_s >= until_s:', 'if False:', 'suspension',
+    ),
     Mutant(
         'forwarding: what ran is called not run', 'forwarding',
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
