Hold back requests that crash the runners that run them

Nothing remembered a request past its own tries: one that ends its runner ended one more with each try, at each gateway. Now a runner whose connection broke and whose address refuses the next one has crashed, and what ran there is suspect. The leader counts over all gateways; two crashes without a good end hold a request back by a verdict in the log, which outlasts leaders and the loss of all power. A suspect's second try waits for the leader's word.

Not played on a group of real engines, nor in the soak.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -165,7 +165,11 @@
             'retry_window_s': 10.0,
         }
         app = types.SimpleNamespace(
-            settings={'hall': 'north', 'bounds': bounds},
+            settings={
+                'hall': 'north',
+                'bounds': bounds,
+                'digest_key': '',
+            },
             incarnation='1',
             now_s=trio.current_time,
             metrics=metrics.Metrics(None),
--- /dev/null
+++ b/features/worlds/crashes.py
@@ -0,0 +1,210 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Entries and controllers before runners that requests crash.
+
+The daemons are real, over a scripted network and on virtual time; the
+connections to runners are not. A request whose body begins with "kill" ends
+the life of each runner that begins to run it, and all that runs there breaks.
+"""
+
+import contextlib
+import json
+import types
+
+import msgspec
+import trio
+
+from features.worlds import system
+from mountridge.documents import instances, routes
+from mountridge import errors, messages
+from mountridge.net import dialects, httpserver
+
+__all__ = ['Play', 'play']
+
+KEY = (b'Host', b'a.example')
+WAY_S, WORK_S = 0.005, 0.3
+#: A runner that has crashed is back after this long, as another life.
+BACK_S = 3.0
+
+
+def _document(experts):
+    route = routes.Route(
+        'r', 'a.example', '/', routes.SAFE, 3000.0, 100.0, 1,
+        [routes.Share('s', 1.0)], 2, True, False, 0.0,
+    )  # fmt: skip
+    engine = routes.Engine(4, 1000, experts=experts) if experts else None
+    services = [routes.Service('s', '/h', 8, engine)]
+    table = routes.RouteTable(1, [route], services, routes.Limits(), None)
+    return msgspec.json.encode(table)
+
+
+class Runner:
+    """One address, and the life of a runner that is there now."""
+
+    def __init__(self, number):
+        self.number, self.life = number, 0
+        self.address = f'10.0.0.{number}:1'
+        self.is_down = False
+        self.ended = trio.Event()
+        self.is_busy = False
+
+    def instance(self):
+        return instances.Instance(
+            f'i-{self.number}-{self.life}', 's', self.address, 'north', 'v',
+            4, instances.READY,
+        )  # fmt: skip
+
+    def crash(self):
+        self.is_down = True
+        self.ended.set()
+
+    def start(self):
+        self.life += 1
+        self.is_down, self.ended = False, trio.Event()
+
+
+class _Responder:
+    started = False
+    status, headers, body = 0, [], b''
+
+    async def send_whole(self, status, headers, body):
+        self.status, self.headers, self.body = status, headers, body
+
+
+class _Pool:
+    """Stands in for the connections of one entry."""
+
+    def __init__(self, play, name):
+        self.play, self.name = play, name
+
+    @contextlib.asynccontextmanager
+    async def request(self, address, _, __, ___, body, ____, on_send):
+        runner = self.play.runners[address]
+        if runner.is_down:
+            raise errors.NoRunner('refused')
+        on_send()
+        await trio.sleep(WAY_S)
+        self.play.arrived(self.name, runner, body)
+        if body.startswith(b'kill'):
+            runner.crash()
+            self.play.world.nursery.start_soon(self.play.back, runner)
+        ended, runner.is_busy = runner.ended, True
+        with trio.move_on_after(WORK_S):
+            await ended.wait()
+        if ended.is_set():
+            raise errors.OutcomeUnknown('no answer: reset')
+        head = dialects.ReplyHead(200, None, False, None, None, None)
+        yield types.SimpleNamespace(head=head, headers=[], whole=_whole)
+
+    async def is_refused(self, address):
+        await trio.sleep(WAY_S)
+        return self.play.runners[address].is_down
+
+    async def forget(self, address):
+        pass
+
+
+async def _whole():
+    return b'whole'
+
+
+class Play:
+    """A system, its runners, and what has reached them."""
+
+    def __init__(self, world, count):
+        self.world = world
+        listed = [Runner(number) for number in range(count)]
+        self.runners = {runner.address: runner for runner in listed}
+        self.arrivals = []  # (when, entry, life of the runner, body)
+        self.answers = []  # (when, entry, body, status, code, took)
+
+    def arrived(self, name, runner, body):
+        life = runner.instance().instance_id
+        self.arrivals.append((trio.current_time(), name, life, body))
+
+    def start(self, name):
+        self.world.start(name)
+        if name in self.world.entries:
+            self.world.parts[name].forwarder.pool = _Pool(self, name)
+
+    async def begin(self, experts):
+        for name in self.world.controllers + self.world.entries:
+            self.start(name)
+        await trio.sleep(0.01)
+        self.world.elect()
+        await trio.sleep(4)
+        await self.world.parts['e1'].put_routes(_document(experts))
+        for runner in self.runners.values():
+            await self.beat(runner)
+        self.world.nursery.start_soon(self._beats)
+        await trio.sleep(2)
+
+    async def _beats(self):
+        while True:
+            for runner in self.runners.values():
+                if not runner.is_down:
+                    await self.beat(runner)
+            await trio.sleep(0.5)
+
+    async def beat(self, runner):
+        for name in self.world.entries:
+            if self.world.processes.get(name) is None:
+                continue
+            with contextlib.suppress(errors.MountridgeError):
+                seq = round(trio.current_time() * 1000)
+                heartbeat = messages.Heartbeat(runner.instance(), seq)
+                await self.world.parts[name].heartbeat(heartbeat)
+                return
+
+    async def back(self, runner):
+        await trio.sleep(BACK_S)
+        runner.start()
+        await self.beat(runner)
+
+    async def ask(self, name, body, deadline_ms=3000):
+        begun_s = trio.current_time()
+        request = httpserver.Request(
+            b'POST',
+            b'/1',
+            [KEY, (b'X-Deadline-Ms', b'%d' % deadline_ms)],
+            body,
+        )
+        responder = _Responder()
+        await self.world.parts[name].forwarder.handle(request, responder)
+        now_s = trio.current_time()
+        is_own = responder.status != 200
+        told = json.loads(responder.body) if is_own else {}
+        code = told['error']['code'] if is_own else 0
+        self.answers.append(
+            (now_s, name, body, responder.status, code, now_s - begun_s)
+        )
+        return code
+
+    def crashes(self, body):
+        """Return when lives of runners ended by a request, in order."""
+        return [at_s for at_s, _, _, found in self.arrivals if found == body]
+
+    async def lose_power(self):
+        """Kill all processes; they come back with their disks."""
+        names = list(self.world.processes)
+        for name in names:
+            self.world.kill(name)
+        self.world.leader = ''
+        await trio.sleep(1)
+        for name in names:
+            self.start(name)
+        await trio.sleep(0.5)
+        self.world.elect()
+        await trio.sleep(4)
+
+
+def play(context, script, count=6, experts=0):
+    """Run ``script(play)`` on a system; what it saw is in the context."""
+
+    async def run(world):
+        context.play = Play(world, count)
+        await context.play.begin(experts)
+        await script(context.play)
+
+    name = context.scenario.name
+    system.play(run, name, gateways=0, agents=0, controllers=3, entries=3)
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -142,7 +142,11 @@
 
     def _gateway(self, name: str, count: int) -> forwarding.Forwarder:
         app = types.SimpleNamespace(
-            settings={'hall': 'north', 'bounds': BOUNDS},
+            settings={
+                'hall': 'north',
+                'bounds': BOUNDS,
+                'digest_key': '',
+            },
             incarnation=name,
             now_s=self.now_s,
             metrics=metrics.Metrics(None),
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -13,7 +13,8 @@
 import trio
 import yaml
 
-from mountridge import application, clihalls, cliroutes, clitools, errors
+from mountridge import application, clihalls, cliquarantine, cliroutes
+from mountridge import clitools, errors
 from mountridge import logs, messages
 from mountridge.consensus import entries, storage
 from mountridge.documents import sheets, tables
@@ -526,3 +527,4 @@
 
 main.add_command(cliroutes.group)
 main.add_command(clihalls.group)
+main.add_command(cliquarantine.group)
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -13,7 +13,8 @@
 
 from mountridge import application, errors, messages, utils
 from mountridge.consensus import consensus, entries, replicas, storage
-from mountridge.control import changes, halloffice, leadership, registry
+from mountridge.control import changes, halloffice, leadership
+from mountridge.control import quarantineoffice, registry
 from mountridge.groups import groups
 from mountridge.logs import logger
 from mountridge.state import claims, commands, leases, limits, members
@@ -54,6 +55,9 @@
         self.halls = halloffice.HallOffice(
             app, self.machine, self.replica, self.push
         )
+        self.quarantine = quarantineoffice.QuarantineOffice(
+            app, self.machine, self.replica, self.push
+        )
         #: What engines allow of expert maps, by runner; set by the entry.
         self.sheet: typing.Callable = lambda instance_id: None
         self.groups = groups.Groups(
@@ -77,6 +81,7 @@
         self.apportioner = limits.Apportioner(self.leases.quiet_until_s)
         self._replaced.clear()
         self.registry.begin_term()
+        self.quarantine.begin_term()
         self.groups.begin_term()
 
     async def propose(self, command: commands.Command) -> typing.Any:
@@ -149,6 +154,7 @@
             try:
                 await self._lose_lapsed()
                 await self.registry.expire()
+                await self.quarantine.expire()
             except errors.MountridgeError as problem:
                 logger.debug('members not expired', reason=str(problem))
                 continue
@@ -380,6 +386,9 @@
     app.handlers[messages.Leave] = controller.registry.on_leave
     app.handlers[messages.ReadHalls] = controller.halls.on_read
     app.handlers[messages.SetHall] = controller.halls.on_set
+    app.handlers[messages.CrashReport] = controller.quarantine.on_report
+    app.handlers[messages.ReadQuarantine] = controller.quarantine.on_read
+    app.handlers[messages.Release] = controller.quarantine.on_release
     app.handlers[messages.Outcome] = controller.outcome
     app.handlers[messages.Members] = controller.list_members
     app.handlers[messages.Raft] = controller.replica.on_raft
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -13,12 +13,12 @@
 import trio
 
 from mountridge import application, errors, messages, settingswatch, sidecar
-from mountridge.documents import halls, instances, routes
+from mountridge.documents import halls, instances, quarantines, routes
 from mountridge.groups import engines
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, listening
 from mountridge.routing import backends, entryapi, forwarding, hallorders
-from mountridge.routing import warmup
+from mountridge.routing import quarantine, warmup
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -36,6 +36,10 @@
 #: of them less than 4.0 s.
 KEPT_PART = 0.4
 DRAIN_POLL_S = 0.05
+#: The leader counts crashes over all gateways, so a request whose runner has
+#: crashed waits for its word before it may meet another one: a call and a
+#: commit, some ms. Without a leader it goes on by the own count.
+TELL_S = 0.2
 #: Bytes that a log line shows of the id of a malformed word.
 LOGGED_BYTES = 64
 #: Left of the time that a planned stop may take, for closing down.
@@ -86,6 +90,9 @@
         )
         app.on_gap.append(lambda gap_s: self.forwarder.end_late(app.now_s()))
         self.hall_orders = hallorders.HallOrders(app, self.leader.call)
+        #: Set when there may be crashes or good ends to report.
+        self._crash_seen = trio.Event()
+        self.forwarder.on_crash = self.tell_crash
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
@@ -155,6 +162,7 @@
         self._view_revision = view.revision
         # First, so that no request is sent by routes that are known alone.
         self._follow_halls()
+        self._follow_quarantine()
         self._follow_routes()
         packed = view.under(views.INSTANCE_PREFIX)
         registered = [views.unpack_instance(v) for v in packed.values()]
@@ -203,6 +211,62 @@
             index=self.held.view.index,
         )
 
+    def _follow_quarantine(self) -> None:
+        packed = self.held.view.under(views.QUARANTINE_PREFIX).values()
+        listed = [views.unpack_held(value) for value in packed]
+        self.forwarder.quarantine.follow(listed)
+        if listed:
+            self._crash_seen.set()
+
+    async def report_crashes(self) -> None:
+        """Tell the leader, again and again, of crashes and good ends."""
+        known = self.forwarder.quarantine
+        while True:
+            report = known.report(self.app.now_s())
+            if report is None:
+                self._crash_seen = trio.Event()
+                await self._crash_seen.wait()
+                continue
+            await self._report(report)
+            self._crash_seen = trio.Event()
+            with trio.move_on_after(quarantine.REPORT_S):
+                await self._crash_seen.wait()
+
+    async def _report(self, report: messages.CrashReport) -> None:
+        try:
+            await self.leader.call(report, PUT_S)
+        except errors.MountridgeError as problem:
+            self.app.metrics.incr('quarantine.unreported')
+            logger.debug('crashes unreported', reason=str(problem))
+            return
+        self.forwarder.quarantine.reported(report)
+
+    async def tell_crash(self) -> None:
+        """Tell the leader of a crash, and wait a little for its word."""
+        self._crash_seen.set()
+        report = self.forwarder.quarantine.report(self.app.now_s())
+        if report is not None:
+            with trio.move_on_after(TELL_S):
+                await self._report(report)
+
+    async def read_quarantine(self) -> list[quarantines.Held]:
+        """Return the requests that are or were held back.
+
+        :raises NoController: it can't be told.
+        """
+        reply = await self.leader.call(messages.ReadQuarantine(), PUT_S)
+        return reply.held
+
+    async def release(self, digest: bytes) -> list[quarantines.Held]:
+        """Hold a request back no more; return what else is held.
+
+        :raises NoController: it may have been carried out, or not.
+        :raises NotHeldBack: it is not known.
+        """
+        reply = await self.leader.call(messages.Release(digest), PUT_S)
+        logger.info('request release ordered', digest=digest.hex())
+        return reply.held
+
     def _follow_routes(self) -> None:
         held = views.routes_in(self.held.view)
         known = self.index.table.version if self.index else 0
@@ -402,6 +466,9 @@
     messages.Leave,
     messages.ReadHalls,
     messages.SetHall,
+    messages.CrashReport,
+    messages.ReadQuarantine,
+    messages.Release,
     messages.Join,
     messages.RankReport,
     messages.WhoLeads,
@@ -418,7 +485,7 @@
     for kind in FOR_LEADER:
         app.handlers[kind] = entry.refer
     app.handlers[messages.Controllers] = entry.learn
-    app.tasks += [entry.hold_lease]
+    app.tasks += [entry.hold_lease, entry.report_crashes]
     app.dumpers['entry'] = entry.dump
     app.drain.append(entry.begin_drain)
     if app.settings['controller']['data']:
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -46,10 +46,12 @@
     'HallsOut',
     'HeadTooLarge',
     'NoRealClock',
+    'NotHeldBack',
     'NoRoute',
     'UnknownHall',
     'UnknownService',
     'UnknownKey',
+    'RequestHeldBack',
     'RunnerRefused',
     'RunnerReplaced',
     'RunnersCold',
@@ -239,6 +241,13 @@
     status = 409
 
 
+class NotHeldBack(BadRequest):
+    """No request of this digest is or was held back."""
+
+    code = 1114
+    status = 404
+
+
 class RunnerReplaced(MountridgeError):
     """Another runner has the address of the one that was meant."""
 
@@ -281,6 +290,13 @@
     status = 503
 
 
+class RequestHeldBack(MountridgeError):
+    """The request has crashed several runners, and is sent to none."""
+
+    code = 1214
+    status = 502
+
+
 class TimedOut(MountridgeError):
     """The time for the request ran out while it may have been running."""
 
--- a/mountridge/messages/__init__.py
+++ b/mountridge/messages/__init__.py
@@ -24,6 +24,13 @@
     Revoke,
     Ticket,
 )
+from mountridge.messages.quarantine import (
+    CrashReport,
+    CrashesTaken,
+    QuarantineReply,
+    ReadQuarantine,
+    Release,
+)
 from mountridge.messages.rank import (
     Loads,
     RankPush,
@@ -53,6 +60,11 @@
     'Change',
     'Changes',
     'Claim',
+    'CrashReport',
+    'CrashesTaken',
+    'QuarantineReply',
+    'ReadQuarantine',
+    'Release',
     'ClaimReply',
     'Dump',
     'Dumped',
@@ -376,6 +388,11 @@
     HallsReply,
     SetHall,
     WhoLeads,
+    CrashReport,
+    CrashesTaken,
+    ReadQuarantine,
+    QuarantineReply,
+    Release,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -245,6 +245,23 @@
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(connection.stream)
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether an address refuses connections, at once.
+
+        False where it takes one, and where nothing answers in time: the box
+        may be cut off, or stand still.
+        """
+        host, _, port = address.rpartition(':')
+        with trio.move_on_after(self._connect_s):
+            with trio.socket.socket() as asked:
+                try:
+                    await asked.connect((host, int(port)))
+                except ConnectionRefusedError:
+                    return True
+                except OSError:
+                    return False
+        return False
+
     async def forget(self, address: str) -> None:
         """Close what is kept to a runner that is gone.
 
--- a/mountridge/routing/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from mountridge.documents import halls, instances
+from mountridge.documents import halls, instances, quarantines
 from mountridge import errors, messages
 from mountridge.net import httpserver
 
@@ -51,6 +51,12 @@
     async def set_hall(self, name: str, is_out: bool) -> halls.HallState:
         """Take a hall out of service, or put it back."""
 
+    async def read_quarantine(self) -> list[quarantines.Held]:
+        """Return the requests that are or were held back."""
+
+    async def release(self, digest: bytes) -> list[quarantines.Held]:
+        """Hold a request back no more."""
+
 
 class Spelling(typing.NamedTuple):
     """Paths of the calls, and how their bodies are read and written."""
@@ -66,6 +72,8 @@
     halls: bytes  # lists them; prefix of a name and one of the next two
     drain_hall: bytes
     restore_hall: bytes
+    quarantine: bytes = b'/v1/quarantine/'  # lists it; prefix of a digest
+    release: bytes = b'/release'  # and behind that
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -197,6 +205,8 @@
             return {}
     if path.startswith(spelling.halls):
         return await _hall_call(entry, spelling, path)
+    if path.startswith(spelling.quarantine):
+        return await _quarantine_call(entry, spelling, path)
     raise errors.NoRoute(path.decode('latin-1'))
 
 
@@ -217,6 +227,22 @@
     raise errors.NoRoute(path.decode('latin-1'))
 
 
+async def _quarantine_call(
+    entry: Entry, spelling: Spelling, path: bytes
+) -> dict:
+    """Carry out a call on requests that are held back."""
+    rest = path[len(spelling.quarantine) :]
+    if not rest:
+        listed = await entry.read_quarantine()
+    elif rest.endswith(spelling.release):
+        text = rest[: -len(spelling.release)].decode('latin-1')
+        listed = await entry.release(quarantines.read_digest(text))
+    else:
+        raise errors.NoRoute(path.decode('latin-1'))
+    told = [each._asdict() | {'digest': each.digest.hex()} for each in listed]
+    return {'quarantine': told}
+
+
 async def _take_heartbeat(
     entry: Entry, spelling: Spelling, raw_id: bytes, body: bytes
 ) -> None:
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -43,6 +43,10 @@
         self.misdirected = 0
         #: Tries that ended before anything was sent.
         self.unsent = 0
+        #: What stands for the request among those that crash runners.
+        self.digest = b''
+        #: Whether a runner has crashed while it ran this request.
+        self.is_suspect = False
         #: Whether any try may have run.
         self.may_have_run = False
         #: Whether a try was sent that has not ended; it may be running.
--- a/mountridge/routing/routefilters.py
+++ b/mountridge/routing/routefilters.py
@@ -12,9 +12,9 @@
 from mountridge.documents import routes
 from mountridge import errors
 from mountridge.net import dialects
-from mountridge.routing import routedexchanges
+from mountridge.routing import quarantine, routedexchanges
 
-__all__ = ['Filter', 'chain']
+__all__ = ['Filter', 'chain', 'find_digest', 'hold_back']
 
 Exchange = routedexchanges.Exchange
 Filter = typing.Callable[[Exchange, float], None]
@@ -63,6 +63,31 @@
     return [read, find_route, find_team, _bound_time]
 
 
+def find_digest(known: quarantine.Quarantine, exchange: Exchange) -> bytes:
+    """Return what stands for a request, reckoned once."""
+    if not exchange.digest:
+        exchange.digest = known.digest(
+            exchange.request, exchange.team, exchange.call.key
+        )
+    return exchange.digest
+
+
+def hold_back(known: quarantine.Quarantine) -> Filter:
+    """Return the filter that refuses what crashes its runners.
+
+    :raises RequestHeldBack: (the filter) it has crashed several.
+    """
+
+    def check(exchange: Exchange, now_s: float) -> None:
+        if not known.is_any_known():
+            return
+        digest = find_digest(known, exchange)
+        if known.is_held(digest, now_s):
+            raise errors.RequestHeldBack(f'held back as {digest.hex()}')
+
+    return check
+
+
 def _bound_time(exchange: Exchange, now_s: float) -> None:
     limit_ms = exchange.route.timeout_ms
     if exchange.call.deadline_ms is not None:
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -32,6 +32,10 @@
     # The controllers, name -> tcp://IP:PORT.
     'controllers': {},
     'keys': {'off': False, 'folder': ''},
+    # Gateways know requests that crash runners by digests under this key;
+    # the same for all. Without one, a digest in a log can be compared with
+    # that of a guessed request.
+    'digest_key': '',
     # The key that operators' commands use, where it is another name's.
     'operator_key': '',
     # `lines_per_s` bounds the volume; what is over it is counted. A busy
--- a/mountridge/state/commands.py
+++ b/mountridge/state/commands.py
@@ -17,11 +17,13 @@
 __all__ = [
     'Command',
     'ExpireClaims',
+    'HoldRequest',
     'OpenClaim',
     'CloseClaim',
     'NextVersion',
     'PutRoutes',
     'PutTable',
+    'ReleaseRequest',
     'SetHall',
     'SetInstance',
     'SetMember',
@@ -99,6 +101,22 @@
     at_s: float
 
 
+class HoldRequest(typing.NamedTuple):
+    """Hold back a request that has crashed ``crashes`` runners."""
+
+    digest: bytes
+    crashes: int
+    at_s: float
+
+
+class ReleaseRequest(typing.NamedTuple):
+    """Hold a request back no more; unless for a trial, forget it."""
+
+    digest: bytes
+    is_trial: bool
+    at_s: float
+
+
 Command = (
     PutTable
     | SetMember
@@ -109,6 +127,8 @@
     | SetInstance
     | NextVersion
     | SetHall
+    | HoldRequest
+    | ReleaseRequest
 )
 
 _KINDS = (
@@ -121,6 +141,8 @@
     SetInstance,
     NextVersion,
     SetHall,
+    HoldRequest,
+    ReleaseRequest,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/mountridge/state/statemachine.py
+++ b/mountridge/state/statemachine.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from mountridge.documents import halls, instances, tables
+from mountridge.documents import halls, instances, quarantines, tables
 from mountridge import errors, messages
 from mountridge.state import claims, commands, lives, views
 
@@ -25,6 +25,9 @@
 #: Runners that left whose ids are remembered, so that a late heartbeat of
 #: one does not bring it back; a whole fleet may be replaced a few times.
 KEPT_LEFT = 2000
+#: Requests that are or were held back, of 60 bytes each in every view: one a
+#: minute for half a day.
+MOST_HELD = 1000
 
 
 class VersionRecord(typing.NamedTuple):
@@ -66,6 +69,8 @@
         self.routes_version = 0
         self.instances: dict[str, instances.Instance] = {}
         self.halls: dict[str, halls.HallState] = {}
+        #: What is or was held back, the latest changed last.
+        self.quarantine: dict[bytes, quarantines.Held] = {}
 
     def apply(self, index: int, command: commands.Command) -> typing.Any:
         """Apply the command at ``index`` and return its reply.
@@ -100,6 +105,9 @@
             key.partition('/')[2]: views.unpack_hall(value)
             for key, value in self.view.under(views.HALL_PREFIX).items()
         }
+        packed = self.view.under(views.QUARANTINE_PREFIX).values()
+        listed = [views.unpack_held(value) for value in packed]
+        self.quarantine = {each.digest: each for each in listed}
 
     def routes(self) -> messages.RoutesReply:
         """Return the routes document held; version 0 where none is."""
@@ -344,6 +352,55 @@
             _hold_instance(machine, index, cold)
 
 
+def _hold_request(
+    machine: StateMachine, index: int, command: commands.HoldRequest
+) -> quarantines.Held:
+    """Hold a request back; past the bound the oldest ones are forgotten."""
+    known = machine.quarantine.get(command.digest)
+    if known is not None and known.is_held:
+        return known
+    before = known or quarantines.Held(command.digest, False, 0, 0, 0.0)
+    held = quarantines.Held(
+        command.digest,
+        True,
+        before.crashes + command.crashes,
+        before.holds + 1,
+        command.at_s,
+    )
+    _keep_held(machine, index, held)
+    while len(machine.quarantine) > MOST_HELD:
+        _forget_held(machine, index, next(iter(machine.quarantine)))
+    return held
+
+
+def _release_request(
+    machine: StateMachine, index: int, command: commands.ReleaseRequest
+) -> quarantines.Held | None:
+    """Let a request be tried once more, or forget that it was held back."""
+    known = machine.quarantine.get(command.digest)
+    if known is None or not command.is_trial:
+        _forget_held(machine, index, command.digest)
+        return None
+    released = known._replace(is_held=False, since_s=command.at_s)
+    _keep_held(machine, index, released)
+    return released
+
+
+def _keep_held(
+    machine: StateMachine, index: int, held: quarantines.Held
+) -> None:
+    machine.quarantine.pop(held.digest, None)
+    machine.quarantine[held.digest] = held
+    key = views.QUARANTINE_PREFIX + held.digest.hex()
+    machine.view.set(index, key, views.pack(held))
+
+
+def _forget_held(machine: StateMachine, index: int, digest: bytes) -> None:
+    if machine.quarantine.pop(digest, None) is not None:
+        key = views.QUARANTINE_PREFIX + digest.hex()
+        machine.view.set(index, key, None)
+
+
 def _next_version(
     machine: StateMachine, index: int, command: commands.NextVersion
 ) -> int:
@@ -376,6 +433,8 @@
     commands.SetInstance: _set_instance,
     commands.NextVersion: _next_version,
     commands.SetHall: _set_hall,
+    commands.HoldRequest: _hold_request,
+    commands.ReleaseRequest: _release_request,
 }
 
 
--- a/mountridge/state/views.py
+++ b/mountridge/state/views.py
@@ -3,20 +3,21 @@
 """The shared view: what controllers spread to gateways and agents.
 
 Entries are keyed ``row/...``, ``member/...``, ``map/...``, ``routes``,
-``instance/...`` and ``hall/...``; each carries the index of the log entry
-that last changed it, so that a holder at any index can be brought up to date
-by the entries past it.
+``instance/...``, ``hall/...`` and ``quarantine/...``; each carries the index
+of the log entry that last changed it, so that a holder at any index can be
+brought up to date by the entries past it.
 """
 
 import typing
 
 import msgspec
 
-from mountridge.documents import halls, instances, tables
+from mountridge.documents import halls, instances, quarantines, tables
 from mountridge import messages
 
 __all__ = [
     'HALL_PREFIX',
+    'QUARANTINE_PREFIX',
     'INSTANCE_PREFIX',
     'Member',
     'ROUTES_KEY',
@@ -24,6 +25,7 @@
     'pack',
     'routes_in',
     'unpack_hall',
+    'unpack_held',
     'unpack_instance',
     'unpack_member',
     'unpack_row',
@@ -36,6 +38,8 @@
 ROUTES_KEY = 'routes'
 INSTANCE_PREFIX = 'instance/'
 HALL_PREFIX = 'hall/'
+#: Where it holds the requests that are held back, by digest in hexadecimal.
+QUARANTINE_PREFIX = 'quarantine/'
 
 
 class Member(typing.NamedTuple):
@@ -56,6 +60,7 @@
 _ROW = msgspec.msgpack.Decoder(tables.Row)
 _MEMBER = msgspec.msgpack.Decoder(Member)
 _INSTANCE = msgspec.msgpack.Decoder(instances.Instance)
+_HELD = msgspec.msgpack.Decoder(quarantines.Held)
 _HALL = msgspec.msgpack.Decoder(halls.HallState)
 _ROUTES = msgspec.msgpack.Decoder(messages.RoutesReply)
 
@@ -85,6 +90,11 @@
     return _HALL.decode(data)
 
 
+def unpack_held(data: bytes) -> quarantines.Held:
+    """Return the request held back that ``data`` stands for."""
+    return _HELD.decode(data)
+
+
 def routes_in(view: 'View') -> messages.RoutesReply:
     """Return the routes document in ``view``; version 0 for none."""
     found = view.entries.get(ROUTES_KEY)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -697,6 +697,56 @@
         'clocks: what woke late is sent', 'forwarding',
         'if now_s >= until_s:', 'if False:', 'suspension',
     ),
+    Mutant(
+        'quarantine: nothing is held back', 'routefilters',
+        'if known.is_held(digest, now_s):', 'if False:', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: each broken connection is a crash', 'forwarding',
+        'if not await self.pool.is_refused(runner.address):', 'if False:',
+        'quarantine',
+    ),
+    Mutant(
+        'quarantine: a suspect does not wait for the leader', 'forwarding',
+        'await self.on_crash()', 'self.on_crash().close()', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: the own count does not hold', 'quarantine',
+        'return len(fresh) >= quarantines.HOLD_AT', 'return False',
+        'quarantine',
+    ),
+    Mutant(
+        'quarantine: a crash that is told again counts again', 'quarantines',
+        'return self.instance_id, self.lives, self.born_ms',
+        'return self.instance_id, self.lives, self.age_s', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: a trial that crashes takes two', 'quarantineoffice',
+        'most = 1 if is_trial else quarantines.HOLD_AT',
+        'most = quarantines.HOLD_AT', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: nothing is ever tried again', 'quarantineoffice',
+        'if now_s - since_s >= span_s:', 'if False:', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: a good end elsewhere clears nothing', 'quarantine',
+        'self._cleared[digest] = self._good_s[digest]', 'pass', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: the caller is not part of a request', 'quarantines',
+        'for part in (method, target, caller):',
+        'for part in (method, target):', 'quarantine',
+    ),
+    Mutant(
+        'quarantine: what is held is lost with a snapshot', 'statemachine',
+        'self.quarantine = {each.digest: each for each in listed}', 'pass',
+        'quarantine',
+    ),
+    Mutant(
+        'quarantine: the view of it is not followed', 'entry',
+        '        self._follow_quarantine()\n', '', 'quarantine',
+    ),
     Mutant(
         'forwarding: what ran is called not run', 'forwarding',
         'if exchange.may_have_run and problem.outcome == errors.NOT_RUN:',
@@ -1096,8 +1146,8 @@
     ),
     Mutant(
         'halls: the view of halls is not followed', 'entry',
-        '        self._follow_halls()\n        self._follow_routes()',
-        '        self._follow_routes()', 'halls', 'Two halls',
+        '        self._follow_halls()\n        self._follow_quarantine()',
+        '        self._follow_quarantine()', 'halls', 'Two halls',
     ),
     Mutant(
         'halls: a return is a wave', 'returns',
