--- a/mountridge/documents/quarantines.py
+++ b/mountridge/documents/quarantines.py
@@ -21,8 +21,8 @@
 #: back. In a model of 16 runners, with one request of 1,000 that crashes what
 #: it meets and a crash of another cause each 5 s, of 300,000 requests 15
 #: innocent ones are held back at 2 and 6 at 3, and killers crash 190 runners
-#: and 291; at 1, 4,013 are held back (``python -m bench.quarantine``). A
-#: crash breaks all that its runner works on, and stops a whole group.
+#: and 291; at 1, 4,013 are held back (docs/design/quarantine.md). A crash
+#: breaks all that its runner works on, and stops a whole group.
 HOLD_AT = 2
 
 
