Split what is known of one runner, and the watch for crashes, from the rest

One runner's life, load and health are runnerstates.py, taking a place among several is choosing.py, crashes and second tries of suspects crashwatch.py.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -265,7 +265,7 @@
             first.quarantine.crashed(digest, runner, now_s)
         # At a gateway that has seen none of the crashes.
         assert await play.ask('e2', body) == 0
-        await first.on_crash()
+        await first.crashes.on_crash()
         await trio.sleep(1)
         context.codes = [await play.ask(name, body) for name in parts
                          if name in play.world.entries]  # fmt: skip
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -92,7 +92,7 @@
         self.hall_orders = hallorders.HallOrders(app, self.leader.call)
         #: Set when there may be crashes or good ends to report.
         self._crash_seen = trio.Event()
-        self.forwarder.on_crash = self.tell_crash
+        self.forwarder.crashes.on_crash = self.tell_crash
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -1,14 +1,8 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""What a gateway knows of the runners that registered, and which it takes.
-
-A runner's load is estimated from its newest report and from what this
-gateway has sent since. One that fails requests is left out for a while, for
-longer each time, and then tried again by requests.
-"""
+"""What a gateway knows of the runners that registered, and which it takes."""
 
 import collections
-import heapq
 import random
 import typing
 
@@ -16,20 +10,17 @@
 
 from mountridge.documents import instances
 from mountridge import messages
-from mountridge.routing import closures, rests, returns, warmup
+from mountridge.routing import choosing, rests, returns, runnerstates
+from mountridge.routing import warmup
 
 __all__ = ['Backend', 'Backends', 'LEAVE_PACE', 'Picked', 'SLOW_PACE']
 
+Backend = runnerstates.Backend
+
 #: Least time between two reports of one runner, and weight of the newest in
 #: the usual one. The leader lets many runners report more seldom.
 LEAST_REST_S = 0.12
 SMOOTHING = 0.05
-#: A load report older than this many of the times between two is no better
-#: than the own count alone.
-OLD_RESTS = 5.0
-#: Own requests begun within this many of them are not in the newest report
-#: yet: the leader passes reports on a little later.
-UNSEEN_RESTS = 1.25
 #: Where reports rest longer than this, a gateway fills its own part of the
 #: runners of its hall first, whose requests it knows itself, up to this part
 #: of their slots. With 103 gateways, 192 runners of 3 slots of which 60 in
@@ -52,10 +43,6 @@
 #: Reading a prompt anew takes two passes; at half the speed that pays for
 #: all but the last few events.
 LEAVE_PACE = 2.0
-#: Failures in a row after which a runner is left out.
-FAILURES = 2
-EJECT_S = 1.0
-MAX_EJECT_S = 8.0
 #: Occupancy that a hop to another hall is worth: bytes between halls are
 #: paid for, and 1 to 2 ms are little beside a first token of 100 ms.
 HALL_COST = 0.05
@@ -64,81 +51,6 @@
 COLD_COST = 0.2
 
 
-class Backend:
-    """One life of a runner, as this gateway sees it."""
-
-    def __init__(self, instance: instances.Instance):
-        self.instance = instance
-        self.own = 0  # own requests under way there
-        #: When own requests of late began; a report may not have them yet.
-        self._begun_s: collections.deque[float] = collections.deque()
-        self.reported = 0  # running and waiting, by that report
-        self.reported_s = float('-inf')
-        #: When its sidecar's newest report came.
-        self.told_s = float('-inf')
-        #: How many times its usual time its work takes, by its sidecar.
-        self.pace = 1.0
-        #: Number of its group, 0 where that is not known.
-        self.group = 0
-        self.closure = closures.Closure()
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until_s = 0.0
-        #: Another runner answers at its address; it never comes back.
-        self.replaced = False
-
-    def load(self, rest_s: float, now_s: float) -> int:
-        """Return the requests that are there, as far as is known.
-
-        ``rest_s`` is the usual time between two reports of a runner.
-        """
-        if now_s - self.reported_s > OLD_RESTS * rest_s:
-            return self.own
-        unseen_s = UNSEEN_RESTS * rest_s
-        while self._begun_s and self._begun_s[0] < now_s - unseen_s:
-            self._begun_s.popleft()
-        return max(self.own, self.reported + len(self._begun_s))
-
-    def occupancy(self, rest_s: float, now_s: float) -> float:
-        """Return the requests there for each that it works on at once."""
-        return self.load(rest_s, now_s) / max(1, self.instance.slots)
-
-    def is_life_of(self, instance: instances.Instance) -> bool:
-        """Return whether a registration is the same life of the runner."""
-        mine = self.instance
-        told = (instance.lives, instance.born_ms)
-        return told == (mine.lives, mine.born_ms)
-
-    def began(self, now_s: float) -> None:
-        """Count an own request as sent."""
-        self.own += 1
-        self._begun_s.append(now_s)
-
-    def ended(self) -> None:
-        """Count an own request as over."""
-        self.own -= 1
-
-    def heard(self, running: int, waiting: int, now_s: float) -> None:
-        """Take a load report."""
-        self.reported = running + waiting
-        self.reported_s = now_s
-
-    def succeeded(self) -> None:
-        """Count an answer; the runner is well."""
-        self.failures = 0
-        self.ejections = 0
-
-    def failed(self, now_s: float) -> None:
-        """Count a failure; some in a row leave the runner out."""
-        self.failures += 1
-        if self.failures < FAILURES:
-            return
-        self.failures = FAILURES - 1
-        self.ejections += 1
-        span_s = min(MAX_EJECT_S, EJECT_S * 2 ** (self.ejections - 1))
-        self.ejected_until_s = now_s + span_s
-
-
 class Picked(typing.NamedTuple):
     """A runner and why it was taken, for the log line."""
 
@@ -462,7 +374,7 @@
             unseen *= len(sound) / len(self._by_service[service])
         if best is None:
             place = int(rng.random() * (unseen + 1))
-            best = _take_place(sound, cost, place, rng)
+            best = choosing.take_place(sound, cost, place, rng)
         age_s = now_s - best.reported_s
         load = best.load(self.rest_s, now_s)
         return Picked(best, load, age_s, len(sound), now_s)
@@ -618,24 +530,5 @@
             placed_s.popleft()
         own_per_s = len(placed_s) / RATE_S
         placed_s.append(now_s)
-        unseen_s = UNSEEN_RESTS * self.rest_s
+        unseen_s = runnerstates.UNSEEN_RESTS * self.rest_s
         return own_per_s * unseen_s * max(0, gateways - 1)
-
-
-def _take_place(
-    backends: list[Backend],
-    cost: typing.Callable[[Backend], float],
-    place: int,
-    rng: random.Random,
-) -> Backend:
-    """Return who gets the request after ``place`` others.
-
-    Each goes where the cost is least, ties at random, and adds to it.
-    """
-    heap = [(cost(b), rng.random(), n) for n, b in enumerate(backends)]
-    heapq.heapify(heap)
-    for _ in range(place):
-        least, tie, number = heap[0]
-        step = 1 / max(1, backends[number].instance.slots)
-        heapq.heapreplace(heap, (least + step, tie, number))
-    return backends[heap[0][2]]
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -18,7 +18,8 @@
 from mountridge.documents import instances, routes
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, lasthop
-from mountridge.routing import backends, budgets, picking, quarantine
+from mountridge.routing import backends, budgets, crashwatch, picking
+from mountridge.routing import quarantine
 from mountridge.routing import routedanswers, routedexchanges, routefilters
 from mountridge.routing import warmup
 
@@ -61,8 +62,6 @@
 #: For causes that are not listed.
 COME_BACK_ELSE_S = 1.0
 
-#: How a try ends whose runner may have crashed.
-BROKEN = (errors.BadAnswer, errors.OutcomeUnknown)
 #: A runner says by this status that it is not the one that was meant.
 MISDIRECTED = 421
 #: What does not count against a runner's health.
@@ -75,10 +74,6 @@
 )
 
 
-async def _nothing() -> None:
-    """Wait for nobody: no leader is told of crashes."""
-
-
 class Forwarder:
     """Takes requests through the filters and to runners."""
 
@@ -111,8 +106,9 @@
         #: Until when each open request may take.
         self._open_until_s: dict[trio.CancelScope, float] = {}
         self.quarantine = quarantine.Quarantine(app.settings['digest_key'])
-        #: Called when a runner has crashed under a request.
-        self.on_crash: typing.Callable[[], typing.Awaitable[None]] = _nothing
+        self.crashes = crashwatch.CrashWatch(
+            app, self.quarantine, known.rests, self.picker.has_ranks
+        )
         self.filters = routefilters.chain(index, dialect.headers, self.rng)
         self.filters.append(routefilters.hold_back(self.quarantine))
 
@@ -216,7 +212,7 @@
     async def _try_runners(self, exchange: Exchange) -> None:
         while True:
             picked = await self.picker.pick(exchange)
-            if not self._is_tried_again(exchange, self.app.now_s()):
+            if not self.crashes.may_try_again(exchange, self.app.now_s()):
                 # It was proved to crash runners while it waited for one.
                 raise errors.OutcomeUnknown('its runner crashed')
             try:
@@ -224,7 +220,9 @@
                 return
             except errors.MountridgeError as problem:
                 self._note_failure(exchange, picked, problem)
-                await self._look_for_crash(exchange, picked, problem)
+                await self.crashes.look(
+                    exchange, picked.backend.instance, problem, self.pool
+                )
                 if self._may_go_on(exchange, problem):
                     continue
                 if exchange.failure is None or exchange.responder.started:
@@ -256,50 +254,6 @@
             took_ms=_ms(now_s - exchange.begun_s),
         )
 
-    async def _look_for_crash(
-        self,
-        exchange: Exchange,
-        picked: backends.Picked,
-        problem: errors.MountridgeError,
-    ) -> None:
-        """Make a request suspect if its runner has crashed under it."""
-        runner = picked.backend.instance
-        if not isinstance(problem, BROKEN):
-            return
-        if runner.state != instances.READY:
-            return  # a planned end
-        if self.known.rests.is_leaving(runner):
-            return
-        if not await self.pool.is_refused(runner.address):
-            return
-        now_s = self.app.now_s()
-        digest = routefilters.find_digest(self.quarantine, exchange)
-        self.quarantine.crashed(digest, runner, now_s)
-        exchange.is_suspect = True
-        self.app.metrics.incr('quarantine.crashes')
-        logger.info(
-            'runner crashed',
-            request=exchange.call.request_id,
-            runner=runner.instance_id,
-            digest=digest.hex(),
-            is_held=self.quarantine.is_held(digest, now_s),
-        )
-        await self.on_crash()
-
-    def _is_tried_again(self, exchange: Exchange, now_s: float) -> bool:
-        """Return whether a suspect may crash another runner.
-
-        A rank that crashes stops its whole group: where requests that crash
-        runners are about, a suspect is then not worth a second try. Where
-        none is known, most crashes have another cause.
-        """
-        if not exchange.is_suspect:
-            return True
-        if self.quarantine.is_held(exchange.digest, now_s):
-            return False
-        is_rank = self.picker.has_ranks(exchange.service)
-        return not (is_rank and self.quarantine.is_any_held())
-
     def _may_go_on(
         self, exchange: Exchange, problem: errors.MountridgeError
     ) -> bool:
@@ -320,7 +274,7 @@
             return False
         if is_unsent:
             return True
-        if not self._is_tried_again(exchange, now_s):
+        if not self.crashes.may_try_again(exchange, now_s):
             return False
         if problem.outcome != errors.NOT_RUN and not route.repeatable:
             return False
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -702,12 +702,12 @@
         'if known.is_held(digest, now_s):', 'if False:', 'quarantine',
     ),
     Mutant(
-        'quarantine: each broken connection is a crash', 'forwarding',
-        'if not await self.pool.is_refused(runner.address):', 'if False:',
+        'quarantine: each broken connection is a crash', 'crashwatch',
+        'if not await pool.is_refused(runner.address):', 'if False:',
         'quarantine',
     ),
     Mutant(
-        'quarantine: a suspect does not wait for the leader', 'forwarding',
+        'quarantine: a suspect does not wait for the leader', 'crashwatch',
         'await self.on_crash()', 'self.on_crash().close()', 'quarantine',
     ),
     Mutant(
