Soak: runners that ask for rest or say that they leave, and a request that ends them

Three rules judged by the runners' own record: at most 2 requests of an entry into a rest, none later than 2 s after the word that a runner leaves, at most 3 crashes more once a request has crashed three. Not run by hand yet.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -34,5 +34,8 @@
       | two contents of one version     | version 2 is read twice with other contents          | one content a version        |
       | an entry that goes back         | its entry serves version 3 and then has it no more   | entries never go back        |
       | a stop that cuts                | its entry stops, and it is cut after it arrived      | planned stops cut nothing    |
+      | a rest that is not kept         | 3 of its kind arrive 1 s after a rest of 3 s was asked for | rests are kept   |
+      | a runner that leaves            | one arrives 3 s after its runner said that it leaves | who leaves gets nothing      |
+      | a request that crashes runners  | it has crashed 3 runners, and 4 more 5 s later       | requests that crash runners are held back |
       | two maps in a pass              | a pass has two maps                                  | one map a pass               |
       | a process that ends             | a process ends by itself                             | no process ends by itself    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -73,7 +73,7 @@
     context.watch.runs.append({})
     context.asked = _ask(context, ORDER, 'order-1')
     context.runner = types.SimpleNamespace(
-        name='p-1', hall='north', service='plain', cold_until_s=0.0
+        name='p-1', hall='north', service='plain', cold_until_s=0.0, rest_s=0.0
     )
 
 
@@ -166,6 +166,27 @@
     _answer(context, 0, whole=False)
 
 
+@when('3 of its kind arrive 1 s after a rest of 3 s was asked for')
+def arrive_in_rest(context):
+    context.runner.rest_s = 3.0
+    context.watch.speaks(b'order-1', context.runner, NOW_S - 1)
+    for number in range(3):
+        _ask(context, READ, f'read-{number}')
+        _arrive(context, b'read-%d' % number)
+
+
+@when('one arrives 3 s after its runner said that it leaves')
+def arrive_leaving(context):
+    context.watch.speaks(b'order-1', context.runner, NOW_S - 3)
+    _arrive(context)
+
+
+@when('it has crashed 3 runners, and 4 more 5 s later')
+def crash_many(context):
+    context.watch.crashed_s += [NOW_S - 9] * 3 + [NOW_S - 4] * 4
+    context.watch.sweep(NOW_S, 0, [])
+
+
 @when('a pass has two maps')
 def mix(context):
     context.watch.sweep(NOW_S, 1, [])
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -11,7 +11,7 @@
 import re
 import typing
 
-from tools.soak import report
+from tools.soak import report, words
 
 __all__ = ['Answer', 'Asked', 'Watch']
 
@@ -28,6 +28,10 @@
 LATE_SENT_S = 3.0
 #: The last sixth of that time begins here.
 CUT_FROM_PART = 5 / 6
+#: What a runner that has said that it leaves may still get.
+LEAVING_S = 2.0
+#: Crashes by one request, and what may still come once the third is known.
+CRASHES, CRASHES_MORE = 3, 3
 #: Tokens of one event; the emulated engine's stride.
 STRIDE = 5
 _EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
@@ -70,6 +74,9 @@
         self.harmed_s: dict[str, float] = {}
         #: When an entry was last told to stop.
         self.stopped_s: dict[str, float] = {}
+        self.spoken = words.Spoken()
+        #: When runners were ended by the request that crashes them.
+        self.crashed_s: list[float] = []
         self.acked = self.sent = 0  # newest routes
         self._contents: dict[int, bytes] = {}
         self._newest: dict[tuple[str, int], int] = {}  # by life of an entry
@@ -157,9 +164,36 @@
         sends.setdefault(runner.service, []).append(now_s)
         self.arrived.add(key)
         if asked is not None:
+            self._check_words(asked, runner, now_s)
             self._check_out(asked, runner, now_s)
             self._check_cold(asked, runner, now_s)
 
+    def speaks(self, request_id: bytes, runner, now_s: float) -> None:
+        """Take that a runner's answer tells of the time to come."""
+        asked = self.asked.get(request_id.decode('latin-1'))
+        if asked is None:
+            return
+        if runner.rest_s:
+            told = (runner.name, asked.entry, runner.rest_s, now_s)
+            self.spoken.asks_rest(*told)
+        else:
+            self.spoken.leaves(runner.name, asked.entry, now_s)
+
+    def _check_words(self, asked: Asked, runner, now_s: float) -> None:
+        """A runner's word holds for the entry that got it, in touch or not.
+
+        A harm to the entry or its way to the runner since then excuses it.
+        """
+        places = (asked.entry, f'link-{runner.name}')
+        count, told_s = self.spoken.in_rest(runner.name, asked.entry, now_s)
+        if count and self.is_calm(places, told_s):
+            is_kept = count <= words.MOST_IN_REST
+            self.check('rests are kept', is_kept, to=runner.name, count=count)
+        told_s = self.spoken.leaving_s(runner.name, asked.entry)
+        if told_s < math.inf and self.is_calm(places, told_s):
+            is_kept = now_s < told_s + LEAVING_S
+            self.check('who leaves gets nothing', is_kept, to=runner.name)
+
     def _check_out(self, asked: Asked, runner, now_s: float) -> None:
         calm_since_s = now_s - self.sizes['out_s']
         places = (runner.hall, runner.name)
@@ -220,6 +254,16 @@
         self.check('at most one run', not twice, requests=twice[:5])
         for service in self._repeated:
             self._check_budget(service, now_s)
+        self._check_crashes()
+
+    def _check_crashes(self) -> None:
+        """A request that has crashed three runners reaches few more."""
+        if len(self.crashed_s) < CRASHES:
+            return
+        known_s = self.crashed_s[CRASHES - 1] + self.sizes['calm_s']
+        late = [at_s for at_s in self.crashed_s if at_s > known_s]
+        rule = 'requests that crash runners are held back'
+        self.check(rule, len(late) <= CRASHES_MORE, at_s=late)
 
     def _unsafe(self) -> list[str]:
         rows = self.asked.items()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -26,6 +26,10 @@
 MOST_SLOW = 5.0
 #: What only runners of one service do wrong in their stand-ins.
 ONLY_AT = {'cut': 'llm', 'lost': 'plain'}
+#: The shortest rest that a runner asks for, and how much longer others are.
+LEAST_REST_S, MORE_REST_S = 0.8, 3.0
+#: A runner that has left is back after this long.
+LEFT_S = 1.0
 BOTH = (links.TO, links.BACK)
 
 Fault = schedule.Fault
@@ -168,6 +172,14 @@
         )
         if what == 'restart':
             await self._end(runner, fault.span_s)
+        elif what == 'rest':
+            runner.rest_s = LEAST_REST_S + MORE_REST_S * fault.strength
+            await trio.sleep(fault.span_s)
+            runner.rest_s = 0.0
+        elif what == 'leave':
+            runner.is_leaving = True
+            await trio.sleep(fault.span_s)
+            await self._end(runner, LEFT_S)
         elif what == 'drain':
             runner.state = 'draining'
             await trio.sleep(fault.span_s)
--- a/tools/soak/loads.py
+++ b/tools/soak/loads.py
@@ -102,7 +102,9 @@
             (NAMES.token_counts, b'%d,%d' % (kind['prompt'], kind['output'])),
             (b'Content-Length', b'%d' % len(body)),
         ]
-        target = f'/{kind["name"]}/{asked.request_id}'.encode()
+        # Some requests come again and again, by any caller, just as they were.
+        name = kind.get('same') or asked.request_id
+        target = f'/{kind["name"]}/{name}'.encode()
         address = links.listen_of(front)
         sent = (address, method, target, headers, body, None)
         status, named, pieces, is_whole = 0, {}, [], False
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -10,7 +10,7 @@
 
 from mountridge.net import dialects, httpserver
 from standins import engine, engineserver
-from tools.soak import checks, fleet, links
+from tools.soak import checks, fleet, links, words
 
 __all__ = ['Built', 'Runner', 'build']
 
@@ -18,6 +18,9 @@
 PORT = 9000
 PLAIN_SLOTS = 8
 PLAIN_WORK_S = 0.02
+#: Requests whose path begins so end the runner that begins to run them.
+KILLER = b'/killer/'
+KILLED_S = 2.0
 #: Bytes that are no answer in the protocol.
 GARBLED = b'\x00\x17 not an answer \r\n\r\n'
 
@@ -41,6 +44,8 @@
         self.handler, self.faults = stand_in
         self.garbled = 0.0  # share of its requests answered with nonsense
         self.state = 'ready'
+        self.rest_s = 0.0  # turns all away, and asks for so much rest
+        self.is_leaving = False  # all its answers say so
         self.cold_until_s = 0.0
         self._down_s = 0.0  # until its next life
         self._life = trio.CancelScope()
@@ -61,8 +66,9 @@
                     nursery.start_soon(server.run, self.address)
                     nursery.start_soon(self._register, made, watch)
             await trio.sleep(self._down_s)
-            self.state = 'ready'
+            self.state, self.is_leaving = 'ready', False
             watch.out_s.pop(self.name, None)
+            watch.spoken.forget(self.name)
             self.cold_until_s = trio.current_time() + made.sizes['cold_s']
 
     async def _register(self, made: fleet.Fleet, watch: checks.Watch) -> None:
@@ -92,7 +98,19 @@
         async def handle(request, responder) -> None:
             if not request.path.startswith(b'/v1/'):
                 request_id = request.header(NAMES.request_id) or b''
-                watch.arrive(request_id, self, trio.current_time())
+                now_s = trio.current_time()
+                watch.arrive(request_id, self, now_s)
+                if request.path.startswith(KILLER):
+                    watch.crashed_s.append(now_s)
+                    self.end(KILLED_S)
+                    await trio.sleep_forever()
+                if self.rest_s:
+                    watch.speaks(request_id, self, now_s)
+                    await words.turn_away(responder, request_id, self.rest_s)
+                    return
+                if self.is_leaving:
+                    watch.speaks(request_id, self, now_s)
+                    responder = words.Telling(responder)
                 if rng.random() < self.garbled:
                     await responder._stream.send_all(GARBLED)
                     return
