A rest of long ago, and streams that ran on, make nothing suspect

Two effects that would have lasted: once any runner had asked for rest or said that it leaves, second tries went to busy runners for ever; and while any request was held back, no stream of a group was resumed after a crash.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -52,6 +52,15 @@
     When a request is held back for crashes of others, and has ended well since
     Then it is served everywhere within 1 s
 
+  Scenario Outline: Second tries on a group while a request is held back
+    Given a rank that crashed under a request which had shown <events> events
+    Then it <may> be tried again
+
+    Examples:
+      | events | may     |
+      | 0      | may not |
+      | 3      | may     |
+
   Scenario: An operator lists what is held back, and releases it
     Given 6 runners of a plain service
     When a killer is held back, and an operator releases it
--- a/features/rests.feature
+++ b/features/rests.feature
@@ -60,6 +60,16 @@
     When it asks for 2 s of rest, again and again, over a way of 0.8 s
     Then no gateway has sent more than 2 requests into a rest
 
+  Scenario Outline: Where a second try goes <ago_s> s after a runner's rest
+    Given a gateway that knows a runner that has rested, a busy and an idle one
+    When a request was turned away by the fourth, <ago_s> s after that
+    Then it goes to the <which> one
+
+    Examples:
+      | ago_s | which |
+      | 1     | busy  |
+      | 11    | idle  |
+
   Scenario: A runner that serves while it rests is used again once that is over
     Given 1 gateways and 1 ranks of one group
     When it takes a long request, asks for 1 s of rest, and 10 come after 1.2 s
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -4,15 +4,17 @@
 
 import json
 import socket
+import types
 
 from behave import given, then, when
 import trio
 
 from features.worlds import crashes
 from mountridge.documents import instances, quarantines
-from mountridge import errors
-from mountridge.net import dialects, lasthop
-from mountridge.routing import entryapi, quarantine
+from mountridge import errors, metrics
+from mountridge.net import dialects, httpserver, lasthop
+from mountridge.routing import crashwatch, entryapi, quarantine, rests
+from mountridge.routing import routedexchanges
 from mountridge.state import commands, statemachine
 
 KILLER = b'kill all'
@@ -252,9 +254,7 @@
     async def script(play):
         parts = play.world.parts
         body = b'innocent'
-        request = crashes.httpserver.Request(
-            b'POST', b'/1', [crashes.KEY], body
-        )
+        request = httpserver.Request(b'POST', b'/1', [crashes.KEY], body)
         first = parts['e1'].forwarder
         digest = first.quarantine.digest(request, None, None)
         for number in range(3):
@@ -278,6 +278,37 @@
     assert context.codes == [0, 0, 0], context.codes
 
 
+@given('a rank that crashed under a request which had shown {count:d} events')
+def crashed_rank(context, count):
+    known = quarantine.Quarantine()
+    known.follow([quarantines.Held(b'other', True, 2, 1, 0.0)])
+    app = types.SimpleNamespace(
+        now_s=lambda: 1.0, metrics=metrics.Metrics(None)
+    )
+    words = rests.Rests()
+    context.watch = crashwatch.CrashWatch(app, known, words, lambda _: True)
+    request = httpserver.Request(b'POST', b'/1', [], b'body')
+    exchange = routedexchanges.Exchange(request, None, 0.0)
+    exchange.call = dialects.read_call(request, dialects.NATIVE.headers)
+    exchange.events_sent = count
+    runner = instances.Instance('i', 's', '', '', '', 1, instances.READY)
+
+    async def is_refused(address):
+        return True
+
+    pool = types.SimpleNamespace(is_refused=is_refused)
+    trio.run(
+        context.watch.look, exchange, runner, errors.BadAnswer('cut'), pool
+    )
+    context.exchange = exchange
+
+
+@then('it {may} be tried again')
+def check_again(context, may):
+    again = context.watch.may_try_again(context.exchange, 1.0)
+    assert again == (may == 'may'), again
+
+
 @when('a killer is held back, and an operator releases it')
 def release(context):
     async def script(play):
@@ -300,7 +331,7 @@
 
 async def _call(context, method, target):
     prefix = entryapi.NATIVE.quarantine
-    request = crashes.httpserver.Request(method, prefix + target, [], b'')
+    request = httpserver.Request(method, prefix + target, [], b'')
     responder = crashes._Responder()
     await context.calls(request, responder)
     return json.loads(responder.body)
--- a/features/steps/rests_steps.py
+++ b/features/steps/rests_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import random
 
 from behave import given, then, when
 import trio
@@ -11,7 +12,7 @@
 from features.worlds import rests, system
 from mountridge import errors
 from mountridge.net import dialects
-from mountridge.routing import rests as rests_module
+from mountridge.routing import backends, rests as rests_module
 
 LEAVING = rests.Answer(200, ((b'X-Leaving', b'1'),))
 
@@ -275,6 +276,29 @@
     assert len(served) == count, context.world.refused()
 
 
+@given('a gateway that knows a runner that has rested, a busy and an idle one')
+def rested(context):
+    context.known = backends.Backends()
+    context.known.follow([rests.Runner(n).instance for n in range(4)])
+    context.known.rests.ask(rests.Runner(0).instance, 1.0, 100.0)
+    context.known.by_id['i-1'].heard(2, 0, 111.0)
+
+
+@when('a request was turned away by the fourth, {ago_s:d} s after that')
+def turned_away(context, ago_s):
+    now_s = 101.0 + ago_s
+    context.known.by_id['i-1'].heard(2, 0, now_s)
+    tried, rng = {'i-0', 'i-3'}, random.Random(1)
+    context.picked = context.known.pick('s', 'north', tried, 1, rng, now_s)
+
+
+@then('it goes to the {which} one')
+def check_which(context, which):
+    names = {'busy': 'i-1', 'idle': 'i-2'}
+    found = context.picked.backend.instance.instance_id
+    assert found == names[which], found
+
+
 @then('its head says a rest of {span} s, and that it {leaves}')
 def check_head(context, span, leaves):
     told = context.scenario.name.partition(' -- ')[0]
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -390,7 +390,7 @@
         if self.rests:
             may_place = self.rests.may_place
             fit = [b for b in fit if may_place(b.instance, now_s)]
-            if tried:
+            if tried and self.rests.is_any_in_doubt(now_s):
                 fit = [b for b in fit if self._is_at_work(b)] or fit
         sound = [b for b in fit if b.ejected_until_s <= now_s] or fit
         return [b for b in sound if b.pace < SLOW_PACE] or sound
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -64,7 +64,8 @@
         now_s = self._app.now_s()
         digest = routefilters.find_digest(self._quarantine, exchange)
         self._quarantine.crashed(digest, runner, now_s)
-        exchange.is_suspect = True
+        # What crashes its runners does so as they begin to run it.
+        exchange.is_suspect = exchange.events_sent == exchange.events_at_try
         self._app.metrics.incr('quarantine.crashes')
         logger.info(
             'runner crashed',
@@ -76,15 +77,16 @@
         await self.on_crash()
 
     def may_try_again(self, exchange: Exchange, now_s: float) -> bool:
-        """Return whether a suspect may crash another runner.
+        """Return whether a request whose runner crashed may meet another.
 
         A rank that crashes stops its whole group: where requests that crash
         runners are about, a suspect is then not worth a second try. Where
-        none is known, most crashes have another cause.
+        none is known, most crashes have another cause. A stream that has
+        shown events is no suspect, and goes on elsewhere.
         """
-        if not exchange.is_suspect:
-            return True
         if self._quarantine.is_held(exchange.digest, now_s):
             return False
+        if not exchange.is_suspect:
+            return True
         is_rank = self._has_ranks(exchange.service)
         return not (is_rank and self._quarantine.is_any_held())
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -291,6 +291,7 @@
         backend = picked.backend
         request = exchange.request
         exchange.tries += 1
+        exchange.events_at_try = exchange.events_sent
         exchange.is_under_way = True
         exchange.tried.add(backend.instance.instance_id)
         send = self.known.began(backend, self.app.now_s())
--- a/mountridge/routing/rests.py
+++ b/mountridge/routing/rests.py
@@ -15,6 +15,9 @@
 NO_REST = reststates.NO_REST
 #: Lives whose words are kept, the latest ones: a whole fleet, a few times.
 MOST_KEPT = 2000
+#: A runner that has taken nothing for so long after its rest is gone, or gets
+#: nothing for another reason: it says nothing of the others any more.
+DOUBT_S = 10.0
 
 Life = tuple[str, int, int]
 
@@ -48,6 +51,12 @@
         state = self._states.get(_life(runner))
         return NO_REST if state is None else state.until_s
 
+    def is_any_in_doubt(self, now_s: float) -> bool:
+        """Return whether runners rest, or did of late and took nothing yet."""
+        return any(
+            now_s < state.until_s + DOUBT_S for state in self._states.values()
+        )
+
     def is_doubtful(self, runner: instances.Instance) -> bool:
         """Return whether it has taken nothing yet since it asked."""
         return _life(runner) in self._states
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -47,6 +47,8 @@
         self.digest = b''
         #: Whether a runner has crashed while it ran this request.
         self.is_suspect = False
+        #: Events given when the present try began.
+        self.events_at_try = 0
         #: Whether any try may have run.
         self.may_have_run = False
         #: Whether a try was sent that has not ended; it may be running.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -720,6 +720,15 @@
         'return self.instance_id, self.lives, self.born_ms',
         'return self.instance_id, self.lives, self.age_s', 'quarantine',
     ),
+    Mutant(
+        'quarantine: streams that have run on are suspects', 'crashwatch',
+        'exchange.is_suspect = exchange.events_sent == exchange.events_at_try',
+        'exchange.is_suspect = True', 'quarantine',
+    ),
+    Mutant(
+        'rests: one rest is remembered for ever', 'rests',
+        'now_s < state.until_s + DOUBT_S', 'True', 'rests',
+    ),
     Mutant(
         'quarantine: a trial that crashes takes two', 'quarantineoffice',
         'most = 1 if is_trial else quarantines.HOLD_AT',
