--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -13,7 +13,7 @@
 import trio
 import trio.testing
 
-from features.worlds import system as system_world
+from features.worlds import answers, system as system_world
 from mountridge import clihalls
 from mountridge.control import halloffice
 from mountridge.documents import halls, instances, routes
@@ -40,16 +40,6 @@
     return msgspec.json.encode(table)
 
 
-class Responder:
-    """Takes an answer."""
-
-    started = False
-    status, headers, body = 0, [], b''
-
-    async def send_whole(self, status, headers, body):
-        self.status, self.headers, self.body = status, headers, body
-
-
 class Pool:
     """Stands in for the connections of an entry; runners answer at once."""
 
@@ -63,10 +53,7 @@
         self.play.sent.append((now_s, self.name, hall))
         await trio.sleep(0.01)
         head = dialects.ReplyHead(200, None, False, None, None, None)
-        yield types.SimpleNamespace(head=head, headers=[], whole=self.whole)
-
-    async def whole(self):
-        return b'whole'
+        yield types.SimpleNamespace(head=head, headers=[], whole=answers.whole)
 
     async def forget(self, address):
         pass
@@ -120,7 +107,7 @@
 
     async def ask(self, name):
         begun_s = trio.current_time()
-        responder = Responder()
+        responder = answers.Responder()
         request = httpserver.Request(b'GET', b'/1', [KEY], b'')
         await self.world.parts[name].forwarder.handle(request, responder)
         now_s = trio.current_time()
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 import trio
 
-from features.worlds import crashes
+from features.worlds import answers, crashes
 from mountridge.documents import instances, quarantines
 from mountridge import errors, metrics
 from mountridge.net import dialects, httpserver, lasthop
@@ -139,44 +139,46 @@
     crashes.play(context, script, **context.sizes)
 
 
-@when(
-    '{per_s:g} other requests a second come for {span_s:g} s, and a runner'
-    ' crashes each {rest_s:g} s'
-)
-def crash_by_itself(context, per_s, span_s, rest_s):
+def _others_while(context, act, per_s, span_s, rest_s):
+    """Send other requests while ``act`` is done to each runner in turn."""
+
     async def script(play):
-        async def crash():
+        async def disturb():
             for number in range(round(span_s / rest_s)):
-                runner = list(play.runners.values())[number % 6]
-                runner.crash()
-                play.world.nursery.start_soon(play.back, runner)
+                act(play, list(play.runners.values())[number % 6])
                 await trio.sleep(rest_s)
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(crash)
+            nursery.start_soon(disturb)
             await _others(play, per_s, span_s)
 
     crashes.play(context, script, **context.sizes)
 
 
+def _crash(play, runner):
+    runner.crash()
+    play.world.nursery.start_soon(play.back, runner)
+
+
+def _reset(play, runner):
+    runner.ended.set()
+    runner.ended = trio.Event()
+
+
+@when(
+    '{per_s:g} other requests a second come for {span_s:g} s, and a runner'
+    ' crashes each {rest_s:g} s'
+)
+def crash_by_itself(context, per_s, span_s, rest_s):
+    _others_while(context, _crash, per_s, span_s, rest_s)
+
+
 @when(
     '{per_s:g} other requests a second come for {span_s:g} s, and one resets'
     ' each {rest_s:g} s'
 )
 def resets(context, per_s, span_s, rest_s):
-    async def script(play):
-        async def reset():
-            for number in range(round(span_s / rest_s)):
-                runner = list(play.runners.values())[number % 6]
-                runner.ended.set()
-                runner.ended = trio.Event()
-                await trio.sleep(rest_s)
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(reset)
-            await _others(play, per_s, span_s)
-
-    crashes.play(context, script, **context.sizes)
+    _others_while(context, _reset, per_s, span_s, rest_s)
 
 
 @then('no crash has been counted')
@@ -332,7 +334,7 @@
 async def _call(context, method, target):
     prefix = entryapi.NATIVE.quarantine
     request = httpserver.Request(method, prefix + target, [], b'')
-    responder = crashes._Responder()
+    responder = answers.Responder()
     await context.calls(request, responder)
     return json.loads(responder.body)
 
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -14,7 +14,7 @@
 import msgspec
 import trio
 
-from features.worlds import system
+from features.worlds import answers, system
 from mountridge.documents import instances, routes
 from mountridge import errors, messages
 from mountridge.net import dialects, httpserver
@@ -63,14 +63,6 @@
         self.is_down, self.ended = False, trio.Event()
 
 
-class _Responder:
-    started = False
-    status, headers, body = 0, [], b''
-
-    async def send_whole(self, status, headers, body):
-        self.status, self.headers, self.body = status, headers, body
-
-
 class _Pool:
     """Stands in for the connections of one entry."""
 
@@ -94,7 +86,7 @@
         if ended.is_set():
             raise errors.OutcomeUnknown('no answer: reset')
         head = dialects.ReplyHead(200, None, False, None, None, None)
-        yield types.SimpleNamespace(head=head, headers=[], whole=_whole)
+        yield types.SimpleNamespace(head=head, headers=[], whole=answers.whole)
 
     async def is_refused(self, address):
         await trio.sleep(WAY_S)
@@ -104,10 +96,6 @@
         pass
 
 
-async def _whole():
-    return b'whole'
-
-
 class Play:
     """A system, its runners, and what has reached them."""
 
@@ -169,7 +157,7 @@
             [KEY, (b'X-Deadline-Ms', b'%d' % deadline_ms)],
             body,
         )
-        responder = _Responder()
+        responder = answers.Responder()
         await self.world.parts[name].forwarder.handle(request, responder)
         now_s = trio.current_time()
         is_own = responder.status != 200
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -13,6 +13,7 @@
 import trio
 import trio.testing
 
+from features.worlds import answers
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
 from mountridge.net import dialects, httpserver
@@ -110,18 +111,9 @@
         await trio.sleep(runner.way_s)
         told = [(NAMES.request_id, request_id.encode()), *answer.headers]
         head = dialects.read_reply(answer.status, told, NAMES)
-        yield types.SimpleNamespace(head=head, headers=told, whole=_whole)
-
-
-async def _whole() -> bytes:
-    return b'whole'
-
-
-class _Responder:
-    started = False
-
-    async def send_whole(self, status, headers, body):
-        self.status, self.headers, self.body = status, dict(headers), body
+        yield types.SimpleNamespace(
+            head=head, headers=told, whole=answers.whole
+        )
 
 
 class World:
@@ -137,7 +129,7 @@
         self.gateways = {f'g{n}': self._gateway(f'g{n}', gateways)
                          for n in range(gateways)}  # fmt: skip
         self.is_open = True
-        self.answers: list[_Responder] = []
+        self.answers: list[answers.Responder] = []
         self._count = 0
 
     def _gateway(self, name: str, count: int) -> forwarding.Forwarder:
@@ -206,7 +198,9 @@
                     gateway.known.report(load, self.now_s())
             await trio.sleep(REPORT_S)
 
-    async def ask(self, gateway: str, deadline_ms: int = 2500) -> _Responder:
+    async def ask(
+        self, gateway: str, deadline_ms: int = 2500
+    ) -> answers.Responder:
         """Send one request and return its answer."""
         self._count += 1
         headers = [
@@ -215,7 +209,7 @@
             (NAMES.deadline_ms, b'%d' % deadline_ms),
         ]
         request = httpserver.Request(b'GET', b'/1', headers, b'')
-        responder = _Responder()
+        responder = answers.Responder()
         await self.gateways[gateway].handle(request, responder)
         self.answers.append(responder)
         return responder
