--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -186,7 +186,7 @@
         """
         places = (asked.entry, f'link-{runner.name}')
         count, told_s = self.spoken.in_rest(runner.name, asked.entry, now_s)
-        if count and self.is_calm(places, told_s):
+        if told_s < math.inf and self.is_calm(places, told_s):
             is_kept = count <= words.MOST_IN_REST
             self.check('rests are kept', is_kept, to=runner.name, count=count)
         told_s = self.spoken.leaving_s(runner.name, asked.entry)
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -38,12 +38,31 @@
         #: How many faults hold each direction, or make both late.
         self.harmed: collections.Counter[str] = collections.Counter()
         self._open: set[trio.SocketStream] = set()
+        #: Set while its process lives; else it refuses as a dead port does.
+        self._is_up = trio.Event()
+        self._is_up.set()
+        self._listening = trio.CancelScope()
 
     async def run(self) -> None:
         """Pass connections on until cancelled."""
-        made = listening.listen(listen_of(self.target))
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(made))
-        await trio.serve_listeners(self._connect, [listener])
+        while True:
+            await self._is_up.wait()
+            made = trio.socket.from_stdlib_socket(
+                listening.listen(listen_of(self.target))
+            )
+            with trio.CancelScope() as self._listening:
+                listener = trio.SocketListener(made)
+                await trio.serve_listeners(self._connect, [listener])
+
+    def refuse(self) -> None:
+        """Reset what is open and refuse what comes, until `accept`."""
+        self._is_up = trio.Event()
+        self.reset()
+        self._listening.cancel()
+
+    def accept(self) -> None:
+        """Take connections again."""
+        self._is_up.set()
 
     async def _connect(self, client: trio.SocketStream) -> None:
         host, _, port = self.target.rpartition(':')
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -60,11 +60,13 @@
         served = self._watched(made.rng, watch)
         limits = engineserver.limits
         while True:
+            self.link.accept()
             server = httpserver.Server(served, limits, lambda: False)
             with trio.CancelScope() as self._life:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(server.run, self.address)
                     nursery.start_soon(self._register, made, watch)
+            self.link.refuse()
             await trio.sleep(self._down_s)
             self.state, self.is_leaving = 'ready', False
             watch.out_s.pop(self.name, None)
