--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -66,6 +66,18 @@
     When a killer is held back, and an operator releases it
     Then it was listed, it reaches runners again, and no other digest is taken
 
+  Scenario Outline: The command line shows "<args>"
+    Given an entry that answers commands and knows two requests
+    When "quarantine <args>" is run on it
+    Then it has been asked for <asked>, and shows <shown>
+
+    Examples:
+      | args           | asked                       | shown                 |
+      | list           | GET /v1/quarantine/         | held back 2 1         |
+      | list           | GET /v1/quarantine/         | may be tried 5 2      |
+      | list --json    | GET /v1/quarantine/         | "is_held": true       |
+      | release 00ff   | POST /v1/quarantine/00ff/release | held back 2 1    |
+
   Scenario Outline: What stands for a request differs by its <part> alone
     Then the digest of a request with another <part> is another one
     And it tells no byte of the request, and is another one under another key
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -7,9 +7,11 @@
 import types
 
 from behave import given, then, when
+from click import testing
 import trio
 
 from features.worlds import answers, crashes
+from mountridge import cli, clitools
 from mountridge.documents import instances, quarantines
 from mountridge import errors, metrics
 from mountridge.net import dialects, httpserver, lasthop
@@ -432,3 +434,35 @@
     known.crashed(context.last, runner, 0.9 + s)
     assert known.is_held(context.last, 0.9 + s)
     assert not known.is_held(context.last, 1.1 + s)
+
+
+@given('an entry that answers commands and knows two requests')
+def entry_of_commands(context):
+    listed = [
+        quarantines.Held(b'1' * 16, True, 2, 1, 0.0),
+        quarantines.Held(b'2' * 16, False, 5, 2, 0.0),
+    ]
+    told = [each._asdict() | {'digest': each.digest.hex()} for each in listed]
+
+    def call_entry(address, method, target, body):
+        context.asked = f'{method.decode()} {target.decode()}'
+        return json.dumps({'quarantine': told}).encode()
+
+    context.add_cleanup(setattr, clitools, 'call_entry', clitools.call_entry)
+    clitools.call_entry = call_entry
+
+
+@when('"quarantine {args}" is run on it')
+def run_command(context, args):
+    context.shown = testing.CliRunner().invoke(
+        cli.main, ['quarantine', *args.split(), '--entry', 'there']
+    )
+
+
+@then('it has been asked for {asked}, and shows {shown}')
+def check_command(context, asked, shown):
+    assert context.shown.exit_code == 0, context.shown.output
+    assert context.asked == asked, context.asked
+    assert shown in ' '.join(
+        context.shown.output.split()
+    ), context.shown.output
--- a/mountridge/clitools.py
+++ b/mountridge/clitools.py
@@ -1,6 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""What commands share: exit codes, errors, and calls to an entry."""
+"""What commands share: options, exit codes, errors, calls to processes."""
 
 import json
 import sys
@@ -9,22 +9,32 @@
 import click
 import trio
 
-from mountridge import clocks, errors
+from mountridge import application, clocks, errors
 from mountridge.net import dialects, lasthop
+from mountridge import settings as settings_module
+from mountridge.state import members
 
 __all__ = [
+    'AS_JSON',
+    'CALL_S',
     'ENTRY',
     'EXIT_REFUSED',
     'EXIT_UNREACHED',
     'EXIT_USAGE',
+    'OPERATOR',
+    'SETTINGS',
     'call_entry',
+    'call_leader',
     'fail',
+    'first',
+    'load',
+    'operate',
 ]
 
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
 EXIT_UNREACHED = 3
-#: How long an entry may take to answer a command.
+#: How long a process may take to answer a command.
 CALL_S = 10.0
 
 ENTRY = click.option(
@@ -33,6 +43,16 @@
     required=True,
     help='IP:PORT at which an entry takes control calls.',
 )
+SETTINGS = click.argument('settings_file', type=click.Path())
+OPERATOR = click.option(
+    '--settings',
+    'settings_file',
+    envvar='MOUNTRIDGE_SETTINGS',
+    required=True,
+    type=click.Path(),
+    help='Settings with the controllers and keys.',
+)
+AS_JSON = click.option('--json', 'as_json', is_flag=True, help='For programs.')
 
 
 def fail(problem: errors.MountridgeError) -> typing.NoReturn:
@@ -69,3 +89,49 @@
         told = json.loads(answer)['error']
         fail(errors.by_code(told['code'])(told['message']))
     return answer
+
+
+def load(path: str) -> dict:
+    """Return checked settings, or end with their errors."""
+    try:
+        return settings_module.load(path)
+    except errors.MountridgeError as problem:
+        fail(problem)
+
+
+def operate(path: str, work: typing.Callable) -> typing.Any:
+    """Run ``work(application)`` with connections, and return its result."""
+    settings = load(path)
+    settings['name'] = settings['operator_key'] or settings['name']
+
+    async def main() -> typing.Any:
+        app = application.Application(settings)
+        async with trio.open_nursery() as nursery:
+            app.nursery = nursery
+            try:
+                return await work(app)
+            finally:
+                nursery.cancel_scope.cancel()
+                app.close()
+
+    try:
+        return trio.run(main)
+    except* errors.MountridgeError as group:
+        fail(first(group))
+
+
+def call_leader(path: str, message: typing.Any) -> typing.Any:
+    """Return the reply of the controller that leads, or end with its error."""
+
+    async def work(app: application.Application) -> typing.Any:
+        return await members.Leader(app).call(message, CALL_S)
+
+    return operate(path, work)
+
+
+def first(group: BaseExceptionGroup) -> errors.MountridgeError:
+    """Return the first of our own errors in a group."""
+    found: BaseException = group
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    return found
