--- a/mountridge/agent.py
+++ b/mountridge/agent.py
@@ -23,8 +23,8 @@
 KEPT_ANSWERS = 1000
 OUTCOME_RETRY_S = 0.5
 #: The runner behind this agent has no id by which a later one is told from
-#: it. After its word that it leaves, one request at a time finds out: most
-#: planned ends of a runner are over by then.
+#: it. So long after its word that it leaves one request finds out: several
+#: times the 8 s that a planned stop may take by the defaults.
 LEAVING_S = 30.0
 
 
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -17,8 +17,8 @@
 from mountridge.groups import engines
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, listening
-from mountridge.routing import backends, entryapi, forwarding, hallorders
-from mountridge.routing import quarantine, warmup
+from mountridge.routing import backends, crashreports, entryapi, forwarding
+from mountridge.routing import hallorders, warmup
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -36,10 +36,6 @@
 #: of them less than 4.0 s.
 KEPT_PART = 0.4
 DRAIN_POLL_S = 0.05
-#: The leader counts crashes over all gateways, so a request whose runner has
-#: crashed waits for its word before it may meet another one: a call and a
-#: commit, some ms. Without a leader it goes on by the own count.
-TELL_S = 0.2
 #: Bytes that a log line shows of the id of a malformed word.
 LOGGED_BYTES = 64
 #: Left of the time that a planned stop may take, for closing down.
@@ -90,9 +86,10 @@
         )
         app.on_gap.append(lambda gap_s: self.forwarder.end_late(app.now_s()))
         self.hall_orders = hallorders.HallOrders(app, self.leader.call)
-        #: Set when there may be crashes or good ends to report.
-        self._crash_seen = trio.Event()
-        self.forwarder.crashes.on_crash = self.tell_crash
+        self.crash_reports = crashreports.CrashReports(
+            app, self.forwarder.quarantine, self.leader.call
+        )
+        self.forwarder.crashes.on_crash = self.crash_reports.tell
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
@@ -214,58 +211,7 @@
     def _follow_quarantine(self) -> None:
         packed = self.held.view.under(views.QUARANTINE_PREFIX).values()
         listed = [views.unpack_held(value) for value in packed]
-        self.forwarder.quarantine.follow(listed)
-        if listed:
-            self._crash_seen.set()
-
-    async def report_crashes(self) -> None:
-        """Tell the leader, again and again, of crashes and good ends."""
-        known = self.forwarder.quarantine
-        while True:
-            report = known.report(self.app.now_s())
-            if report is None:
-                self._crash_seen = trio.Event()
-                await self._crash_seen.wait()
-                continue
-            await self._report(report)
-            self._crash_seen = trio.Event()
-            with trio.move_on_after(quarantine.REPORT_S):
-                await self._crash_seen.wait()
-
-    async def _report(self, report: messages.CrashReport) -> None:
-        try:
-            await self.leader.call(report, PUT_S)
-        except errors.MountridgeError as problem:
-            self.app.metrics.incr('quarantine.unreported')
-            logger.debug('crashes unreported', reason=str(problem))
-            return
-        self.forwarder.quarantine.reported(report)
-
-    async def tell_crash(self) -> None:
-        """Tell the leader of a crash, and wait a little for its word."""
-        self._crash_seen.set()
-        report = self.forwarder.quarantine.report(self.app.now_s())
-        if report is not None:
-            with trio.move_on_after(TELL_S):
-                await self._report(report)
-
-    async def read_quarantine(self) -> list[quarantines.Held]:
-        """Return the requests that are or were held back.
-
-        :raises NoController: it can't be told.
-        """
-        reply = await self.leader.call(messages.ReadQuarantine(), PUT_S)
-        return reply.held
-
-    async def release(self, digest: bytes) -> list[quarantines.Held]:
-        """Hold a request back no more; return what else is held.
-
-        :raises NoController: it may have been carried out, or not.
-        :raises NotHeldBack: it is not known.
-        """
-        reply = await self.leader.call(messages.Release(digest), PUT_S)
-        logger.info('request release ordered', digest=digest.hex())
-        return reply.held
+        self.crash_reports.follow(listed)
 
     def _follow_routes(self) -> None:
         held = views.routes_in(self.held.view)
@@ -369,6 +315,21 @@
         """
         return await self.hall_orders.read()
 
+    async def read_quarantine(self) -> list[quarantines.Held]:
+        """Return the requests that are or were held back.
+
+        :raises NoController: it can't be told.
+        """
+        return await self.crash_reports.read()
+
+    async def release(self, digest: bytes) -> list[quarantines.Held]:
+        """Hold a request back no more; return what else is held.
+
+        :raises NoController: it may have been carried out, or not.
+        :raises NotHeldBack: it is not known.
+        """
+        return await self.crash_reports.release(digest)
+
     async def set_hall(self, name: str, is_out: bool) -> halls.HallState:
         """Take a hall out of service, or put it back.
 
@@ -485,7 +446,7 @@
     for kind in FOR_LEADER:
         app.handlers[kind] = entry.refer
     app.handlers[messages.Controllers] = entry.learn
-    app.tasks += [entry.hold_lease, entry.report_crashes]
+    app.tasks += [entry.hold_lease, entry.crash_reports.run]
     app.dumpers['entry'] = entry.dump
     app.drain.append(entry.begin_drain)
     if app.settings['controller']['data']:
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -19,9 +19,8 @@
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, budgets, crashwatch, picking
-from mountridge.routing import quarantine
-from mountridge.routing import routedanswers, routedexchanges, routefilters
-from mountridge.routing import warmup
+from mountridge.routing import quarantine, routedanswers, routedexchanges
+from mountridge.routing import routefilters, warmup
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -324,8 +323,8 @@
         It was placed before it waited for a connection. What the runner has
         told since holds for it too.
 
-        :raises RunnersResting: nothing is sent.
-        :raises DeadlinePassed: nor is it past its time.
+        :raises RunnersResting: it wants none now; nothing is sent.
+        :raises DeadlinePassed: its time is over; nothing is sent.
         """
         now_s = self.app.now_s()
         if now_s >= until_s:
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+import typing
 
 from tools import mutants
 
@@ -15,21 +16,43 @@
 #: Seeds that are played until one finds the fault, and for how long.
 SEEDS, MINUTES = (1, 2, 3), '1'
 
-#: Names of mutants, and the rule that must show each.
+
+class Shown(typing.NamedTuple):
+    """The rule that must show a mutant, and the sizes that bring it about."""
+
+    rule: str
+    sizes: str = ''
+
+
+#: Sizes with runners that tell what they want, and one that is ended.
+WORDS = 'tools/soak/words.yaml'
+
 MUTANTS = {
-    'forwarding: what may not be repeated is': 'at most one run',
-    'forwarding: what is under way is called not run': 'not run is true',
-    'last hop: cut answers look whole': 'whole and right answers',
-    'entry: go before all are armed': 'one map a pass',
-    'budgets: no bound': 'repeated sends in budget',
-    'entry: a planned stop waits for no answer': 'planned stops cut nothing',
+    'forwarding: what may not be repeated is': Shown('at most one run'),
+    'forwarding: what is under way is called not run': Shown(
+        'not run is true'
+    ),
+    'last hop: cut answers look whole': Shown('whole and right answers'),
+    'entry: go before all are armed': Shown('one map a pass'),
+    'budgets: no bound': Shown('repeated sends in budget'),
+    'entry: a planned stop waits for no answer': Shown(
+        'planned stops cut nothing'
+    ),
+    'rests: none is heard': Shown('rests are kept', WORDS),
+    'rests: no word of leaving is heard': Shown(
+        'who leaves gets nothing', WORDS
+    ),
+    'quarantine: nothing is held back': Shown(
+        'requests that crash runners are held back', WORDS
+    ),
 }
 
 
-def _play(seed: int, place: pathlib.Path) -> dict[str, int]:
+def _play(seed: int, place: pathlib.Path, sizes: str) -> dict[str, int]:
     """Return the rules that a run of the copied tree broke."""
     command = [sys.executable, '-m', 'tools.soak', 'run', '--out', 'kept']
     command += ['--seed', str(seed), '--minutes', MINUTES]
+    command += ['--sizes', sizes] if sizes else []
     env = {'PYTHONPATH': str(place), 'PATH': '/usr/bin:/bin'}
     done = subprocess.run(
         command, cwd=place, env=env, capture_output=True, text=True
@@ -39,7 +62,7 @@
     return json.loads(done.stdout)['broken']
 
 
-def run(rule: str, fault: mutants.Mutant) -> str:
+def run(shown: Shown, fault: mutants.Mutant) -> str:
     """Return what became of a mutant."""
     with tempfile.TemporaryDirectory() as folder:
         place = pathlib.Path(folder) / 'tree'
@@ -47,8 +70,8 @@
         if times != 1:
             return f'stands {times} times'
         for seed in SEEDS:
-            broken = _play(seed, place)
-            if rule in broken:
+            broken = _play(seed, place, shown.sizes)
+            if shown.rule in broken:
                 return f'caught by seed {seed}: {broken}'
     return 'LIVES'
 
