--- a/features/rules.feature
+++ b/features/rules.feature
@@ -87,6 +87,7 @@
       | a wrong role            | role                 |
       | keys neither off nor on | keys.folder          |
       | a slow renewal          | lease.renew_s        |
+      | a key of 65 bytes       | digest_key           |
 
   Scenario: All errors of settings and of a sheet come at once
     Then settings with three errors give three lines
--- a/features/steps/rule_steps.py
+++ b/features/steps/rule_steps.py
@@ -441,6 +441,7 @@
     'a wrong role': _with(role='proxy'),
     'keys neither off nor on': _with(keys={'off': False}),
     'a slow renewal': _with(lease={'renew_s': 2.0}),
+    'a key of 65 bytes': _with(digest_key='k' * 65),
 }
 
 
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -17,6 +17,8 @@
 
 __all__ = ['DEFAULTS', 'check', 'load', 'merge']
 
+#: The longest key of the digests of requests (BLAKE2b).
+MOST_KEY_BYTES = 64
 ROLES = ('gateway', 'agent', 'controller', 'entry', 'sidecar')
 
 #: All settings with their defaults. A key that is not here is refused.
@@ -205,6 +207,8 @@
     agent = settings['agent']
     if agent['reserved_slots'] >= agent['slots']:
         wrong.append('agent.reserved_slots: expected fewer than agent.slots')
+    if len(settings['digest_key'].encode()) > MOST_KEY_BYTES:
+        wrong.append(f'digest_key: expected at most {MOST_KEY_BYTES} bytes')
     return wrong
 
 
