A good end is told at once, and a trial that ends well is forgotten

Found by reading: a good end of a request on trial left it on trial for an hour, so that one more crash held it at once; and the scenario for that showed that a good end was told only with the next crash or change of the view. Both mended, and a settled time never goes back. 2 mutants, caught; 105 scenarios of four features pass.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -52,6 +52,11 @@
     When a request is held back for crashes of others, and has ended well since
     Then it is served everywhere within 1 s
 
+  Scenario: A trial that ends well forgets that it was held back
+    Given 6 runners of a plain service
+    When a request is held back for crashes of others, and is tried 62 s later
+    Then it is served, and nothing is known of it any more
+
   Scenario Outline: Second tries on a group while a request is held back
     Given a rank that crashed under a request which had shown <events> events
     Then it <may> be tried again
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -253,30 +253,54 @@
     crashes.play(context, script, **context.sizes)
 
 
+def _suspect(play, body):
+    """Let the first gateway see three crashes that others have caused."""
+    first = play.world.parts['e1'].forwarder
+    request = httpserver.Request(b'POST', b'/1', [crashes.KEY], body)
+    digest = first.quarantine.digest(request, None, None)
+    for number in range(3):
+        life = (f'i-{number}', 's', '', '', '', 1, instances.READY)
+        runner = instances.Instance(*life)
+        first.quarantine.crashed(digest, runner, trio.current_time())
+    return first.crashes.on_crash
+
+
 @when('a request is held back for crashes of others, and has ended well since')
 def ended_well(context):
     async def script(play):
-        parts = play.world.parts
-        body = b'innocent'
-        request = httpserver.Request(b'POST', b'/1', [crashes.KEY], body)
-        first = parts['e1'].forwarder
-        digest = first.quarantine.digest(request, None, None)
-        for number in range(3):
-            runner = instances.Instance(
-                f'i-{number}', 's', '', '', '', 1, instances.READY
-            )
-            now_s = trio.current_time()
-            first.quarantine.crashed(digest, runner, now_s)
+        tell = _suspect(play, b'innocent')
         # At a gateway that has seen none of the crashes.
-        assert await play.ask('e2', body) == 0
-        await first.crashes.on_crash()
+        assert await play.ask('e2', b'innocent') == 0
+        await tell()
+        await trio.sleep(1)
+        context.codes = [await play.ask(name, b'innocent')
+                         for name in play.world.entries]  # fmt: skip
+
+    crashes.play(context, script, **context.sizes)
+
+
+@when(
+    'a request is held back for crashes of others, and is tried {later_s:g} s'
+    ' later'
+)
+def tried_later(context, later_s):
+    async def script(play):
+        await _suspect(play, b'innocent')()
+        assert await play.ask('e2', b'innocent') == HELD
+        await trio.sleep(later_s)
+        context.code = await play.ask('e2', b'innocent')
         await trio.sleep(1)
-        context.codes = [await play.ask(name, body) for name in parts
-                         if name in play.world.entries]  # fmt: skip
+        context.known = await play.world.parts['e3'].read_quarantine()
 
     crashes.play(context, script, **context.sizes)
 
 
+@then('it is served, and nothing is known of it any more')
+def check_forgotten(context):
+    assert context.code == 0, context.code
+    assert context.known == [], context.known
+
+
 @then('it is served everywhere within 1 s')
 def check_free(context):
     assert context.codes == [0, 0, 0], context.codes
--- a/mountridge/control/quarantineoffice.py
+++ b/mountridge/control/quarantineoffice.py
@@ -75,17 +75,21 @@
         return messages.CrashesTaken()
 
     async def _clear(self, digest: bytes, good_s: float) -> None:
-        """Drop crashes before a good end, and a hold that stood on them."""
+        """Drop crashes before a good end, and a hold that stood on them.
+
+        One whose crashes this leader does not know stands, but for a trial.
+        """
         seen = self._crashed_s.pop(digest, {})
         later = {life: at_s for life, at_s in seen.items() if at_s > good_s}
         self._settle(digest, good_s)
+        known = self._machine.quarantine.get(digest)
         if later:
             self._crashed_s[digest] = later
-        elif seen and digest in self._machine.quarantine:
+        elif known is not None and (seen or not known.is_held):
             await self._release(digest, is_trial=False, why='ended well')
 
     def _settle(self, digest: bytes, until_s: float) -> None:
-        self._settled_s.pop(digest, None)
+        until_s = max(until_s, self._settled_s.pop(digest, NEVER_S))
         self._settled_s[digest] = until_s
         while len(self._settled_s) > MOST_SUSPECTS:
             del self._settled_s[next(iter(self._settled_s))]
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -90,6 +90,7 @@
             app, self.forwarder.quarantine, self.leader.call
         )
         self.forwarder.crashes.on_crash = self.crash_reports.tell
+        self.forwarder.crashes.on_good = self.crash_reports.nudge
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
--- a/mountridge/routing/crashreports.py
+++ b/mountridge/routing/crashreports.py
@@ -61,6 +61,10 @@
             return
         self._known.reported(report)
 
+    def nudge(self) -> None:
+        """Report soon: a suspect has ended well."""
+        self._seen.set()
+
     async def tell(self) -> None:
         """Tell the leader of a crash, and wait a little for its word."""
         self._seen.set()
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -42,6 +42,8 @@
         self._quarantine = known
         self._rests = words
         self._has_ranks = has_ranks
+        #: Called when a suspect has ended well.
+        self.on_good: typing.Callable[[], None] = lambda: None
         #: Called when a runner has crashed under a request.
         self.on_crash: typing.Callable[[], typing.Awaitable[None]] = _nothing
 
@@ -76,6 +78,12 @@
         )
         await self.on_crash()
 
+    def ended_well(self, exchange: Exchange) -> None:
+        """Note that a request has ended well; that clears it everywhere."""
+        digest = routefilters.find_digest(self._quarantine, exchange)
+        if self._quarantine.ended_well(digest, self._app.now_s()):
+            self.on_good()
+
     def may_try_again(self, exchange: Exchange, now_s: float) -> bool:
         """Return whether a request whose runner crashed may meet another.
 
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -384,8 +384,7 @@
             lambda: self._leave_slow(exchange, backend),
         )
         backend.succeeded()
-        digest = routefilters.find_digest(self.quarantine, exchange)
-        self.quarantine.ended_well(digest, self.app.now_s())
+        self.crashes.ended_well(exchange)
 
     def _hear(
         self,
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -116,14 +116,19 @@
         while len(self._crashes) > MOST_SUSPECTS:
             self._crashes.popitem(last=False)
 
-    def ended_well(self, digest: bytes, now_s: float) -> None:
-        """Note that a runner has run a request to a good end."""
+    def ended_well(self, digest: bytes, now_s: float) -> bool:
+        """Note that a runner has run a request to a good end.
+
+        Returns whether the leader is to know: it was suspect or held back.
+        """
         self._good_s.pop(digest, None)
         self._good_s[digest] = now_s
         while len(self._good_s) > MOST_GOOD:
             self._good_s.popitem(last=False)
-        if self._crashes.pop(digest, None) or digest in self._held:
-            self._cleared[digest] = now_s
+        if not self._crashes.pop(digest, None) and digest not in self._held:
+            return False
+        self._cleared[digest] = now_s
+        return True
 
     def report(self, now_s: float) -> messages.CrashReport | None:
         """Return what the leader is to know; None for nothing."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -738,6 +738,16 @@
         'quarantine: suspects are told for as long as they count',
         'quarantine', 'if now_s - at_s < TELL_FOR_S', 'if True', 'quarantine',
     ),
+    Mutant(
+        'quarantine: a good end is not told', 'entry',
+        'self.forwarder.crashes.on_good = self.crash_reports.nudge', 'pass',
+        'quarantine',
+    ),
+    Mutant(
+        'quarantine: what ended well stays on trial', 'quarantineoffice',
+        'elif known is not None and (seen or not known.is_held):',
+        'elif known is not None and seen:', 'quarantine',
+    ),
     Mutant(
         'quarantine: a trial that crashes takes two', 'quarantineoffice',
         'most = 1 if is_trial else quarantines.HOLD_AT',
