--- a/mountridge/control/quarantineoffice.py
+++ b/mountridge/control/quarantineoffice.py
@@ -25,8 +25,6 @@
 FORGET_S = 3600.0
 #: Suspects that are counted; a gateway tells of 64 at most.
 MOST_SUSPECTS = 5000
-#: A crash counts for so long, as gateways keep it.
-KEPT_S = 600.0
 NEVER_S = float('-inf')
 
 
@@ -104,7 +102,7 @@
         is_new = crash.life not in seen
         seen.setdefault(crash.life, crashed_s)
         for life, at_s in list(seen.items()):
-            if now_s - at_s >= KEPT_S:
+            if now_s - at_s >= quarantines.KEPT_S:
                 del seen[life]
         self._crashed_s[crash.digest] = seen
         while len(self._crashed_s) > MOST_SUSPECTS:
--- a/mountridge/documents/quarantines.py
+++ b/mountridge/documents/quarantines.py
@@ -12,7 +12,8 @@
 from mountridge import errors
 
 __all__ = [
-    'Crash', 'DIGEST_BYTES', 'HOLD_AT', 'Held', 'digest', 'read_digest',
+    'Crash', 'DIGEST_BYTES', 'HOLD_AT', 'Held', 'KEPT_S', 'digest',
+    'read_digest',
 ]  # fmt: skip
 
 #: 128 bits: two of a billion requests share one by a chance of 1 in 10**20.
@@ -24,6 +25,9 @@
 #: and 291; at 1, 4,013 are held back (docs/design/quarantine.md). A crash
 #: breaks all that its runner works on, and stops a whole group.
 HOLD_AT = 2
+#: A crash counts for so long: callers come again within seconds, and by then
+#: the leader has counted what they did at other gateways.
+KEPT_S = 600.0
 
 
 class Held(typing.NamedTuple):
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -17,11 +17,8 @@
 from mountridge import messages
 from mountridge.net import httpserver
 
-__all__ = ['KEPT_S', 'Quarantine', 'REPORT_S']
+__all__ = ['Quarantine', 'REPORT_S']
 
-#: A crash counts for so long: callers come again within seconds, and by then
-#: the leader has counted what they did at other gateways.
-KEPT_S = 600.0
 #: Between two reports of the same crashes, for leaders that are new.
 REPORT_S = 2.0
 #: A crash is told again for so long: an election and the leases after it are
@@ -99,7 +96,9 @@
     def _is_proved(self, digest: bytes, now_s: float) -> bool:
         """Return whether the own count alone holds a request back."""
         seen = self._crashes.get(digest, {})
-        fresh = [at_s for at_s in seen.values() if now_s - at_s < KEPT_S]
+        fresh = [
+            at_s for at_s in seen.values() if now_s - at_s < quarantines.KEPT_S
+        ]
         return len(fresh) >= quarantines.HOLD_AT
 
     def crashed(
@@ -152,7 +151,7 @@
     def _forget(self, now_s: float) -> None:
         for digest, seen in list(self._crashes.items()):
             for life, at_s in list(seen.items()):
-                if now_s - at_s >= KEPT_S:
+                if now_s - at_s >= quarantines.KEPT_S:
                     del seen[life]
             if not seen:
                 del self._crashes[digest]
