Quarantine: a good end is told once a hold, its level when it changes

At each change of the view a gateway told the leader anew of an old good end of whatever is held back; now it does when a request becomes held. The leader set the level quarantine.now ten times a second, a packet each where a statsd server is set; now when it differs. A property that only gave a flag is the flag.

--- a/mountridge/control/quarantineoffice.py
+++ b/mountridge/control/quarantineoffice.py
@@ -53,12 +53,15 @@
         self._settled_s: dict[bytes, float] = {}
         #: Since when this leader has seen each state of what was held.
         self._since: dict[bytes, tuple[bool, float]] = {}
+        #: How many are held back, as it was last told; -1 for never.
+        self._told_held = -1
 
     def begin_term(self) -> None:
         """Forget what another leader may know better."""
         self._crashed_s.clear()
         self._settled_s.clear()
         self._since.clear()
+        self._told_held = -1
 
     async def on_report(
         self, peer: application.Peer, report: messages.CrashReport
@@ -159,9 +162,10 @@
             span_s = hold_s(each.holds) if each.is_held else FORGET_S
             if now_s - since_s >= span_s:
                 await self._release(digest, each.is_held, 'its time is over')
-        self.app.metrics.gauge(
-            'quarantine.now', sum(each.is_held for each in kept.values())
-        )
+        held = sum(each.is_held for each in kept.values())
+        if held != self._told_held:
+            self._told_held = held
+            self.app.metrics.gauge('quarantine.now', held)
 
     async def on_read(
         self, peer: application.Peer, _: messages.ReadQuarantine
--- a/mountridge/net/reststates.py
+++ b/mountridge/net/reststates.py
@@ -23,19 +23,15 @@
 class RestState:
     """What one life of a runner has asked for."""
 
-    __slots__ = ('_is_asked', 'is_leaving', 'is_tried', 'until_s')
+    __slots__ = ('is_doubtful', 'is_leaving', 'is_tried', 'until_s')
 
     def __init__(self) -> None:
         self.until_s = NO_REST
         self.is_leaving = False
         #: Whether a request is finding out if the rest was long enough.
         self.is_tried = False
-        self._is_asked = False
-
-    @property
-    def is_doubtful(self) -> bool:
-        """Whether it has taken nothing yet since it asked for something."""
-        return self._is_asked
+        #: Whether it has taken nothing yet since it asked for something.
+        self.is_doubtful = False
 
     def ask(self, span_s: float, now_s: float) -> float:
         """Take a rest that is asked for; return when it is over.
@@ -45,13 +41,13 @@
         """
         span_s = UNREAD_S if math.isnan(span_s) else min(span_s, MOST_S)
         self.until_s = max(self.until_s, now_s + span_s)
-        self._is_asked = True
+        self.is_doubtful = True
         return self.until_s
 
     def leave(self) -> bool:
         """Take the word that it leaves; return whether that is new."""
         is_new = not self.is_leaving
-        self.is_leaving = self._is_asked = True
+        self.is_leaving = self.is_doubtful = True
         return is_new
 
     def allows(self, now_s: float) -> bool:
@@ -89,5 +85,5 @@
         """
         if not self.is_doubtful or not self.allows(now_s):
             return False
-        self._is_asked = self.is_tried = False
+        self.is_doubtful = self.is_tried = False
         return True
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -73,9 +73,15 @@
             if each.is_held and not self._holds(digest):
                 # Released: what it was held for counts no more.
                 self._crashes.pop(digest, None)
-        for digest, each in self._held.items():
-            if each.is_held and digest in self._good_s:
-                self._cleared[digest] = self._good_s[digest]
+        for digest in self._held:
+            was_held = digest in before and before[digest].is_held
+            if self._holds(digest) and not was_held:
+                self._tell_good(digest)
+
+    def _tell_good(self, digest: bytes) -> None:
+        """Let the leader know of a good end of what is held back anew."""
+        if digest in self._good_s:
+            self._cleared[digest] = self._good_s[digest]
 
     def is_held(self, digest: bytes, now_s: float) -> bool:
         """Return whether a request is sent to no runner now."""
