Split the selection of runners by job, behind one interface of gates

Cause: backends.py had six jobs, and picking and forwarding knew each thing that may hold a request back (backoffs, quotas of cold runners). What is added for load would have had to be known in both.

Change: registry, load estimates, subset, groups, backoffs and quotas of cold runners are modules of their own; what may hold a request back is a Gate (earliest_send_s, record_sent, record_reply, a SendRecord with check, mark_sent, discard, end). Forwarding knows no gate; picking asks is_limiting and times. Halls stay with the registry: all that is asked of a service excludes them. The limiter of cold runners is still named where requests queue for it.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -23,6 +23,7 @@
 from mountridge.dispatch import placing
 from mountridge.documents import instances
 from mountridge.routing import backends
+from mountridge.routing import sendgates
 
 GATEWAYS, RUNNERS, SLOTS = 10, 16, 16
 SPAN_S = 120.0
@@ -230,7 +231,7 @@
 def _entry(gateways: int, runners: int, limit_per_s: float):
     """Return the state of an entry that knows runners in 3 halls."""
     known = backends.Backends('g-0')
-    known.report_interval_s = 0.2
+    known.loads.report_interval_s = 0.2
     halls = {f'g-{n}': f'h{n % 3}' for n in range(gateways)}
     known.update_runners(
         instances.Instance(
@@ -249,11 +250,13 @@
     results = []
     for _ in range(REPEATS):
         known, now_s = _entry(gateways, runners, limit_per_s), 10.0
+        kind = sendgates.RequestClass('s')
         rng = random.Random(3)
         started_s = time.perf_counter()
         for _ in range(REQUESTS):
-            picked = known.pick('s', 'h0', set(), gateways, rng, now_s)
-            known.request_started(picked.backend, now_s).mark_sent(now_s)
+            picked = known.pick(kind, 'h0', set(), gateways, rng, now_s)
+            sends = known.request_started(picked.backend, kind, now_s)
+            sends.mark_sent(now_s)
             picked.backend.request_ended()
             now_s += 0.1
         results.append((time.perf_counter() - started_s) / REQUESTS * 1e6)
--- a/features/steps/closedgroups_steps.py
+++ b/features/steps/closedgroups_steps.py
@@ -12,6 +12,7 @@
 from mountridge.documents import instances, routes
 from mountridge import messages
 from mountridge.routing import backends, picking
+from mountridge.routing import sendgates
 
 SLOTS = 5
 #: From a request to its refusal by a rank, and from a change of the group's
@@ -54,8 +55,9 @@
 
 def _pick(context, attempted=frozenset(), seed=1):
     rng = random.Random(seed)
+    kind = sendgates.RequestClass('s', was_refused=bool(attempted))
     return context.known.pick(
-        's', 'h0', set(attempted), 1, rng, context.now_s, bool(attempted)
+        kind, 'h0', set(attempted), 1, rng, context.now_s
     )
 
 
@@ -211,6 +213,9 @@
             attempted=set(),
             started_s=now_s,
             deadline_s=now_s + 8.0,
+            team=None,
+            request_head=None,
+            route=types.SimpleNamespace(priority=1, target_ms=0, gap_ms=0),
         )
         while not await self.is_accepted(gateway, exchange):
             self.refused[gateway] += 1
--- a/features/steps/lives_steps.py
+++ b/features/steps/lives_steps.py
@@ -22,6 +22,7 @@
 from mountridge.groups import engines, groups
 from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, entryapi
+from mountridge.routing import sendgates
 from mountridge.state import commands, views
 from standins import engineserver
 
@@ -258,7 +259,9 @@
 
 
 def _check_selected(context):
-    picked = context.known.pick('s', 'north', {'b'}, 1, random.Random(1), 1.01)
+    picked = context.known.pick(
+        sendgates.RequestClass('s'), 'north', {'b'}, 1, random.Random(1), 1.01
+    )
     assert picked and picked.backend.instance == context.restarted, picked
     assert picked.backend is not context.earlier
     assert (picked.backend.own_requests, picked.load) == (0, 0), picked.load
@@ -835,7 +838,9 @@
 @then('the gateway sends it requests at once')
 def check_sends(context):
     rng = random.Random(1)
-    picked = context.known.pick('plain', 'north', set(), 1, rng, 1.0)
+    picked = context.known.pick(
+        sendgates.RequestClass('plain'), 'north', set(), 1, rng, 1.0
+    )
     assert picked.backend.instance.born_ms == 999000, picked
     assert context.to_close == [ADDRESSES['X']], context.to_close
     assert context.world.counts['runner.lives'] == 2
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -12,10 +12,12 @@
 from mountridge.documents import instances
 from mountridge import messages
 from mountridge.routing import backends
+from mountridge.routing import sendgates
 
 #: Interval of reports, and their age when they arrive.
 REPORT_S, DELAY_S = 0.12, 0.05
 WINDOW_S = 0.15
+KIND = sendgates.RequestClass('s')
 #: Digest of all sends of one simulation by code without limits.
 UNLIMITED_DIGEST = '71fc5689ad74472a'
 
@@ -56,7 +58,9 @@
         """Send a request from one gateway and return its runner's id."""
         known = self.known[number]
         hall = self.halls[f'g-{number}']
-        picked = known.pick('s', hall, set(), len(self.known), self.rng, now_s)
+        picked = known.pick(
+            KIND, hall, set(), len(self.known), self.rng, now_s
+        )
         picked.backend.request_started(now_s)
         key = picked.backend.instance.instance_id
         self.sent += 1
--- a/features/steps/rests_steps.py
+++ b/features/steps/rests_steps.py
@@ -13,6 +13,7 @@
 from mountridge import errors
 from mountridge.net import dialects
 from mountridge.routing import backends, backoffs
+from mountridge.routing import sendgates
 
 LEAVING = rests.Answer(200, ((b'X-Leaving', b'1'),))
 
@@ -297,7 +298,9 @@
     now_s = 101.0 + ago_s
     context.known.by_id['i-1'].record_load(2, 0, now_s)
     attempted, rng = {'i-0', 'i-3'}, random.Random(1)
-    context.picked = context.known.pick('s', 'north', attempted, 1, rng, now_s)
+    context.picked = context.known.pick(
+        sendgates.RequestClass('s'), 'north', attempted, 1, rng, now_s
+    )
 
 
 @then('it goes to the {which} one')
--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -13,6 +13,7 @@
 from mountridge.documents import instances, routes
 from mountridge import errors, messages, metrics
 from mountridge.routing import backends, forwarding, picking, warmup
+from mountridge.routing import sendgates
 
 SLOTS, QUEUE = 5, 20
 #: After power returns: gateways start, receive a view with the previous
@@ -27,6 +28,11 @@
 WAITING = 300
 #: Random schedules for each fault.
 SEEDS = 6
+KIND = sendgates.RequestClass('s')
+
+
+def _route(priority):
+    return types.SimpleNamespace(priority=priority, target_ms=0, gap_ms=0)
 
 
 def most_in_a_second(times_s):
@@ -165,14 +171,14 @@
         exchange = types.SimpleNamespace(
             service='s', attempted=set(), started_s=self.now_s(),
             deadline_s=until_s,
-            team=None, route=types.SimpleNamespace(priority=1),
+            team=None, request_head=None, route=_route(1),
         )  # fmt: skip
         known = self.known[name]
         for _ in range(MAX_ATTEMPTS):
             picked = await self.pickers[name].pick(exchange)
             backend = picked.backend
             exchange.attempted.add(backend.instance.instance_id)
-            send = known.request_started(backend, self.now_s())
+            send = known.request_started(backend, KIND, self.now_s())
             try:
                 if await self.is_accepted(known, backend, send, number):
                     return
@@ -550,7 +556,7 @@
         return types.SimpleNamespace(
             service='s', attempted=set(tried), started_s=now_s,
             deadline_s=now_s + 8,
-            team=None, route=types.SimpleNamespace(priority=priority),
+            team=None, request_head=None, route=_route(priority),
         )  # fmt: skip
 
     async def ask(self, number, priority=1, tried=()):
@@ -559,7 +565,8 @@
         try:
             picked = await self.picker.pick(exchange)
             now_s = trio.current_time()
-            self.known.request_started(picked.backend, now_s).mark_sent(now_s)
+            send = self.known.request_started(picked.backend, KIND, now_s)
+            send.mark_sent(now_s)
             outcome = picked.backend.instance.instance_id
         except errors.MountridgeError as problem:
             outcome = problem
@@ -674,7 +681,7 @@
         for _ in range(2):
             picked = await gateway.picker.pick(gateway.exchange())
             send = gateway.known.request_started(
-                picked.backend, trio.current_time()
+                picked.backend, KIND, trio.current_time()
             )
             if what != 'is given up before it begins':
                 send.mark_sent(trio.current_time())
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -74,6 +74,7 @@
                 listening.PROCESS_START_S,
                 app.settings['lease']['lease_s'],
             ),
+            app.metrics,
         )
         self.index: routes.Index | None = None
         self.forwarder = forwarding.Forwarder(
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -8,19 +8,18 @@
 can have run.
 """
 
-import math
 import random
 import typing
 
 import trio
 
 from mountridge import application, errors, utils
-from mountridge.documents import instances, routes
+from mountridge.documents import routes
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, budgets, crashwatch, picking
 from mountridge.routing import quarantine, routedanswers, routedexchanges
-from mountridge.routing import routefilters, warmup
+from mountridge.routing import routefilters, sendgates
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -300,8 +299,9 @@
         exchange.events_before = exchange.events_sent
         exchange.is_in_flight = True
         exchange.attempted.add(backend.instance.instance_id)
-        send = self.backends.request_started(backend, self.app.now_s())
-        is_probe = self.backends.backoffs.begin_request(backend.instance)
+        sends = self.backends.request_started(
+            backend, self.picker.request_class(exchange), self.app.now_s()
+        )
         try:
             async with self.pool.request(
                 backend.instance.address,
@@ -310,42 +310,29 @@
                 self._runner_headers(exchange, backend),
                 request.body,
                 exchange.request_head.request_id,
-                lambda: self._before_send(backend, send, exchange.deadline_s),
+                lambda: self._before_send(sends, exchange.deadline_s),
             ) as reply:
                 if reply.head.status == MISDIRECTED:
-                    send.discard()
+                    sends.discard()
                 await self._forward_reply(exchange, backend, reply)
         finally:
-            if not send.is_sent:
-                send.discard()
-            if is_probe:
-                self.backends.backoffs.end_probe(backend.instance)
+            sends.end(self.app.now_s())
             backend.request_ended()
 
-    def _before_send(
-        self,
-        backend: backends.Backend,
-        send: warmup.SendRecord,
-        until_s: float,
-    ) -> None:
+    def _before_send(self, sends: sendgates.Sends, until_s: float) -> None:
         """Check that a request may still be sent, and record that it is.
 
         The runner was selected before the connection was made, and may have
         requested a backoff or reported that it is leaving since then.
 
-        :raises RunnersResting: the runner is backing off or leaving; nothing
-            is sent.
+        :raises RunnersResting: a gate holds it back now; nothing is sent.
         :raises DeadlinePassed: the deadline has passed; nothing is sent.
         """
         now_s = self.app.now_s()
         if now_s >= until_s:
             raise errors.DeadlinePassed()
-        if not self.backends.backoffs.may_send(backend.instance, now_s):
-            self.app.metrics.incr('rest.held_back')
-            raise errors.RunnersResting(
-                'the runner is backing off or leaving since it was selected'
-            )
-        send.mark_sent(now_s)
+        sends.check(now_s)
+        sends.mark_sent(now_s)
 
     def _runner_headers(
         self, exchange: Exchange, backend: backends.Backend
@@ -381,7 +368,7 @@
             if self.picker.has_ranks(exchange.service):
                 self.backends.record_refusal(backend, now_s)
             raise errors.RunnerReplaced(f'the runner answered {head.status}')
-        self._apply_announcements(exchange, backend.instance, head)
+        self._record_reply(exchange, backend, head)
         if head.not_run:
             # A backoff concerns this runner alone, not its group.
             is_backoff = head.backoff_s is not None
@@ -399,40 +386,23 @@
         backend.record_success()
         self.crashes.record_success(exchange)
 
-    def _apply_announcements(
+    def _record_reply(
         self,
         exchange: Exchange,
-        runner: instances.Instance,
+        backend: backends.Backend,
         head: dialects.ReplyHead,
     ) -> None:
-        """Record a backoff or departure that a runner's answer announces.
+        """Record what an answer announces: a backoff, a limit, a departure.
 
-        Neither is part of its registration or its load: without this, a runner
-        that refuses all requests would seem the least loaded one.
+        It is valid for all requests to this runner from now on.
         """
-        now_s = self.app.now_s()
-        fields = {
-            'request': exchange.request_head.request_id,
-            'runner': runner.instance_id,
-        }
-        if head.backoff_s is not None:
-            backoff_until_s = self.backends.backoffs.back_off(
-                runner, head.backoff_s, now_s
-            )
-            self.app.metrics.incr('rest.asked')
-            if math.isnan(head.backoff_s):
-                self.app.metrics.incr('runner.malformed.rest')
-            backoff_ms = _to_ms(backoff_until_s - now_s)
-            logger.info(
-                'runner requested a backoff', **fields, rest_ms=backoff_ms
-            )
-        if head.is_leaving and self.backends.backoffs.mark_leaving(runner):
-            self.app.metrics.incr('runner.says_leaving')
-            state = runner.state
+        announced = self.backends.record_reply(backend, head, self.app.now_s())
+        for each in announced:
             logger.info(
-                'runner announced that it is leaving',
-                **fields,
-                held_state=state,
+                each.text,
+                request=exchange.request_head.request_id,
+                runner=backend.instance.instance_id,
+                **each.fields,
             )
 
     def _migrate_if_slow(
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -18,7 +18,7 @@
 from mountridge import application, errors, utils
 from mountridge.documents import routes
 from mountridge.routing import backends, groupstates, routedexchanges
-from mountridge.routing import waitqueues, warmup
+from mountridge.routing import sendgates, waitqueues, warmup
 
 __all__ = ['Picker']
 
@@ -74,7 +74,7 @@
         :raises GroupClosed: the groups of all runners stay closed.
         :raises HallsOut: the halls of all runners are out of service.
         """
-        if self.backends.warmup.is_limited(exchange.service):
+        if self.backends.is_limiting(exchange.service):
             picked = await self._pick_limited(exchange)
         else:
             picked = await self._pick_unlimited(exchange)
@@ -147,7 +147,7 @@
             send_s = self.backends.earliest_send_s(
                 exchange.service, exchange.attempted, ahead, now_s
             )
-            if send_s != warmup.NEVER and send_s > until_s:
+            if send_s != sendgates.NEVER and send_s > until_s:
                 raise self._cold_error(exchange, ahead, send_s - now_s)
             if now_s >= until_s:
                 return None
@@ -161,7 +161,7 @@
             if picked is not None:
                 return picked
             next_free_s = self._next_free_s(exchange, now_s)
-            if next_free_s == warmup.NEVER:
+            if next_free_s == sendgates.NEVER:
                 if not self._may_own(exchange, now_s, until_s):
                     return None
             next_s = (
@@ -190,10 +190,7 @@
 
     def _next_free_s(self, exchange: Exchange, now_s: float) -> float:
         return self.backends.next_free_s(
-            exchange.service,
-            exchange.attempted,
-            self._was_refused(exchange),
-            now_s,
+            self.request_class(exchange), exchange.attempted, now_s
         )
 
     def _cold_error(
@@ -255,8 +252,8 @@
         if end_s is not None:
             return self._backoff_error(end_s - self._app.now_s())
         service = exchange.service
-        is_limited = self.backends.warmup.is_limited(service)
-        if is_limited and not self.backends.owns_any(
+        is_limiting = self.backends.is_limiting(service)
+        if is_limiting and not self.backends.owns_any(
             service, self._app.now_s()
         ):
             if self._runners(exchange):
@@ -268,9 +265,8 @@
     def _backoff_end_s(self, exchange: Exchange) -> float | None:
         """Return when the first runner that backs off may get the request."""
         return self.backends.earliest_backoff_end_s(
-            exchange.service,
+            self.request_class(exchange),
             exchange.attempted,
-            self._was_refused(exchange),
             self._app.now_s(),
         )
 
@@ -301,12 +297,25 @@
         self, exchange: Exchange, now_s: float
     ) -> backends.Picked | None:
         return self.backends.pick(
-            exchange.service,
+            self.request_class(exchange),
             self._app.settings['hall'],
             exchange.attempted,
             self._gateways(),
             self._rng,
             now_s,
+        )
+
+    def request_class(self, exchange: Exchange) -> sendgates.RequestClass:
+        """Return the properties of a request by which gates decide."""
+        route, head = exchange.route, exchange.request_head
+        return sendgates.RequestClass(
+            exchange.service,
+            _priority(exchange),
+            route.target_ms / 1000,
+            route.gap_ms / 1000,
+            exchange.team.name if exchange.team else '',
+            head.prompt_tokens if head else 0,
+            head.output_tokens if head else 0,
             self._was_refused(exchange),
         )
 
--- a/mountridge/routing/warmup.py
+++ b/mountridge/routing/warmup.py
@@ -17,6 +17,7 @@
 
 from mountridge.documents import instances
 from mountridge.net import lasthop
+from mountridge.routing import sendgates
 
 __all__ = [
     'NEVER', 'Quotas', 'SendRecord', 'WINDOW_S', 'WarmupLimiter',
@@ -42,8 +43,7 @@
 #: owners may send. It fills the runner first, and knows its own requests there
 #: without a report.
 PRIMARY_DIVISOR = 4
-#: A time that is never reached: no runner is owned, nothing expires.
-NEVER = float('inf')
+NEVER = sendgates.NEVER
 
 
 class Quotas(typing.NamedTuple):
@@ -76,19 +76,17 @@
     return Quotas(primary, 1, remaining // 2, remaining - remaining // 2)
 
 
-class SendRecord:
+class SendRecord(sendgates.SendRecord):
     """One request to a runner, and when it is sent at the latest."""
 
-    __slots__ = ('at_s', 'is_sent')
+    __slots__ = ('at_s',)
 
     def __init__(self, at_s: float):
         self.at_s = at_s
-        self.is_sent = False
 
     def mark_sent(self, now_s: float) -> None:
         """Record that its first bytes are written now."""
         self.at_s = now_s
-        self.is_sent = True
 
     def discard(self) -> None:
         """Stop counting it: the intended runner did not get the request."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -440,7 +440,8 @@
         'responds again',
     ),
     Mutant(
-        'placing: no estimate of requests sent by other gateways', 'backends',
+        'placing: no estimate of requests sent by other gateways',
+        'loadestimates',
         'return own_per_s * unreported_s * max(0, gateways - 1)',
         'return 0.0', 'placement',
     ),
@@ -450,7 +451,7 @@
         'placement', 'infrequent',
     ),
     Mutant(
-        'placing: no restriction of preferred subsets to a hall', 'backends',
+        'placing: no restriction of preferred subsets to a hall', 'subsets',
         'if backend.instance.hall == hall', 'if True', 'placement',
         'Preferred subsets',
     ),
@@ -600,12 +601,12 @@
         'return False', 'closedgroups',
     ),
     Mutant(
-        'closures: no closing of all ranks of a group', 'backends',
+        'closures: no closing of all ranks of a group', 'grouptracker',
         'if other.group == backend.group', 'if other is backend',
         'closedgroups',
     ),
     Mutant(
-        'closures: no distinction of a full rank', 'backends',
+        'closures: no distinction of a full rank', 'grouptracker',
         'if is_full and not backend.replaced:', 'if False:', 'closedgroups',
     ),
     Mutant(
@@ -618,12 +619,12 @@
         'if head.status == MISDIRECTED:', 'if False:', 'forwarding',
     ),
     Mutant(
-        'backoffs: no handling of Retry-After', 'forwarding',
+        'backoffs: no handling of Retry-After', 'backoffgates',
         'if head.backoff_s is not None:', 'if False:', 'rests',
     ),
     Mutant(
-        'backoffs: no handling of leaving runners', 'forwarding',
-        'if head.is_leaving and self.backends.backoffs.mark_leaving(runner):',
+        'backoffs: no handling of leaving runners', 'backoffgates',
+        'if head.is_leaving and self._states.mark_leaving(runner):',
         'if False:', 'rests',
     ),
     Mutant(
@@ -632,8 +633,8 @@
         'return runner.instance_id, 0, 0', 'rests',
     ),
     Mutant(
-        'backoffs: no check between selection and send', 'forwarding',
-        'if not self.backends.backoffs.may_send(backend.instance, now_s):',
+        'backoffs: no check between selection and send', 'backoffgates',
+        'if not self._states.may_send(self._runner, now_s):',
         'if False:', 'rests',
     ),
     Mutant(
@@ -959,18 +960,19 @@
         'if False:', 'lives',
     ),
     Mutant(
-        'incarnations: no replacement at gateways', 'backends',
+        'incarnations: no replacement at gateways', 'runnerregistry',
         'if backend is None or not backend.is_same_incarnation(instance):',
         'if backend is None:', 'lives',
     ),
     Mutant(
-        'incarnations: no incarnation check on delayed answers', 'backends',
+        'incarnations: no incarnation check on delayed answers',
+        'runnerregistry',
         'return self.by_id.get(backend.instance.instance_id) is backend',
         'return True', 'lives',
     ),
     Mutant(
         'incarnations: no eviction of connections of ended runners',
-        'backends',
+        'runnerregistry',
         'return sorted((before - after) | (before & ended))',
         'return sorted(before - after)', 'lives',
     ),
@@ -1201,7 +1203,7 @@
         'halls', 'name of a hall',
     ),
     Mutant(
-        'halls: no exclusion from placement', 'backends',
+        'halls: no exclusion from placement', 'runnerregistry',
         'if backend.instance.hall not in self.halls_out', 'if True',
         'halls', 'Two halls',
     ),
@@ -1316,7 +1318,7 @@
     ),
     Mutant(
         'picking: no refusal of requests that would be too late', 'picking',
-        'if send_s != warmup.NEVER and send_s > until_s:', 'if False:',
+        'if send_s != sendgates.NEVER and send_s > until_s:', 'if False:',
         'warmup',
     ),
     Mutant(
