Quarantine scenario: wait for the one message that brings the view

Cause: the step asked another gateway in the same instant as the leader's answer reached the reporter. Change: the step waits for the longest delay of one message and then asks all three gateways, where it asked one.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -10,7 +10,7 @@
 from click import testing
 import trio
 
-from features.worlds import answers, crashes
+from features.worlds import answers, crashes, system
 from mountridge import cli, clitools
 from mountridge.documents import instances, quarantines
 from mountridge import errors, metrics
@@ -290,7 +290,10 @@
 def sent_later(context, later_s):
     async def script(play):
         await _suspect(play, b'innocent')()
-        assert await play.ask('e2', b'innocent') == QUARANTINED
+        # The new view was sent to all gateways before the answer.
+        await trio.sleep(2 * system.LATENCY_S)
+        for name in play.world.entries:
+            assert await play.ask(name, b'innocent') == QUARANTINED, name
         await trio.sleep(later_s)
         context.code = await play.ask('e2', b'innocent')
         await trio.sleep(1)
