Split the set of gateways that may own runners from the warm-up limits

Runners that name a limit need the same set: rendezvous among the gateways, with names kept for 30 s after they left the view. The behaviour of warm-up is unchanged: features/warmup.feature, 31 scenarios passed. The mutant of the retention moves with its constant.

--- a/mountridge/routing/warmup.py
+++ b/mountridge/routing/warmup.py
@@ -17,7 +17,7 @@
 
 from mountridge.documents import instances
 from mountridge.net import lasthop
-from mountridge.routing import sendgates
+from mountridge.routing import gatewaysets, sendgates
 
 __all__ = [
     'NEVER', 'Quotas', 'SendRecord', 'WINDOW_S', 'WarmupLimiter',
@@ -30,10 +30,6 @@
 #: A send is counted from when it is decided, at the latest time at which it
 #: may be sent: a connection that is not made by then is abandoned.
 MAX_SEND_DELAY_S = lasthop.CONNECT_S
-#: A gateway that has left the view still counts as an owner for this time.
-#: Most return under the same name within it, and gateways that count the
-#: same names choose the same owners.
-RETENTION_S = 30.0
 #: How long views may lag behind leases. For a lease and this time after its
 #: start a gateway sends at most one request to a runner in a window: its first
 #: view may lack gateways that start with it, after the loss of a hall all but
@@ -43,6 +39,8 @@
 #: owners may send. It fills the runner first, and knows its own requests there
 #: without a report.
 PRIMARY_DIVISOR = 4
+#: How often runners without recent sends are dropped.
+PURGE_S = 30.0
 NEVER = sendgates.NEVER
 
 
@@ -105,17 +103,12 @@
         started_s: float = float('-inf'),
         lease_s: float = 3.0,
     ):
-        self._name, self._hall = name, hall
+        self._gateways = gatewaysets.GatewaySet(name, hall)
         self._over, self._slack = over, slack
         #: Sends of a previous incarnation of this process in its last second
         #: count too, and are not known.
         self._quiet_until_s = started_s + WINDOW_S
         self._settled_s = started_s + lease_s + VIEW_DELAY_S
-        #: Halls of all gateways that may be owners, by name.
-        self._halls = {name: hall}
-        #: When those of them that have left the view expire.
-        self._expires_s: dict[str, float] = {}
-        self._next_expiry_s = NEVER
         self._limits_per_s: dict[str, float] = {}
         #: Sends in a window, by id, service and hall of a runner; 0 for those
         #: of other owners.
@@ -141,25 +134,9 @@
 
     def update_gateways(self, halls: dict[str, str], now_s: float) -> None:
         """Update the halls of all gateways that may send, by name."""
-        before = dict(self._halls)
-        self._halls.update(halls)
-        for name in self._halls.keys() - halls.keys() - {self._name}:
-            self._expires_s.setdefault(name, now_s + RETENTION_S)
-        for name in self._expires_s.keys() & halls.keys():
-            del self._expires_s[name]
-        self._next_expiry_s = min(self._expires_s.values(), default=NEVER)
-        if before != self._halls:
+        if self._gateways.update(halls, now_s):
             self._reassign()
 
-    def _expire(self, now_s: float) -> None:
-        """Drop gateways that left the view `RETENTION_S` ago."""
-        for name, until_s in list(self._expires_s.items()):
-            if until_s <= now_s:
-                del self._expires_s[name]
-                del self._halls[name]
-        self._next_expiry_s = min(self._expires_s.values(), default=NEVER)
-        self._reassign()
-
     def _reassign(self) -> None:
         """Begin a new assignment of owners; quotas are computed on demand."""
         self._generation += 1
@@ -174,8 +151,8 @@
 
     def generation(self, now_s: float) -> int:
         """Return the assignment generation; it differs once quotas change."""
-        if now_s >= self._next_expiry_s:
-            self._expire(now_s)
+        if self._gateways.expire(now_s):
+            self._reassign()
         return self._generation
 
     def quota(self, runner: instances.Instance, now_s: float) -> int:
@@ -197,22 +174,18 @@
         return _ownership_key(runner) in self._primary
 
     def _find_quota(self, runner: instances.Instance) -> int:
-        # Loaded only by processes that need it.
-        import xxhash
-
-        def weigh(name: str) -> int:
-            names = f'{name}\0{runner.instance_id}'
-            return xxhash.xxh3_64_intdigest(names.encode())
-
-        is_local = self._hall == runner.hall
-        local = [n for n, hall in self._halls.items() if hall == runner.hall]
-        remote = [n for n, hall in self._halls.items() if hall != runner.hall]
+        gateways, runner_id = self._gateways, runner.instance_id
+        is_local = gateways.hall == runner.hall
+        halls = gateways.halls.items()
+        local = [name for name, hall in halls if hall == runner.hall]
+        remote = [name for name, hall in halls if hall != runner.hall]
         quotas = compute_quotas(
             self._limits_per_s[runner.service], len(local), len(remote)
         )
-        own = weigh(self._name)
+        own = gatewaysets.weigh(gateways.name, runner_id)
         rank = sum(
-            weigh(name) > own for name in (local if is_local else remote)
+            gatewaysets.weigh(name, runner_id) > own
+            for name in (local if is_local else remote)
         )
         if not is_local:
             return quotas.secondary if rank < quotas.remote_owners else 0
@@ -269,7 +242,7 @@
         record = SendRecord(now_s + MAX_SEND_DELAY_S)
         if runner.service not in self._limits_per_s:
             return record
-        if now_s - self._purged_s > RETENTION_S:
+        if now_s - self._purged_s > PURGE_S:
             self._purge(now_s)
         sends = self._sends.setdefault(runner.instance_id, collections.deque())
         while sends and sends[0].at_s <= now_s - WINDOW_S:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1296,7 +1296,7 @@
         'Quotas(primary, 1, remaining, 0)', 'warmup',
     ),
     Mutant(
-        'warmup: no retention of lost gateways', 'warmup',
+        'warmup: no retention of lost gateways', 'gatewaysets',
         'RETENTION_S = 30.0', 'RETENTION_S = 0.0', 'warmup',
     ),
     Mutant(
