Keep to the limits that runners name in their answers

A runner in need names how many requests a second it takes from all gateways together. Gateways passed that on and went on sending: such a runner has few requests, so it was preferred.

Each gateway that got such an answer now limits itself: owners by rendezvous, evenly spaced sends, judged again right before the first byte. Two different sets of owners together stay below 1.5 times the limit and 5 requests in 4 s. Where all runners name a limit, requests wait for their slot or are refused at once with 1215. Header x-limit, server-limit on the platform.

--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -18,7 +18,7 @@
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, listening
 from mountridge.routing import backends, crashreports, entryapi, forwarding
-from mountridge.routing import hallorders, warmup
+from mountridge.routing import hallorders, runnerlimits, warmup
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -75,6 +75,12 @@
                 app.settings['lease']['lease_s'],
             ),
             app.metrics,
+            runnerlimits.RunnerLimits(
+                app.name,
+                app.settings['hall'],
+                listening.PROCESS_START_S,
+                app.settings['lease']['lease_s'],
+            ),
         )
         self.index: routes.Index | None = None
         self.forwarder = forwarding.Forwarder(
@@ -172,9 +178,9 @@
             {m.name: m.hall for m in gateways if m.state == 'live'}
         )
         # Draining gateways still send the requests accepted before.
-        self.backends.warmup.update_gateways(
-            {m.name: m.hall for m in gateways}, self.app.now_s()
-        )
+        halls = {m.name: m.hall for m in gateways}
+        self.backends.warmup.update_gateways(halls, self.app.now_s())
+        self.backends.limits.update_gateways(halls, self.app.now_s())
         for address in self.backends.update_runners(registered):
             self.app.start_task(self.forwarder.pool.evict, address)
         self._report_cold(registered)
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -56,6 +56,7 @@
     'RunnerRefused',
     'RunnerReplaced',
     'RunnersCold',
+    'RunnersLimited',
     'RunnersResting',
     'TimedOut',
     'by_code',
@@ -294,6 +295,13 @@
     status = 503
 
 
+class RunnersLimited(RunnersResting):
+    """All runners, or the selected one, name a limit that is used up."""
+
+    code = 1215
+    status = 503
+
+
 class RequestHeldBack(MountridgeError):
     """The request has crashed several runners and is quarantined."""
 
--- a/mountridge/net/dialects.py
+++ b/mountridge/net/dialects.py
@@ -49,6 +49,7 @@
     last_event_id: bytes = b'last-event-id'
     retry_after: bytes = b'retry-after'  # from runners: backoff in seconds
     leaving: bytes = b'x-leaving'  # from runners: it is about to end
+    limit: bytes = b'x-limit'  # from runners: requests/s of all gateways
 
 
 class Dialect(typing.NamedTuple):
@@ -88,6 +89,9 @@
     backoff_s: float | None = None
     #: The runner is about to end: its header has the value 1.
     is_leaving: bool = False
+    #: Requests/s that it takes from all gateways together; None if not named,
+    #: NaN if malformed.
+    limit_per_s: float | None = None
 
 
 def read_request_head(
@@ -207,6 +211,7 @@
         waiting,
         _backoff_s(status, found.get(names.retry_after)),
         found.get(names.leaving) == b'1',
+        _limit_per_s(found.get(names.limit)),
     )
 
 
@@ -233,6 +238,17 @@
     )
 
 
+def _limit_per_s(value: bytes | None) -> float | None:
+    """Return the limit that a runner names; NaN if malformed."""
+    if value is None:
+        return None
+    try:
+        per_s = float(value)
+    except ValueError:
+        return math.nan
+    return per_s if math.isfinite(per_s) and per_s >= 0 else math.nan
+
+
 def _load(value: bytes | None) -> tuple[int | None, int | None]:
     """Return the requests running and waiting, None if not reported."""
     if value is None:
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -9,9 +9,9 @@
 from mountridge.documents import instances
 from mountridge.net import dialects
 from mountridge.routing import backoffgates, backoffs, choosing
-from mountridge.routing import grouptracker, loadestimates, runnerregistry
-from mountridge.routing import runnerstates, sendgates, subsets, warmup
-from mountridge.routing import warmupgates
+from mountridge.routing import grouptracker, limitgates, loadestimates
+from mountridge.routing import runnerlimits, runnerregistry, runnerstates
+from mountridge.routing import sendgates, subsets, warmup, warmupgates
 
 __all__ = [
     'AVOID_SLOWDOWN',
@@ -62,12 +62,15 @@
         name: str = '',
         limits: warmup.WarmupLimiter | None = None,
         counters: metrics.Metrics | None = None,
+        runner_limits: runnerlimits.RunnerLimits | None = None,
     ) -> None:
         #: The name of this gateway, which decides its preferred subset.
         self.name = name
         counters = counters or metrics.Metrics(None)
         #: This gateway's share of the requests to runners that can turn cold.
         self.warmup = limits or warmup.WarmupLimiter(name)
+        #: Limits that runners have named to this gateway.
+        self.limits = runner_limits or runnerlimits.RunnerLimits(name)
         #: Backoff and drain states that runners have sent to this gateway.
         self.backoffs = backoffs.Backoffs()
         self.registry = runnerregistry.RunnerRegistry(self.backoffs)
@@ -78,8 +81,15 @@
         self._warmup_gate = warmupgates.WarmupGate(
             self.warmup, self.registry.registered
         )
+        self._limit_gate = limitgates.LimitGate(
+            self.limits, self.registry.of_service, counters
+        )
         #: Decide which runners can be selected.
-        self.gates: list[sendgates.Gate] = [self._groups, self._backoff_gate]
+        self.gates: list[sendgates.Gate] = [
+            self._groups,
+            self._backoff_gate,
+            self._limit_gate,
+        ]
         #: Apply to the runners that would be preferred: where their quotas
         #: are used up, a request waits rather than go to a failing runner.
         self.quotas: list[sendgates.Gate] = [self._warmup_gate]
@@ -179,6 +189,18 @@
             for announcement in gate.record_reply(backend, head, now_s)
         ]
 
+    def record_misdirected(
+        self, head: dialects.ReplyHead, now_s: float
+    ) -> list[sendgates.Announcement]:
+        """Record what another runner at the address says of itself.
+
+        Returns the changes to log.
+        """
+        backend = self.by_id.get(head.instance_id or '')
+        if backend is None:
+            return []
+        return self._limit_gate.record_misdirected(backend, head, now_s)
+
     def record_refusal(self, backend: Backend, now_s: float) -> None:
         """Record that a rank did not run a request."""
         self._groups.record_refusal(backend, now_s)
@@ -202,9 +224,11 @@
         """
         return self._groups.closed_for_s(service, now_s)
 
-    def is_limiting(self, service: str) -> bool:
+    def is_limiting(self, service: str, now_s: float) -> bool:
         """Return whether requests may have to wait for a quota."""
-        return any(gate.is_limiting(service) for gate in self.quotas)
+        return any(
+            gate.is_limiting(service) for gate in self.quotas
+        ) or self._limit_gate.is_limiting_all(service, now_s)
 
     # Selection.
 
@@ -362,6 +386,48 @@
         )
         return self._backoff_gate.first_end_s(accepting, now_s)
 
+    def limited_until_s(
+        self,
+        kind: sendgates.RequestClass,
+        attempted: set[str],
+        ahead: int,
+        now_s: float,
+    ) -> float | None:
+        """Return when a request can be sent by the limits of runners.
+
+        ``ahead`` other requests are sent before it. None if a runner that
+        would accept it names no limit, or if there is none;
+        `sendgates.NEVER` if this gateway has no share of any.
+        """
+        runners = self._limited(kind, attempted, now_s)
+        return self.limits.slot_s(runners, ahead, now_s) if runners else None
+
+    def limited_retry_in_s(
+        self,
+        kind: sendgates.RequestClass,
+        attempted: set[str],
+        ahead: int,
+        now_s: float,
+    ) -> float:
+        """Return in how many seconds a caller should return."""
+        runners = self._limited(kind, attempted, now_s)
+        return self.limits.retry_s(runners, ahead, now_s) - now_s
+
+    def _limited(
+        self, kind: sendgates.RequestClass, attempted: set[str], now_s: float
+    ) -> list[instances.Instance]:
+        """Return the runners for a request if all of them name limits."""
+        if not self.limits:
+            return []
+        usable = self._not_attempted(kind.service, attempted, now_s)
+        usable = sendgates.sendable(
+            (self._groups, self._backoff_gate), usable, kind, now_s
+        )
+        runners = [backend.instance for backend in usable]
+        if not all(self.limits.is_limited(each, now_s) for each in runners):
+            return []
+        return runners
+
     def next_free_s(
         self, kind: sendgates.RequestClass, attempted: set[str], now_s: float
     ) -> float:
@@ -397,4 +463,6 @@
             and backend.instance.hall not in self.halls_out
             and backend.instance.instance_id not in attempted
         ]
+        if not self.warmup.is_limited(service):
+            return now_s if runners else sendgates.NEVER
         return self.warmup.earliest_send_s(runners, ahead, now_s)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -314,7 +314,7 @@
             ) as reply:
                 if reply.head.status == MISDIRECTED:
                     sends.discard()
-                await self._forward_reply(exchange, backend, reply)
+                await self._forward_reply(exchange, backend, reply, sends)
         finally:
             sends.end(self.app.now_s())
             backend.request_ended()
@@ -358,6 +358,7 @@
         exchange: Exchange,
         backend: backends.Backend,
         reply: lasthop.Reply,
+        sends: sendgates.Sends,
     ) -> None:
         head = reply.head
         now_s = self.app.now_s()
@@ -365,10 +366,12 @@
             backend.record_load(head.running, head.waiting, now_s)
         if head.status == MISDIRECTED:
             backend.replaced = True
+            announced = self.backends.record_misdirected(head, now_s)
+            self._log_announced(exchange, head.instance_id, announced)
             if self.picker.has_ranks(exchange.service):
                 self.backends.record_refusal(backend, now_s)
             raise errors.RunnerReplaced(f'the runner answered {head.status}')
-        self._record_reply(exchange, backend, head)
+        self._record_reply(exchange, backend, head, sends)
         if head.not_run:
             # A backoff concerns this runner alone, not its group.
             is_backoff = head.backoff_s is not None
@@ -391,17 +394,28 @@
         exchange: Exchange,
         backend: backends.Backend,
         head: dialects.ReplyHead,
+        sends: sendgates.Sends,
     ) -> None:
         """Record what an answer announces: a backoff, a limit, a departure.
 
         It is valid for all requests to this runner from now on.
         """
-        announced = self.backends.record_reply(backend, head, self.app.now_s())
+        now_s = self.app.now_s()
+        announced = self.backends.record_reply(backend, head, now_s)
+        announced += sends.record_reply(head, now_s)
+        self._log_announced(exchange, backend.instance.instance_id, announced)
+
+    def _log_announced(
+        self,
+        exchange: Exchange,
+        runner_id: str | None,
+        announced: list[sendgates.Announcement],
+    ) -> None:
         for each in announced:
             logger.info(
                 each.text,
                 request=exchange.request_head.request_id,
-                runner=backend.instance.instance_id,
+                runner=runner_id,
                 **each.fields,
             )
 
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -70,11 +70,12 @@
 
         :raises NoRunner: there is none, or none registers in time.
         :raises RunnersCold: no quota for a runner becomes free in time.
+        :raises RunnersLimited: the limits that runners name are used up.
         :raises RunnersResting: all runners back off for too long.
         :raises GroupClosed: the groups of all runners stay closed.
         :raises HallsOut: the halls of all runners are out of service.
         """
-        if self.backends.is_limiting(exchange.service):
+        if self.backends.is_limiting(exchange.service, self._app.now_s()):
             picked = await self._pick_limited(exchange)
         else:
             picked = await self._pick_unlimited(exchange)
@@ -111,6 +112,7 @@
         queue and gets the first runner with quota left.
 
         :raises RunnersCold: it could be sent only too late.
+        :raises RunnersLimited: the same, by the limits that runners name.
         """
         now_s = self._app.now_s()
         queue = self._queues[exchange.service]
@@ -120,7 +122,8 @@
         if picked is not None:
             self._unowned_since_s.pop(exchange.service, None)
             return picked
-        self._app.metrics.incr('cold.waited')
+        is_cold = self.backends.warmup.is_limited(exchange.service)
+        self._app.metrics.incr('cold.waited' if is_cold else 'limit.waited')
         if exchange.attempted:
             # `GROUP_WAIT_S` limits the time to a first event; a stream that
             # is resumed has sent some, and may wait a whole window.
@@ -149,6 +152,9 @@
             )
             if send_s != sendgates.NEVER and send_s > until_s:
                 raise self._cold_error(exchange, ahead, send_s - now_s)
+            limited_s = self._limited_until_s(exchange, ahead)
+            if limited_s is not None and limited_s > until_s:
+                raise self._limited_error(exchange, ahead)
             if now_s >= until_s:
                 return None
             if ahead:
@@ -201,6 +207,36 @@
             retry_after_s=utils.with_jitter(send_in_s, self._rng),
         )
 
+    # Runners that name a limit.
+
+    def _limited_until_s(
+        self, exchange: Exchange, ahead: int = 0
+    ) -> float | None:
+        """Return when it can be sent, if all runners for it name limits."""
+        return self.backends.limited_until_s(
+            self.request_class(exchange),
+            exchange.attempted,
+            ahead,
+            self._app.now_s(),
+        )
+
+    def _limited_error(
+        self, exchange: Exchange, ahead: int = 0
+    ) -> errors.RunnersLimited:
+        retry_in_s = self.backends.limited_retry_in_s(
+            self.request_class(exchange),
+            exchange.attempted,
+            ahead,
+            self._app.now_s(),
+        )
+        return errors.RunnersLimited(
+            f'all runners name limits, {ahead} requests ahead, could be sent'
+            f' in {retry_in_s:.1f} s',
+            retry_after_s=utils.with_jitter(
+                max(MIN_RETRY_AFTER_S, retry_in_s), self._rng
+            ),
+        )
+
     # State of the runners.
 
     def _max_wait_s(self, exchange: Exchange, now_s: float) -> float:
@@ -223,6 +259,9 @@
         end_s = self._backoff_end_s(exchange)
         if end_s is not None and end_s <= until_s:
             return True
+        limited_s = self._limited_until_s(exchange)
+        if limited_s is not None and limited_s <= until_s:
+            return True
         closed_for_s = self._closed_for_s(exchange)
         return (
             closed_for_s is not None
@@ -251,8 +290,10 @@
         end_s = self._backoff_end_s(exchange)
         if end_s is not None:
             return self._backoff_error(end_s - self._app.now_s())
+        if self._limited_until_s(exchange) is not None:
+            return self._limited_error(exchange)
         service = exchange.service
-        is_limiting = self.backends.is_limiting(service)
+        is_limiting = self.backends.is_limiting(service, self._app.now_s())
         if is_limiting and not self.backends.owns_any(
             service, self._app.now_s()
         ):
--- a/mountridge/routing/sendgates.py
+++ b/mountridge/routing/sendgates.py
@@ -61,6 +61,16 @@
     def discard(self) -> None:
         """Stop counting it: the intended runner did not get the request."""
 
+    def record_reply(
+        self, head: dialects.ReplyHead, now_s: float
+    ) -> list['Announcement']:
+        """Record what its answer says of later requests to the runner.
+
+        Returns the changes to log. For what depends on when the request was
+        sent; else `Gate.record_reply`.
+        """
+        return []
+
     def end(self, now_s: float) -> None:
         """Record that its outcome is known."""
 
@@ -138,6 +148,16 @@
         for record in self._records:
             record.discard()
 
+    def record_reply(
+        self, head: dialects.ReplyHead, now_s: float
+    ) -> list[Announcement]:
+        """Record what its answer says; return the changes to log."""
+        return [
+            announcement
+            for record in self._records
+            for announcement in record.record_reply(head, now_s)
+        ]
+
     def end(self, now_s: float) -> None:
         """Record that its outcome is known; one not sent is discarded."""
         if not self.is_sent:
