--- a/features/runnerlimits.feature
+++ b/features/runnerlimits.feature
@@ -35,6 +35,17 @@
   Scenario: The limit holds in random schedules of 2 to 390 gateways
     Then in random schedules with several faults any 4 s keep to the limit
 
+  Scenario: Gateways without a share learn that a limit has ended
+    Given a runner that names a limit of 0 requests a second
+    When 39 gateways know of it for 1300 s, and then it names none for 1300 s
+    Then in any 4 s it gets at most 1.2 times its limit and 5 requests
+    And no gateway knows a limit any more
+
+  Scenario: A gateway that has just started does not know the others
+    Given a gateway that started 1 s ago, and a lease of 3 s
+    When a runner names a limit of 8 requests a second
+    Then the gateway sends it nothing for 4 s
+
   Scenario Outline: Two different sets of owners keep to any limit, <count> gateways
     Then twice the shares of all owners of <count> gateways keep to any limit
 
@@ -132,6 +143,22 @@
     And the second rank gets 0 requests
     And the gateway knows no limit of the first rank
 
+  Scenario Outline: A request that <what>
+    Given a gateway that may send a request to a runner with a limit of 0.5 a second
+    When it selects the runner for a request that <what>
+    Then it may select it again after <after_s> s
+
+    Examples:
+      | what                        | after_s |
+      | reaches it                  | 2       |
+      | is given up before it began | 0       |
+      | another runner answers      | 0       |
+
+  Scenario: A runner that answers a request for another one has got a request
+    Given a gateway that may send a request to a runner with a limit of 0.5 a second
+    When the runner answers a request for another one
+    Then it may select it again after 2 s
+
   Scenario Outline: An answer <which> does not end or raise a limit
     Given a gateway that knows a limit of 1 a second
     When an answer <which> names <limit>
--- a/features/steps/runnerlimits_steps.py
+++ b/features/steps/runnerlimits_steps.py
@@ -48,7 +48,8 @@
 class _Fleet:
     """Limits of all gateways, with the arrivals at one runner."""
 
-    def __init__(self, count, limit_at, seed):
+    def __init__(self, count, limit_at, seed, poll_s=0.1):
+        self.poll_s = poll_s
         self.rng = random.Random(seed)
         self.limit_at = limit_at
         self.names = [f'g-{n}' for n in range(count)]
@@ -90,8 +91,10 @@
     def send(self, now_s, name):
         limits = self.limits[name]
         next_s = limits.next_send_s(RUNNER, now_s)
-        wait_s = min(max(next_s - now_s, 0.0), self.rng.uniform(0.05, 0.15))
-        self.at(now_s + max(wait_s, 0.005), self.send, name)
+        wait_s = self.rng.uniform(0.5, 1.5) * self.poll_s
+        if next_s > now_s:
+            wait_s = min(wait_s, next_s - now_s + 0.001)
+        self.at(now_s + wait_s, self.send, name)
         if now_s < self.suspended_until_s.get(name, 0.0):
             return
         if next_s <= now_s:
@@ -117,14 +120,18 @@
         self.at(now_s + after_s, self.answer, name, limits, now_s)
 
     def answer(self, now_s, name, limits, sent_s):
-        limits.name_limit(RUNNER, self.limit_at(now_s), sent_s, now_s)
+        per_s = self.limit_at(now_s)
+        if per_s is None:
+            limits.end_limit(RUNNER, sent_s, now_s)
+            return
+        limits.name_limit(RUNNER, per_s, sent_s, now_s)
         if limits is self.limits[name]:
             self.heard_s.setdefault(name, now_s)
 
-    def play(self):
+    def play(self, span_s=SPAN_S):
         for name in self.names:
             self.at(0.0, self.send, name)
-        while self._events[0][0] < SPAN_S:
+        while self._events[0][0] < span_s:
             now_s, _, action, args = heapq.heappop(self._events)
             action(now_s, *args)
         return most_in_window(self.counted_s)
@@ -238,6 +245,46 @@
         assert both <= 1.5 * WINDOW_S * per_s + 5, (per_s, share)
 
 
+@when(
+    '{count:d} gateways know of it for {span_s:g} s, and then it names none'
+    ' for {ended_s:g} s'
+)
+def end_for_all(context, count, span_s, ended_s):
+    def limit_at(now_s):
+        return context.per_s if now_s < span_s else None
+
+    fleet = context.fleet = _Fleet(count, limit_at, 1, poll_s=2.0)
+    fleet.set_view(fleet.names, 0.0)
+    fleet.at(span_s, lambda _: fleet.heard_s.clear())
+    context.most = fleet.play(span_s + ended_s)
+    context.now_s = span_s + ended_s
+
+
+@then('no gateway knows a limit any more')
+def check_none_known(context):
+    known = [
+        name
+        for name, limits in context.fleet.limits.items()
+        if limits.is_limited(RUNNER, context.now_s)
+    ]
+    assert not known, known
+
+
+@given('a gateway that started {ago_s:g} s ago, and a lease of {lease_s:g} s')
+def started(context, ago_s, lease_s):
+    context.limits = runnerlimits.RunnerLimits('g', 'h', 10 - ago_s, lease_s)
+
+
+@when('a runner names a limit of {per_s:g} requests a second')
+def name(context, per_s):
+    context.limits.name_limit(RUNNER, per_s, 9.5, 10.0)
+
+
+@then('the gateway sends it nothing for {span_s:g} s')
+def check_nothing(context, span_s):
+    assert context.limits.next_send_s(RUNNER, 10.0) == 10.0 + span_s
+
+
 # Gateways with their forwarders.
 
 
@@ -500,6 +547,43 @@
 # One gateway.
 
 
+@given(
+    'a gateway that may send a request to a runner with a limit of {per_s:g} a'
+    ' second'
+)
+def may_send(context, per_s):
+    context.known = backends.Backends('g-0')
+    context.known.update_runners([RUNNER])
+    context.limits = context.known.limits
+    context.limits.name_limit(RUNNER, per_s, 0.0, 1.0)
+    context.now_s = 100.0
+
+
+@when('it selects the runner for a request that {what}')
+def select(context, what):
+    backend = context.known.by_id[RUNNER.instance_id]
+    sends = context.known.request_started(backend, KIND, context.now_s)
+    if what != 'is given up before it began':
+        sends.check(context.now_s)
+        sends.mark_sent(context.now_s)
+    if what == 'another runner answers':
+        sends.discard()
+    sends.end(context.now_s)
+
+
+@when('the runner answers a request for another one')
+def misdirected_to(context):
+    headers = [(b'X-Instance-Id', RUNNER.instance_id.encode())]
+    head = dialects.read_reply_head(421, headers, dialects.NATIVE.headers)
+    context.known.record_misdirected(head, context.now_s)
+
+
+@then('it may select it again after {after_s:g} s')
+def check_again(context, after_s):
+    next_s = context.limits.next_send_s(RUNNER, context.now_s)
+    assert max(0.0, next_s - context.now_s) == after_s, next_s
+
+
 @given('a gateway that knows a limit of {per_s:g} a second')
 def knows_limit(context, per_s):
     context.limits = runnerlimits.RunnerLimits('g-0')
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1326,6 +1326,143 @@
         'return now_s - since_s < groupstates.MAX_CLOSED_WAIT_S',
         'return True', 'warmup',
     ),
+    Mutant(
+        'runner limits: no gate at selection', 'backends',
+        '            self._limit_gate,\n', '', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no owners', 'runnerlimits',
+        'return rank < self._share(limit).owners', 'return True',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no interval between sends', 'runnerlimits',
+        'next_s = limit.last_s + self._interval_s(limit)', 'next_s = now_s',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no room for a second view', 'runnerlimits',
+        'SENDS_PER_LIMIT = 3', 'SENDS_PER_LIMIT = 6', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no division of sends by owners', 'runnerlimits',
+        'min(max(1, gateways), total // each), each)',
+        'min(max(1, gateways), total // each), total)', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no settling time after a start', 'runnerlimits',
+        'return max(next_s, self._settled_s)', 'return next_s',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: an older answer raises the limit', 'runnerlimits',
+        'if not is_lower and sent_s <= limit.named_s:', 'if False:',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: an older answer ends the limit', 'runnerlimits',
+        'if sent_s <= limit.named_s:\n            return False\n        limit',
+        'limit', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no check of requests selected before', 'limitgates',
+        'if self._limits.next_send_s(self._runner, now_s) <= now_s:',
+        'if True:', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no check of the time since selection', 'runnerlimits',
+        'if now_s - slot.selected_s > MAX_SEND_DELAY_S:', 'if False:',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no check of a lowered limit', 'runnerlimits',
+        'return slot.selected_s >= slot.previous_s + self._interval_s(limit)',
+        'return True', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no check of the owner before a send', 'runnerlimits',
+        'if not self._is_owner(runner, limit, now_s):\n'
+        '            return False',
+        'if False:\n            return False', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: requests under way do not count', 'runnerlimits',
+        'self.last_s = now_s', "self.last_s = float('-inf')", 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no release of a slot', 'limitgates',
+        'self._slot.release()', 'pass', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: full rate at once after the end', 'runnerlimits',
+        'return limit.last_s + self._ramp_interval_s(runner, limit, now_s)',
+        'return now_s', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no end', 'runnerlimits',
+        'limit.ended_s = now_s', 'pass', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: trials without a pause', 'runnerlimits',
+        'if is_trial:\n', 'if False:\n', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no trials', 'runnerlimits',
+        'return now_s + mean_s * self._rng.uniform(0.5, 1.5)',
+        'return NEVER', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: kept for a later start', 'runnerlimits',
+        'return runner.instance_id, runner.born_ms',
+        'return runner.instance_id, 0', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: dropped when a registration returns', 'runnerlimits',
+        'return runner.instance_id, runner.born_ms',
+        'return runner.instance_id, runner.lives', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: nothing from answers of other runners', 'forwarding',
+        'announced = self.backends.record_misdirected(head, now_s)',
+        'announced = []', 'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: requests for other runners do not count',
+        'limitgates',
+        'self._limits.record_arrival(backend.instance, now_s)', 'pass',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: malformed ones count', 'limitgates',
+        'if per_s is not None and math.isnan(per_s):', 'if False:',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no huge ones', 'runnerlimits',
+        'return per_s is None or per_s > MAX_PER_S', 'return per_s is None',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no wait for a slot', 'picking',
+        'if limited_s is not None and limited_s <= until_s:', 'if False:',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no refusal of requests that would be too late',
+        'picking',
+        'if limited_s is not None and limited_s > until_s:', 'if False:',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no order of waiting requests', 'backends',
+        'or self._limit_gate.is_limiting_all(service, now_s)', '',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no time to return from the owners', 'runnerlimits',
+        'return now_s + min(self._interval_s(limit) for _, limit in limited)',
+        'return now_s + 1000.0', 'runnerlimits',
+    ),
 )  # fmt: skip
 
 
