--- a/features/runnerlimits.feature
+++ b/features/runnerlimits.feature
@@ -76,6 +76,7 @@
     And the first rank names a limit of 0 a second
     When 10 requests a second arrive for 5 s, and it restarts after 2 s
     Then its new incarnation gets a request within 0.5 s
+    And the gateway keeps no limit
 
   Scenario: The registration of a limited runner times out and returns
     Given 1 gateways and 2 ranks, and a common view
@@ -95,6 +96,7 @@
     And the first rank names a limit of <value> a second
     When 10 requests a second arrive for 4 s
     Then the first rank gets 12 requests or more
+    And the gateway keeps no limit
 
     Examples:
       | what      | value |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -38,6 +38,7 @@
       | an answer cut by a planned stop         | its entry stops, and its answer is cut after it arrived         | planned stops cut nothing                 |
       | a backoff that is ignored               | 3 safe requests arrive 1 s into a backoff of 3 s                | rests are kept                            |
       | a request to a leaving runner           | it arrives 3 s after its runner announced that it leaves        | who leaves gets nothing                   |
+      | a limit that is exceeded                | 12 safe requests arrive 1 s after a limit of 1 a second         | named limits are kept                     |
       | a request that crashes too many runners | a request crashes 3 runners, and 4 more 5 s later               | requests that crash runners are held back |
       | two maps in a forward pass              | a forward pass runs with two maps                               | one map a pass                            |
       | a process that ends unexpectedly        | a process ends unexpectedly                                     | no process ends by itself                 |
--- a/features/steps/runnerlimits_steps.py
+++ b/features/steps/runnerlimits_steps.py
@@ -28,6 +28,7 @@
 
 WINDOW_S, CONTACT_S, SPAN_S = 4.0, 0.5, 24.0
 KIND = sendgates.RequestClass('s')
+BORN_MS = 1000
 RUNNER = rests.Runner(0).instance
 
 
@@ -302,6 +303,8 @@
     halls = dict.fromkeys(context.world.gateways, 'north')
     for gateway in context.world.gateways.values():
         gateway.backends.limits.update_gateways(halls, 0.0)
+    for runner in _ranks(context):
+        runner.instance = runner.instance._replace(born_ms=BORN_MS)
     context.first = _ranks(context)[0]
 
 
@@ -361,7 +364,7 @@
     ' after {after_s:d} s'
 )
 def load_and_restart(context, per_s, span_s, after_s):
-    _load_and_register(context, per_s, span_s, after_s, born_ms=2000)
+    _load_and_register(context, per_s, span_s, after_s, BORN_MS + 1)
     context.first = context.later
 
 
@@ -370,7 +373,7 @@
     ' again after {after_s:d} s'
 )
 def load_and_return(context, per_s, span_s, after_s):
-    _load_and_register(context, per_s, span_s, after_s, born_ms=0)
+    _load_and_register(context, per_s, span_s, after_s, BORN_MS)
     context.first.arrivals += context.later.arrivals
 
 
@@ -392,6 +395,11 @@
     assert first_s <= context.at_s + span_s, first_s
 
 
+@then('the gateway keeps no limit')
+def check_none_kept(context):
+    assert not len(context.world.gateways['g0'].backends.limits)
+
+
 @when(
     '{per_s:d} requests a second arrive for {span_s:d} s, and it names none'
     ' after {after_s:d} s'
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -78,6 +78,7 @@
         service='plain',
         cold_until_s=0.0,
         backoff_s=0.0,
+        limit_per_s=None,
     )
 
 
@@ -179,6 +180,16 @@
         _arrive(context, b'read-%d' % number)
 
 
+@when('12 safe requests arrive 1 s after a limit of 1 a second')
+def arrive_over_limit(context):
+    context.runner.limit_per_s = 1.0
+    context.checker.record_limit(b'order-1', context.runner, 1.0, NOW_S - 1)
+    for number in range(12):
+        assert not context.report.broken, number
+        _record_sent(context, READ, f'read-{number}')
+        _arrive(context, b'read-%d' % number)
+
+
 @when('it arrives 3 s after its runner announced that it leaves')
 def arrive_at_leaving_runner(context):
     context.checker.record_announcement(b'order-1', context.runner, NOW_S - 3)
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -121,6 +121,7 @@
     ) -> list[str]:
         """Apply the view; return the addresses whose incarnation has ended."""
         ended = self.registry.update_runners(registered)
+        self.limits.update_runners(b.instance for b in self.by_id.values())
         self._assign_subset()
         return ended
 
--- a/mountridge/routing/limitgates.py
+++ b/mountridge/routing/limitgates.py
@@ -163,10 +163,12 @@
         if not limits.end_limit(runner, sent_s, now_s):
             return []
         counters.incr('limit.ended')
+        counters.gauge('limit.runners', limits.count_named())
         return [sendgates.Announcement('runner names no limit any more', {})]
     if not limits.name_limit(runner, per_s, sent_s, now_s):
         return []
     counters.incr('limit.named')
+    counters.gauge('limit.runners', limits.count_named())
     return [
         sendgates.Announcement('runner named a limit', {'limit_per_s': per_s})
     ]
--- a/mountridge/routing/runnerlimits.py
+++ b/mountridge/routing/runnerlimits.py
@@ -140,11 +140,29 @@
     def __len__(self) -> int:
         return len(self._limits)
 
+    def count_named(self) -> int:
+        """Return how many runners name a limit to this gateway."""
+        return sum(each.ended_s is None for each in self._limits.values())
+
     def update_gateways(self, halls: dict[str, str], now_s: float) -> None:
         """Apply the view: the halls of all gateways by name."""
         if self._gateways.update(halls, now_s):
             self._ranks.clear()
 
+    def update_runners(
+        self, registered: typing.Iterable[instances.Instance]
+    ) -> None:
+        """Apply the view: drop the limits of ended incarnations.
+
+        A runner that is not registered may return.
+        """
+        if not self._limits:
+            return
+        born_ms = {each.instance_id: each.born_ms for each in registered}
+        for key in list(self._limits):
+            if born_ms.get(key[0], key[1]) != key[1]:
+                del self._limits[key]
+
     # Answers.
 
     def name_limit(
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -197,6 +197,7 @@
         self.arrived_ids.add(key)
         if request is not None:
             self._check_announcements(request, runner, now_s)
+            self._check_limit(request, runner, now_s)
             self._check_out_of_service(request, runner, now_s)
             self._check_cold(request, runner, now_s)
 
@@ -237,6 +238,44 @@
             is_kept = now_s < announced_s + LEAVING_GRACE_S
             self.check('who leaves gets nothing', is_kept, to=runner.name)
 
+    def record_limit(
+        self, request_id: bytes, runner, per_s: float, now_s: float
+    ) -> None:
+        """Record that an answer of a runner names its limit."""
+        request = self.sent_requests.get(request_id.decode('latin-1'))
+        if request is None or runner.limit_per_s != per_s:
+            return  # it names another limit by now, or none
+        self._forget_limit_after_fault(request, runner)
+        self.announcements.record_limit(
+            runner.name, request.entry, per_s, now_s
+        )
+
+    def _forget_limit_after_fault(self, request: SentRequest, runner) -> None:
+        """Discard a limit that an entry may have lost by a fault."""
+        named_s = self.announcements.limited_since_s(
+            runner.name, request.entry
+        )
+        places = (request.entry, f'link-{runner.name}')
+        if named_s < math.inf and not self.had_no_faults(places, named_s):
+            self.announcements.forget_limit(runner.name, request.entry)
+
+    def _check_limit(self, request: SentRequest, runner, now_s: float) -> None:
+        """Check the limit of a runner over all entries that know it.
+
+        Entries that had a fault since they were told are not counted.
+        """
+        if runner.limit_per_s is None:
+            return
+        self._forget_limit_after_fault(request, runner)
+        named_s = self.announcements.limited_since_s(
+            runner.name, request.entry
+        )
+        if now_s < named_s + announcements.IN_FLIGHT_S:
+            return
+        count, most = self.announcements.count_limited(runner.name, now_s)
+        rule = 'named limits are kept'
+        self.check(rule, count <= most, to=runner.name, count=count, most=most)
+
     def _check_out_of_service(
         self, request: SentRequest, runner, now_s: float
     ) -> None:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -28,6 +28,8 @@
 ONLY_SERVICE = {'cut': 'llm', 'lost': 'plain'}
 #: The shortest backoff that a runner asks for, and the range added to it.
 MIN_BACKOFF_S, EXTRA_BACKOFF_S = 0.8, 3.0
+#: The highest limit that a runner names.
+MAX_LIMIT_PER_S = 2.0
 #: Delay until a runner that has left starts again.
 RESTART_S = 1.0
 BOTH_DIRECTIONS = (links.TO_SERVER, links.TO_CLIENT)
@@ -192,6 +194,8 @@
             runner.is_leaving = True
             await trio.sleep(fault.span_s)
             await self._restart_runner(runner, RESTART_S)
+        elif fault_name == 'limit':
+            await self._limit_runner(runner, fault)
         elif fault_name == 'drain':
             runner.state = 'draining'
             await trio.sleep(fault.span_s)
@@ -204,6 +208,20 @@
                 await trio.sleep(fault.span_s)
                 setattr(target, fault_name, 0.0)
 
+    async def _limit_runner(
+        self, runner: runners.Runner, fault: Fault
+    ) -> None:
+        """Let a runner name a limit, in one of five cases 0."""
+        if runner.limit_per_s is not None:
+            return
+        per_s = max(0.0, MAX_LIMIT_PER_S * (1.25 * fault.strength - 0.25))
+        self.checker.announcements.forget_limit(runner.name)
+        runner.limit_per_s = per_s
+        await trio.sleep(fault.span_s)
+        if runner.limit_per_s == per_s:
+            runner.limit_per_s = None
+            self.checker.announcements.forget_limit(runner.name)
+
     async def _restart_runner(
         self, runner: runners.Runner, span_s: float
     ) -> None:
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -48,6 +48,9 @@
     'backoffs: no handling of leaving runners': Expectation(
         'who leaves gets nothing', ANNOUNCEMENT_SIZES
     ),
+    'runner limits: no gate at selection': Expectation(
+        'named limits are kept', 'tools/soak/limits.yaml'
+    ),
     'quarantine: no count of crashes': Expectation(
         'requests that crash runners are held back', ANNOUNCEMENT_SIZES
     ),
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -46,6 +46,7 @@
         self.state = 'ready'
         self.backoff_s = 0.0  # if set, refuses requests and asks for it
         self.is_leaving = False  # announced in all its answers
+        self.limit_per_s: float | None = None  # named in all its answers
         self.cold_until_s = 0.0
         self._down_s = 0.0  # until the next incarnation
         self._incarnation = trio.CancelScope()
@@ -69,6 +70,7 @@
             self.link.refuse()
             await trio.sleep(self._down_s)
             self.state, self.is_leaving = 'ready', False
+            self.limit_per_s = None
             checker.out_of_service_s.pop(self.name, None)
             checker.announcements.forget(self.name)
             self.cold_until_s = trio.current_time() + system.sizes['cold_s']
@@ -110,6 +112,8 @@
                     checker.crashes_s.append(now_s)
                     self.end(CRASH_DOWN_S)
                     await trio.sleep_forever()
+                if self.limit_per_s is not None:
+                    responder = self._limiting(request_id, responder, checker)
                 if self.backoff_s:
                     checker.record_announcement(request_id, self, now_s)
                     await announcements.request_backoff(
@@ -118,7 +122,9 @@
                     return
                 if self.is_leaving:
                     checker.record_announcement(request_id, self, now_s)
-                    responder = announcements.LeavingResponder(responder)
+                    responder = announcements.AnnouncingResponder(
+                        responder, (NAMES.leaving, b'1')
+                    )
                 if rng.random() < self.garbled:
                     await responder._stream.send_all(GARBLED)
                     return
@@ -126,6 +132,23 @@
 
         return handle
 
+    def _limiting(
+        self,
+        request_id: bytes,
+        responder: httpserver.Responder,
+        checker: checks.Checker,
+    ) -> announcements.AnnouncingResponder:
+        """Return a responder that names the limit in its answers."""
+        per_s = self.limit_per_s
+
+        def announced() -> None:
+            now_s = trio.current_time()
+            checker.record_limit(request_id, self, per_s, now_s)
+
+        return announcements.AnnouncingResponder(
+            responder, (NAMES.limit, b'%g' % per_s), announced
+        )
+
 
 class EmulatedRunners(typing.NamedTuple):
     """All runners, and the group of engines that some of them form."""
