Wait while a limit ends, and for the only runner

For 2 s after a limit had ended, requests that found no runner due were refused with 1202, as were those held back from the only runner of a service. Both wait for their slot now, or are refused with 1215 and its time.

A step asks now for the limits named, since is_limited includes one that has ended lately.

--- a/features/runnerlimits.feature
+++ b/features/runnerlimits.feature
@@ -91,6 +91,12 @@
     Then it gets 2 requests or less in the second after the next answer
     And it gets 8 requests or more within 2 s from 2 s after the next answer
 
+  Scenario: All runners name no limit any more
+    Given 1 gateways and 2 ranks, and a common view
+    And all ranks name a limit of 1 a second
+    When 10 requests a second arrive for 12 s, and all name none after 6 s
+    Then all refusals are 1215, and none comes from 2 s after the next answer on
+
   Scenario Outline: A limit that is <what> changes nothing
     Given 1 gateways and 2 ranks, and a common view
     And the first rank names a limit of <value> a second
@@ -124,6 +130,13 @@
     Then the first rank gets 1 requests
     And all requests are served
 
+  Scenario: The only runner names a limit while requests wait for a connection
+    Given 1 gateways and 1 ranks, and a common view
+    And the first rank names a limit of 0.5 a second
+    When 6 requests wait 0.3 s for a connection to it, and one has its answer
+    Then the first rank gets 1 requests
+    And all refusals are 1215, and 5 requests are refused
+
   Scenario Outline: A request is selected under a limit, and before it is sent <change>
     Given one of two owners of a runner with a limit of 0.2 a second
     When it selects the runner for a request, and <change>
--- a/features/steps/runnerlimits_steps.py
+++ b/features/steps/runnerlimits_steps.py
@@ -424,6 +424,47 @@
     _load_and(context, per_s, span_s, after_s, change)
 
 
+@when(
+    '{per_s:d} requests a second arrive for {span_s:d} s, and all name none'
+    ' after {after_s:d} s'
+)
+def load_and_end_all(context, per_s, span_s, after_s):
+    context.at_s = after_s
+
+    def end():
+        for runner in _ranks(context):
+            runner.answer = rests.Answer()
+
+    _load_and(context, per_s, span_s, after_s, end)
+
+
+def _refusals(context):
+    return [
+        (number, json.loads(answer.body)['error'])
+        for number, answer in enumerate(context.world.answers)
+        if answer.status != 200
+    ]
+
+
+@then(
+    'all refusals are {code:d}, and none comes from {after_s:d} s after the'
+    ' next answer on'
+)
+def check_refusals(context, code, after_s):
+    found = _refusals(context)
+    assert found and {error['code'] for _, error in found} == {code}, found
+    assert _after_end(context, after_s, after_s + 2) >= 8
+    # Refused at once, so in order of arrival: none of the last 3 s.
+    last = max(number for number, _ in found)
+    assert last < len(context.world.answers) - 30, found
+
+
+@then('all refusals are {code:d}, and {count:d} requests are refused')
+def check_refusal_count(context, code, count):
+    found = _refusals(context)
+    assert [error['code'] for _, error in found] == [code] * count, found
+
+
 def _after_end(context, from_s, to_s):
     times_s = [each.at_s for each in context.first.arrivals]
     served_s = rests.SERVICE_S + 2 * rests.LATENCY_S
@@ -610,7 +651,7 @@
 @then('the limit is {after} a second')
 def check_limit(context, after):
     limit = context.limits._limits[RUNNER.instance_id, RUNNER.born_ms]
-    assert context.limits.is_limited(RUNNER, 3.0) == (after != 'no')
+    assert context.limits.count_named() == (after != 'no')
     assert after == 'no' or limit.per_s == float(after), limit.per_s
 
 
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -397,7 +397,7 @@
         """Return when a request can be sent by the limits of runners.
 
         ``ahead`` other requests are sent before it. None if a runner that
-        would accept it names no limit, or if there is none;
+        would accept it has no limit, or if there is no runner;
         `sendgates.NEVER` if this gateway has no share of any.
         """
         runners = self._limited(kind, attempted, now_s)
@@ -417,7 +417,7 @@
     def _limited(
         self, kind: sendgates.RequestClass, attempted: set[str], now_s: float
     ) -> list[instances.Instance]:
-        """Return the runners for a request if all of them name limits."""
+        """Return the runners for a request if limits of all of them apply."""
         if not self.limits:
             return []
         usable = self._not_attempted(kind.service, attempted, now_s)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -238,6 +238,9 @@
     ) -> None:
         now_s = self.app.now_s()
         exchange.is_in_flight = False
+        if isinstance(problem, errors.RunnersLimited):
+            # It was not sent, and can go to the same runner later.
+            exchange.attempted.discard(picked.backend.instance.instance_id)
         if problem.outcome != errors.NOT_RUN:
             exchange.may_have_run = True
         if not isinstance(problem, NOT_RUNNER_FAILURES):
--- a/mountridge/routing/limitgates.py
+++ b/mountridge/routing/limitgates.py
@@ -32,7 +32,7 @@
         self._counters = counters
 
     def is_limiting_all(self, service: str, now_s: float) -> bool:
-        """Return whether all runners of a service name a limit."""
+        """Return whether the limits of all runners of a service apply."""
         if not self._limits:
             return False
         backends = self._by_service(service)
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -288,10 +288,11 @@
                 f'all groups closed for {closed_for_s:.1f} s'
             )
         end_s = self._backoff_end_s(exchange)
+        limited_s = self._limited_until_s(exchange)
+        if limited_s is not None and (end_s is None or limited_s < end_s):
+            return self._limited_error(exchange)
         if end_s is not None:
             return self._backoff_error(end_s - self._app.now_s())
-        if self._limited_until_s(exchange) is not None:
-            return self._limited_error(exchange)
         service = exchange.service
         is_limiting = self.backends.is_limiting(service, self._app.now_s())
         if is_limiting and not self.backends.owns_any(
--- a/mountridge/routing/runnerlimits.py
+++ b/mountridge/routing/runnerlimits.py
@@ -224,9 +224,8 @@
     # Sends.
 
     def is_limited(self, runner: instances.Instance, now_s: float) -> bool:
-        """Return whether a runner names a limit at present."""
-        limit = self._current(runner, now_s)
-        return limit is not None and limit.ended_s is None
+        """Return whether a runner names a limit, or has ended one lately."""
+        return self._current(runner, now_s) is not None
 
     def next_send_s(self, runner: instances.Instance, now_s: float) -> float:
         """Return from when a request may be sent to a runner."""
@@ -234,7 +233,7 @@
         if limit is None:
             return now_s
         if limit.ended_s is not None:
-            return limit.last_s + self._ramp_interval_s(runner, limit, now_s)
+            return limit.last_s + self._ramp_interval_s(limit, now_s)
         if self._is_owner(runner, limit, now_s):
             next_s = limit.last_s + self._interval_s(limit)
         else:
@@ -251,13 +250,16 @@
         slots: list[tuple[float, float]] = []
         for runner in runners:
             limit = self._current(runner, now_s)
-            if limit is None or limit.ended_s is not None:
+            if limit is None:
                 return now_s
             at_s = max(now_s, self.next_send_s(runner, now_s))
-            is_owner = self._is_owner(runner, limit, now_s)
-            slots.append(
-                (at_s, self._interval_s(limit) if is_owner else NEVER)
-            )
+            if limit.ended_s is not None:
+                interval_s = self._ramp_interval_s(limit, now_s)
+            elif self._is_owner(runner, limit, now_s):
+                interval_s = self._interval_s(limit)
+            else:
+                interval_s = NEVER
+            slots.append((at_s, interval_s))
         heapq.heapify(slots)
         for _ in range(ahead):
             if not slots or slots[0][0] == NEVER:
@@ -281,7 +283,8 @@
         owned = [
             runner
             for runner, limit in limited
-            if self._is_owner(runner, limit, now_s)
+            if limit.ended_s is not None
+            or self._is_owner(runner, limit, now_s)
         ]
         if owned:
             return self.slot_s(owned, ahead, now_s)
@@ -360,9 +363,7 @@
             share.owners / limit.per_s,
         )
 
-    def _ramp_interval_s(
-        self, runner: instances.Instance, limit: _Limit, now_s: float
-    ) -> float:
+    def _ramp_interval_s(self, limit: _Limit, now_s: float) -> float:
         left = 1 - (now_s - limit.ended_s) / RAMP_S
         return min(self._interval_s(limit), RAMP_S) * left
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1395,7 +1395,7 @@
     ),
     Mutant(
         'runner limits: full rate at once after the end', 'runnerlimits',
-        'return limit.last_s + self._ramp_interval_s(runner, limit, now_s)',
+        'return limit.last_s + self._ramp_interval_s(limit, now_s)',
         'return now_s', 'runnerlimits',
     ),
     Mutant(
@@ -1463,6 +1463,18 @@
         'return now_s + min(self._interval_s(limit) for _, limit in limited)',
         'return now_s + 1000.0', 'runnerlimits',
     ),
+    Mutant(
+        'runner limits: no wait while a limit ends', 'runnerlimits',
+        'return self._current(runner, now_s) is not None',
+        'limit = self._current(runner, now_s)\n'
+        '        return limit is not None and limit.ended_s is None',
+        'runnerlimits',
+    ),
+    Mutant(
+        'runner limits: no second try at a runner that got nothing',
+        'forwarding', 'if isinstance(problem, errors.RunnersLimited):',
+        'if False:', 'runnerlimits',
+    ),
 )  # fmt: skip
 
 
