--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -281,6 +281,25 @@
     assert isinstance(context.next_answer.message, messages.DumpReply)
 
 
+@then('its log line at the start has the build and the format level')
+def check_log_line(context):
+    text = (context.cluster.folder / 'c1.log').read_text()
+    lines = [json.loads(line) for line in text.splitlines()]
+    started = next(line for line in lines if line['message'] == 'started')
+    assert started['format_level'] == records.FORMAT_LEVEL, started
+    context.build = started['build']
+
+
+@then('"mountridge version" and "mountridge dump" print the same')
+def check_version(context):
+    shown = context.cluster.cli('version')
+    level = records.FORMAT_LEVEL
+    assert shown == f'build {context.build}, format level {level}\n', shown
+    dumped = context.cluster.dump('c1')
+    assert dumped['build'] == context.build, dumped
+    assert dumped['format_level'] == level, dumped
+
+
 # Voters of two builds.
 
 
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -67,3 +67,8 @@
     When the leader commits a command that only the later build knows
     And a voter is replaced by one of this build
     Then its process ends with code 1602, and changes are still acknowledged
+
+  Scenario: A process names its build and its format level
+    Given a controller process
+    Then its log line at the start has the build and the format level
+    And "mountridge version" and "mountridge dump" print the same
--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -11,7 +11,8 @@
 import trio
 import zmq
 
-from mountridge import clocks, errors, messages, metrics, signals, utils
+from mountridge import builds, clocks, errors, messages, metrics, records
+from mountridge import signals, utils
 from mountridge.logs import logger
 from mountridge.net import keys, sockets
 
@@ -134,7 +135,11 @@
 
     def _dump(self, peer: Peer, message: messages.Dump):
         state = {name: dumper() for name, dumper in self.dumpers.items()}
-        return messages.DumpReply({'name': self.name, **state})
+        build = {
+            'build': builds.build_name(),
+            'format_level': records.FORMAT_LEVEL,
+        }
+        return messages.DumpReply({'name': self.name, **build, **state})
 
     def _stop(self, peer: Peer, message: messages.Stop):
         self.stopping.set()
@@ -210,7 +215,11 @@
                 for task in self.system_tasks() + self.tasks:
                     nursery.start_soon(task)
                 signals.started.send(self)
-                logger.info('started')
+                logger.info(
+                    'started',
+                    build=builds.build_name(),
+                    format_level=records.FORMAT_LEVEL,
+                )
                 if not clocks.counts_suspension:
                     problem = errors.NoRealClock()
                     reason = str(problem)
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -9,9 +9,9 @@
 import trio
 import yaml
 
-from mountridge import application, clicontrollers, clihalls, cliquarantine
-from mountridge import cliroutes, clistorage, clitable, clitools, errors
-from mountridge import logs, messages
+from mountridge import application, builds, clicontrollers, clihalls
+from mountridge import cliquarantine, cliroutes, clistorage, clitable
+from mountridge import clitools, errors, logs, messages, records
 from mountridge.net import keys
 from mountridge.state import members
 
@@ -98,6 +98,18 @@
         clitools.fail(clitools.first_error(group))
 
 
+@main.command()
+def version() -> None:
+    """Print the build and format level of this program.
+
+    The build identifies the installed source files; `dump` prints that of a
+    running process.
+    """
+    click.echo(
+        f'build {builds.build_name()}, format level {records.FORMAT_LEVEL}'
+    )
+
+
 def _resolve_address(loaded: dict, address: str) -> str:
     return loaded['controllers'].get(address, address)
 
