--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,6 +5,10 @@
   Scenario: A seed always gives the same plan, and different seeds different plans
     Then seed 1 gives the same plan twice, and seed 2 a different one
 
+  Scenario: A run with an old build rolls to the new one, back and to it again
+    Then seed 1 gives the same rolls twice, each through all processes
+    And the leader is replaced first, last and last, in time for the recovery
+
   Scenario: A short run with faults on real processes breaks no rule
     When seed 3 is run for half a minute on a few processes
     Then no rule is broken, and these rules were checked
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -30,6 +30,29 @@
     assert first.faults != other.faults and first.orders != other.orders
 
 
+@then('seed 1 gives the same rolls twice, each through all processes')
+def check_rolls(context):
+    names = ['entry-0', 'entry-1', 'entry-2', 'entry-3', 'sidecar-0']
+    drawn = [schedule.draw_rolls(1, names, SIZES, 120) for _ in range(2)]
+    context.rolls = drawn[0]
+    assert drawn[0] == drawn[1]
+    assert [roll.to_new for roll in context.rolls] == [True, False, True]
+    assert all(sorted(roll.names) == names for roll in context.rolls)
+    kills = [kill for roll in context.rolls for kill in roll.is_killed]
+    assert True in kills and False in kills
+
+
+@then('the leader is replaced first, last and last, in time for the recovery')
+def check_roll_times(context):
+    rolls = context.rolls
+    assert [roll.leader_last for roll in rolls] == [False, True, True]
+    ends_s = [roll.start_s + len(roll.names) * roll.step_s for roll in rolls]
+    starts_s = [roll.start_s for roll in rolls]
+    assert starts_s[0] >= SIZES['planned_s'], starts_s
+    pairs = zip(ends_s, [*starts_s[1:], 120 - SIZES['recover_s']])
+    assert all(end_s <= next_s + 1e-6 for end_s, next_s in pairs), ends_s
+
+
 @when('seed {seed:d} is run for half a minute on a few processes')
 def run_soak(context, seed):
     context.folder = tempfile.mkdtemp()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -56,6 +56,8 @@
         self.controllers: dict[str, str] = {}
         #: HTTP addresses (IP:PORT) of gateways and runners.
         self.http: dict[str, str] = {}
+        #: Checkouts of other builds, with their environments, by process.
+        self.builds: dict[str, str] = {}
 
     def __enter__(self) -> 'Cluster':
         return self
@@ -143,12 +145,16 @@
                 limits = (file_bytes, file_bytes)
                 resource.setrlimit(resource.RLIMIT_FSIZE, limits)
 
+        build = self.builds.get(name)
+        interpreter = f'{build}/.venv/bin/python' if build else sys.executable
         log = open(self.folder / f'{name}.log', 'ab')
         self.processes[name] = subprocess.Popen(
-            [sys.executable, *args],
+            [interpreter, *args],
             stdout=log,
             stderr=log,
             preexec_fn=limit_files,
+            # The interpreter imports from its working directory first.
+            cwd=build,
         )
         log.close()
         return self.processes[name]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,6 +19,12 @@
 def build(folder: str, controllers: int = 3) -> cluster.Cluster:
     """Start controllers, two gateways, two agents and their runners."""
     system = cluster.Cluster(folder)
+    start(system, controllers)
+    return system
+
+
+def start(system: cluster.Cluster, controllers: int) -> None:
+    """Start the processes of the demo in a cluster without any."""
     names = [f'c{n + 1}' for n in range(controllers)]
     system.add_controllers(names)
     services = ['drafts', 'assistant', 'alarm-relay', 'receipt-corrections']
@@ -28,7 +34,6 @@
         system.start(f'a{number}')
         system.add('gateway', f'g{number}')
         system.start(f'g{number}')
-    return system
 
 
 def chat(address: str) -> str:
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -78,7 +78,7 @@
     def __init__(self, load: dict, folder: str, network: str = NETWORK):
         self.load = load
         self.network = network
-        self.folder = pathlib.Path(folder)
+        self.folder = pathlib.Path(folder).absolute()
         self.rng = random.Random(load['seed'])
         self.kinds = [Kind(**each) for each in load['kinds']]
         self.outcomes = {kind.name: Outcomes() for kind in self.kinds}
@@ -107,10 +107,17 @@
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(merged))
         with open(self.folder / f'{name}.log', 'ab') as log:
-            args = [sys.executable, '-m', 'mountridge', merged['role'], path]
-            process = subprocess.Popen(args, stdout=log, stderr=log)
+            interpreter, folder = self.interpreter(name)
+            args = [interpreter, '-m', 'mountridge', merged['role'], path]
+            process = subprocess.Popen(
+                args, stdout=log, stderr=log, cwd=folder
+            )
         self.processes.append(process)
 
+    def interpreter(self, name: str) -> tuple[str, str | None]:
+        """Return the interpreter of a process and its working directory."""
+        return sys.executable, None
+
     def start_entries(self, founding: bool) -> None:
         """Start all entries; the first three have a disk."""
         for number in range(self.load['entries']):
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -34,13 +34,26 @@
 @click.option('--minutes', type=float, default=2.0, show_default=True)
 @click.option('--sizes', default='', help='YAML file that overrides sizes.')
 @click.option('--out', help='Keep all logs in this folder.')
-def run(seed: int, minutes: float, sizes: str, out: str | None) -> None:
+@click.option(
+    '--old',
+    default='',
+    type=click.Path(exists=True, resolve_path=True),
+    help='Checkout of an older build, with its .venv: starts on it, and '
+    'rolls through all processes, back, and forward again.',
+)
+def run(
+    seed: int, minutes: float, sizes: str, out: str | None, old: str
+) -> None:
     """Run one seed on real processes; exits with 1 if a rule was broken."""
-    sys.exit(0 if _run_seed(seed, minutes, sizes, out) else 1)
+    sys.exit(0 if _run_seed(seed, minutes, sizes, out, old) else 1)
 
 
 def _run_seed(
-    seed: int, minutes: float, sizes: str = '', out: str | None = None
+    seed: int,
+    minutes: float,
+    sizes: str = '',
+    out: str | None = None,
+    old: str = '',
 ) -> bool:
     """Run one seed and print the verdict; keep the logs if it failed."""
     run_sizes = yaml.safe_load((HERE / 'sizes.yaml').read_text())
@@ -49,7 +62,7 @@
     pathlib.Path(out or '.').mkdir(parents=True, exist_ok=True)
     folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=out)
     verdict = session.execute(
-        seed, minutes * 60, run_sizes, pathlib.Path(folder)
+        seed, minutes * 60, run_sizes, pathlib.Path(folder), old
     )
     click.echo(json.dumps(verdict))
     if not verdict['passed']:
@@ -57,6 +70,7 @@
             f'python -m tools.soak run --seed {seed} --minutes {minutes}'
         )
         repeat_command += f' --sizes {sizes}' if sizes else ''
+        repeat_command += f' --old {old}' if old else ''
         click.echo(
             f'FAILED; logs in {folder}; repeat: {repeat_command}', err=True
         )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -30,6 +30,8 @@
 MIN_BACKOFF_S, EXTRA_BACKOFF_S = 0.8, 3.0
 #: Delay until a runner that has left starts again.
 RESTART_S = 1.0
+#: Delay from the end of a process to the start of its other build.
+REPLACE_S = 0.5
 BOTH_DIRECTIONS = (links.TO_SERVER, links.TO_CLIENT)
 
 Fault = schedule.Fault
@@ -111,6 +113,13 @@
         ranks = range(self.system.sizes['ranks'])
         await self._process(f'sidecar-{_pick(fault, ranks)}', fault)
 
+    async def replace(self, name: str, is_killed: bool) -> None:
+        """End a process, and start the build that is chosen for it."""
+        if is_killed:
+            await self._kill([name], REPLACE_S)
+        else:
+            await self._stop(name, REPLACE_S)
+
     async def _process(
         self, name: str, fault: Fault, is_wiped: bool = False
     ) -> None:
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -12,7 +12,10 @@
 from standins import lab
 from tools.soak import links
 
-__all__ = ['Fleet', 'take_net']
+__all__ = ['DISKS', 'Fleet', 'take_net']
+
+#: Number of entries with a disk, the first ones.
+DISKS = 3
 
 #: Loopback networks 127.0.N, one for each concurrent run.
 NETS = range(40, 80)
@@ -36,12 +39,23 @@
 class Fleet(lab.Lab):
     """Entries and sidecars, by name, with a link in front of each address."""
 
-    def __init__(self, sizes: dict, folder: pathlib.Path, net: str, seed: int):
+    def __init__(
+        self,
+        sizes: dict,
+        folder: pathlib.Path,
+        net: str,
+        seed: int,
+        old_build: str = '',
+    ):
         load = {**sizes, 'seed': seed, 'kinds': []}
         super().__init__(load, str(folder), net)
         self.sizes = sizes
         self.names = [f'entry-{n}' for n in range(sizes['entries'])]
         self.by_name: dict[str, subprocess.Popen] = {}
+        #: Checkout of the old build, with its environment; '' if none runs.
+        self.old_build = old_build
+        #: Processes that run the old build from their next start on.
+        self.on_old_build: set[str] = set()
         #: Processes that the soak test has ended and not started again.
         self.stopped: set[str] = set()
         #: Incarnation number of each process, from 1.
@@ -70,6 +84,20 @@
         else:
             self.start_sidecar(int(number))
 
+    def use_build(self, name: str, is_old: bool) -> None:
+        """Have a process run the old or the new build from its next start."""
+        if is_old:
+            self.on_old_build.add(name)
+        else:
+            self.on_old_build.discard(name)
+
+    def interpreter(self, name: str) -> tuple[str, str | None]:
+        """Return the interpreter of the build that a process is to run."""
+        if name not in self.on_old_build:
+            return super().interpreter(name)
+        # The interpreter imports from its working directory first.
+        return f'{self.old_build}/.venv/bin/python', self.old_build
+
     def hall_of(self, name: str) -> str:
         """Return the hall of a process or runner, from its number."""
         halls = self.sizes['halls']
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-__all__ = ['Fault', 'Order', 'Plan', 'draw']
+__all__ = ['Fault', 'Order', 'Plan', 'Roll', 'draw', 'draw_rolls']
 
 #: Drawn once per run: the system is not configured to sustain the loss of a
 #: second disk before the first has been replaced.
@@ -32,6 +32,17 @@
     pick: int
 
 
+class Roll(typing.NamedTuple):
+    """Replacement of all processes by another build, one after the other."""
+
+    to_new: bool
+    leader_last: bool  # else it is the first one
+    start_s: float
+    step_s: float
+    names: list[str]  # in the order of their replacement, except the leader
+    is_killed: list[bool]  # by position; the others stop gracefully
+
+
 class Plan(typing.NamedTuple):
     """The faults and orders of a run."""
 
@@ -55,6 +66,28 @@
     return Plan(faults, orders, span_s)
 
 
+def draw_rolls(
+    seed: int, names: list[str], sizes: dict, span_s: float
+) -> list[Roll]:
+    """Return rolls to the new build, back, and to the new one again."""
+    rng = random.Random(seed)
+    first_s = min(sizes['planned_s'], span_s / 4)
+    last_s = span_s - sizes['recover_s'] - sizes['quiet_s']
+    ways = [(True, False), (False, True), (True, True)]
+    roll_s = (last_s - first_s) / len(ways)
+    return [
+        Roll(
+            to_new,
+            leader_last,
+            first_s + number * roll_s,
+            roll_s / len(names),
+            rng.sample(names, len(names)),
+            [rng.random() < 0.5 for _ in names],
+        )
+        for number, (to_new, leader_last) in enumerate(ways)
+    ]
+
+
 def _draw_faults(
     rng: random.Random, sizes: dict, first_s: float, last_s: float
 ) -> list[Fault]:
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -11,7 +11,7 @@
 import trio
 
 from tools.soak import checks, faults, fleet, loads, operators
-from tools.soak import report, runners, schedule
+from tools.soak import report, rolls, runners, schedule
 
 __all__ = ['execute']
 
@@ -26,14 +26,22 @@
 class Session:
     """One run and all its parts."""
 
-    def __init__(self, system: fleet.Fleet, seed: int, plan: schedule.Plan):
+    def __init__(
+        self,
+        system: fleet.Fleet,
+        seed: int,
+        plan: schedule.Plan,
+        planned_rolls: list[schedule.Roll],
+    ):
         self.system = system
         self.plan = plan
+        self.planned_rolls = planned_rolls
         rng = random.Random(seed)
         self.report = report.Report(system.folder)
         self.checker = checks.Checker(system.sizes, self.report)
         self.emulated = runners.build(system, self.checker, rng)
         self.faults = faults.Faults(system, self.emulated, self.checker)
+        self.rolls = rolls.Rolls(system, self.faults, self.report)
         # The first one is used by the operator alone.
         self.callers = [
             loads.Caller(system, self.checker, random.Random(rng.random()))
@@ -77,6 +85,7 @@
             nursery.start_soon(at, self.faults.carry_out, fault)
         for order in self.plan.orders:
             nursery.start_soon(at, self.operator.carry_out, order)
+        nursery.start_soon(self.rolls.carry_out, self.planned_rolls)
 
     async def _assess_recovery(self) -> None:
         """Wait for the system to recover, and measure the service level."""
@@ -97,6 +106,8 @@
             self.checker.check(
                 'routes are in force', is_served, entry=name, has=probed
             )
+        if self.planned_rolls:
+            self.rolls.check_builds()
         self.checker.finish(served - served_before, asked - asked_before)
 
     def _counts(self) -> tuple[int, int]:
@@ -126,18 +137,40 @@
 
 
 def execute(
-    seed: int, span_s: float, sizes: dict, folder: pathlib.Path
+    seed: int,
+    span_s: float,
+    sizes: dict,
+    folder: pathlib.Path,
+    old_build: str = '',
 ) -> dict:
-    """Execute one run and return its verdict; its files are in ``folder``."""
+    """Execute one run and return its verdict; its files are in ``folder``.
+
+    With the checkout of an old build all processes start on that build, and
+    the run rolls through them.
+    """
     plan = schedule.draw(seed, sizes, span_s)
-    plan_json = json.dumps({'sizes': sizes, **plan._asdict()}, indent=1)
-    (folder / 'schedule.json').write_text(plan_json)
     net, lock = fleet.take_net()
+    system = fleet.Fleet(sizes, folder, net, seed, old_build)
+    planned_rolls = []
+    if old_build:
+        names = [*system.names]
+        names += [f'sidecar-{n}' for n in range(sizes['ranks'])]
+        system.on_old_build.update(names)
+        planned_rolls = schedule.draw_rolls(seed, names, sizes, span_s)
+    plan_json = json.dumps(
+        {
+            'sizes': sizes,
+            **plan._asdict(),
+            'old_build': old_build,
+            'rolls': planned_rolls,
+        },
+        indent=1,
+    )
+    (folder / 'schedule.json').write_text(plan_json)
 
     async def run() -> dict:
-        return await Session(system, seed, plan).run()
+        return await Session(system, seed, plan, planned_rolls).run()
 
-    system = fleet.Fleet(sizes, folder, net, seed)
     # Stop all processes also when this one receives SIGTERM.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
