--- a/mountridge/state/commands.py
+++ b/mountridge/state/commands.py
@@ -147,12 +147,7 @@
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 #: Records that are stored as they were proposed.
-_STORED = (
-    views.Member,
-    instances.Instance,
-    messages.Claim,
-    messages.Outcome,
-)
+_STORED = (views.Member, instances.Instance, messages.Claim)
 _DECODERS = [records.decoder(kind, *_STORED) for kind in _KINDS]
 _OUTER = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 
