--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -11,7 +11,8 @@
 import trio
 import zmq
 
-from mountridge import clocks, errors, messages, metrics, signals, utils
+from mountridge import builds, clocks, errors, messages, metrics, records
+from mountridge import signals, utils
 from mountridge.logs import logger
 from mountridge.net import keys, sockets
 
@@ -134,7 +135,11 @@
 
     def _dump(self, peer: Peer, message: messages.Dump):
         state = {name: dumper() for name, dumper in self.dumpers.items()}
-        return messages.DumpReply({'name': self.name, **state})
+        build = {
+            'build': builds.build_name(),
+            'format_level': records.FORMAT_LEVEL,
+        }
+        return messages.DumpReply({'name': self.name, **build, **state})
 
     def _stop(self, peer: Peer, message: messages.Stop):
         self.stopping.set()
@@ -148,6 +153,9 @@
                 continue
             try:
                 envelope = messages.decode(memoryview(parts[1]))
+            except errors.UnknownKind as problem:
+                self._refuse_kind(bytes(parts[0]), problem)
+                continue
             except errors.BadMessage:
                 self.metrics.incr('message.malformed')
                 continue
@@ -155,6 +163,12 @@
             peer = Peer(bytes(parts[0]), envelope.seq, name)
             self._handle(peer, envelope.message)
 
+    def _refuse_kind(self, route: bytes, problem: errors.UnknownKind) -> None:
+        """Answer a call of a kind that only later builds know."""
+        self.metrics.incr('message.unknown_kind')
+        if problem.seq:
+            self.send(route, _failure(problem), problem.seq)
+
     def _handle(self, peer: Peer, message: typing.Any) -> None:
         handler = self.handlers.get(type(message))
         if handler is None:
@@ -201,7 +215,11 @@
                 for task in self.system_tasks() + self.tasks:
                     nursery.start_soon(task)
                 signals.started.send(self)
-                logger.info('started')
+                logger.info(
+                    'started',
+                    build=builds.build_name(),
+                    format_level=records.FORMAT_LEVEL,
+                )
                 if not clocks.counts_suspension:
                     problem = errors.NoRealClock()
                     reason = str(problem)
