Tell runners the priority of a request

Runners let the more urgent requests in first and preempt them last, but the header was never set, so all requests of a service counted alike. It is set for services whose streaming routes differ in priority, to that of the team or the route, at most 9. The engine's parameters for the length of a pass are read from the routes document as well; nothing uses them yet.

--- a/mountridge/documents/routes.py
+++ b/mountridge/documents/routes.py
@@ -71,6 +71,14 @@
     #: expert map.
     spare: int = 0
     copy_s: float = 0.0  # to copy one expert to a rank; 0: unknown
+    stride: float = 0.0  # steps in a pass, which sends one event; 0: unknown
+    step_ms: float = 0.0  # of a step without requests
+    request_ms: float = 0.0  # added to a step by each request that writes
+    context_ms: float = 0.0  # added for each 1,000 tokens of its context
+    read_per_s: float = 0.0  # prompt tokens; 0: unknown
+    expert_share: float = 0.0  # of the time of a step, in groups
+    usual_prompt: float = 0.0  # mean tokens of a request; 0: unknown
+    usual_output: float = 0.0  # mean tokens of an answer; 0: unknown
 
 
 class Service(typing.NamedTuple):
@@ -199,6 +207,8 @@
     by_prefix: dict[tuple[str, str], Route]
     team_by_key: dict[str, Team]
     services: dict[str, Service]
+    #: Services whose streaming routes differ in priority.
+    ranked: frozenset[str] = frozenset()
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
@@ -224,6 +234,19 @@
         {(r.host.lower(), r.prefix): r for r in table.routes},
         {key: team for team in table.teams or [] for key in team.keys},
         {service.name: service for service in table.services},
+        _ranked_services(table),
+    )
+
+
+def _ranked_services(table: RouteTable) -> frozenset[str]:
+    priorities: dict[str, set[int]] = {}
+    for route in table.routes:
+        if route.kind == STREAMING:
+            for share in route.shares:
+                found = priorities.setdefault(share.service, set())
+                found.add(route.priority)
+    return frozenset(
+        name for name, found in priorities.items() if len(found) > 1
     )
 
 
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -58,6 +58,8 @@
 #: For errors that are not listed.
 DEFAULT_RETRY_AFTER_S = 1.0
 
+#: Least urgent value of the priority header of runners.
+MAX_PRIORITY = 9
 #: Status of a runner that is not the expected instance.
 MISDIRECTED = 421
 #: Errors that do not count as failures of the runner.
@@ -346,6 +348,10 @@
         ]
         if exchange.team is not None:
             added.append((names.team, exchange.team.name.encode('latin-1')))
+        if exchange.service in self._index().ranked:
+            # One digit; the runner lets the lowest in first.
+            level = min(max(picking.priority(exchange), 0), MAX_PRIORITY)
+            added.append((names.priority, b'%d' % level))
         if exchange.last_event_id is not None:
             last = b'%d' % exchange.last_event_id
             added.append((names.last_event_id, last))
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -20,7 +20,7 @@
 from mountridge.routing import backends, groupstates, routedexchanges
 from mountridge.routing import sendgates, waitqueues, warmup
 
-__all__ = ['Picker']
+__all__ = ['Picker', 'priority']
 
 Exchange = routedexchanges.Exchange
 
@@ -127,7 +127,7 @@
             left_s = exchange.deadline_s - now_s
             until_s = now_s + min(warmup.WINDOW_S, WAIT_FRACTION * left_s)
             return await self._wait_for_quota(exchange, None, until_s)
-        waiter = queue.join(_priority(exchange))
+        waiter = queue.join(priority(exchange))
         until_s = now_s + max(0.0, self._max_wait_s(exchange, now_s))
         try:
             return await self._wait_for_quota(exchange, waiter, until_s)
@@ -310,7 +310,7 @@
         route, head = exchange.route, exchange.request_head
         return sendgates.RequestClass(
             exchange.service,
-            _priority(exchange),
+            priority(exchange),
             route.target_ms / 1000,
             route.gap_ms / 1000,
             exchange.team.name if exchange.team else '',
@@ -329,7 +329,7 @@
         return bool(service and service.engine and service.engine.experts)
 
 
-def _priority(exchange: Exchange) -> int:
+def priority(exchange: Exchange) -> int:
     """Return the priority, 0 first; a team's own overrides the route's."""
     team = exchange.team
     if team is not None and team.priority is not None:
