Admit streams to groups while their passes are short enough

Cause: runners bound their slots and queues only, and gateways sent to any healthy runner. Above a number of requests the passes of a group are longer than the pauses that callers accept, so all its streams are late, the most urgent too.

Change: each gateway bounds the requests of each group by a model of the pass (from the engine in the routes document) and the imbalance that the gaps of its own streams show; no message is added. Each priority may use a part of the bound that falls with the share of more urgent demand; a floor lets 3 in 10 requests of each kind and team pass. What has no room is refused at once with the new code 1215 and a Retry-After by turns; a caller that waited, seen by its shortened deadline, goes before newer ones. On where streaming routes to a service differ in priority (admission.when). A team's priority comes first, the route's orders the requests of one team: nearly all teams share one priority, so the routes' had no effect.

--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -5,11 +5,17 @@
 import contextlib
 
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings, strategies
 import trio
 
-from features.worlds import answers, rests
+from features.worlds import admission, answers, rests
 from mountridge.documents import routes
+from mountridge import errors, messages
 from mountridge.net import httpserver
+from mountridge.routing import admissionbounds, admissionmodel
+from mountridge.routing import admissionpriorities, admissionreturns
+from mountridge.routing import backends, sendgates
 
 LIMITS = routes.Limits()
 
@@ -79,3 +85,374 @@
     (sent,) = context.pool.sent
     expected = None if told == 'nothing' else told.encode()
     assert sent.get(rests.NAMES.priority) == expected, sent
+
+
+# Load patterns.
+
+SHARES = (0.36, 0.48, 0.16)
+#: Bursts and other patterns last this long.
+FROM_S, TO_S, END_S = 5.0, 11.0, 20.0
+
+
+@given(
+    '{gateways:d} gateways and {groups:d} groups of {ranks:d} ranks at an'
+    ' imbalance of {imbalance:g}'
+)
+def make_world(context, gateways, groups, ranks, imbalance):
+    context.size = gateways, groups, ranks
+    context.world = admission.World(*context.size)
+    context.world.imbalance = imbalance
+
+
+@given('{per_s:g} requests a second of three priorities')
+def send_demand(context, per_s):
+    context.per_s = per_s
+    _demand(context.world, per_s)
+
+
+def _demand(world, per_s):
+    for priority, share in enumerate(SHARES):
+        for team in range(4):
+            world.demand(
+                admission.Kind(priority, per_s * share / 4, f't{team}')
+            )
+
+
+def _burst(context, priority, times, **fields):
+    rate = context.per_s * SHARES[priority] * (times - 1)
+    kind = admission.Kind(priority, rate, 't0', FROM_S, TO_S)
+    context.world.demand(kind._replace(**fields))
+
+
+def _restart(world):
+    world.gateways = [
+        world.make_gateway(number) for number in range(len(world.gateways))
+    ]
+
+
+def _lose_reports(world):
+    def set_lost(is_lost):
+        world.reports_lost = is_lost
+
+    world.at(FROM_S, set_lost, True)
+    world.at(FROM_S + 2, set_lost, False)
+
+
+PATTERNS = {
+    'a burst of the least urgent x 2.5': lambda c: _burst(c, 2, 2.5),
+    'a burst of the most urgent x 1.7': lambda c: _burst(c, 0, 1.7),
+    'both bursts': lambda c: (_burst(c, 2, 2.5), _burst(c, 0, 1.7)),
+    'one team x 5': lambda c: _burst(c, 2, 5.0, team='flood'),
+    'callers of the least urgent that repeat at once': lambda c: _burst(
+        c, 2, 2.5, retries=3, is_patient=False, team='hasty'
+    ),
+    'one gateway with all demand of a hall': lambda c: c.world.demand(
+        admission.Kind(1, c.per_s / 3, 't1', FROM_S, TO_S),
+        c.world.gateways[:1],
+    ),
+    'a loss of all reports for 2 s': lambda c: _lose_reports(c.world),
+    'a restart of all gateways': lambda c: c.world.at(
+        FROM_S, _restart, c.world
+    ),
+    'a closed group for 0.6 s': lambda c: (
+        c.world.at(FROM_S, c.world.set_open, 1, False),
+        c.world.at(FROM_S + 0.6, c.world.set_open, 1, True),
+    ),
+}
+
+
+@when('there is {pattern} from 5 to 11 s')
+def play_pattern(context, pattern):
+    PATTERNS[pattern](context)
+    context.world.play(END_S)
+
+
+@when('{span_s:g} s pass')
+def play(context, span_s):
+    context.world.play(span_s)
+
+
+@when('half of the runners are gone from {from_s:g} s on')
+def play_loss(context, from_s):
+    world = context.world
+    world.at(from_s, world.remove, len(world.listed) // 2)
+    world.play(END_S)
+
+
+@then(
+    'from {from_s:g} to {to_s:g} s at least {least:g} in 100 of the most'
+    ' urgent requests are in time'
+)
+def check_in_time(context, from_s, to_s, least):
+    share = context.world.in_time(from_s, to_s, priority=0)
+    assert share * 100 >= least, share
+
+
+@then(
+    'from {from_s:g} to {to_s:g} s each other team is served more often than'
+    ' the team that floods'
+)
+def check_flood(context, from_s, to_s):
+    served = {
+        team: context.world.served(from_s, to_s, team=team)
+        for team in ('flood', 't0', 't1', 't2', 't3')
+    }
+    flood = served.pop('flood')
+    assert min(served.values()) > flood, (flood, served)
+
+
+@then('no kind or team is served less than a quarter as often as all')
+def check_starved(context):
+    world = context.world
+    wanted = [{'priority': n} for n in range(len(SHARES))]
+    teams = {stream.kind.team for stream in world.streams}
+    wanted += [{'team': team} for team in teams]
+    all_served = world.served(FROM_S, END_S - 4)
+    for each in wanted:
+        served = world.served(FROM_S, END_S - 4, **each)
+        assert served >= all_served / 4, (each, served, all_served)
+
+
+@then('no request is refused while under half of the places are taken')
+def check_refusals(context):
+    least = min(context.world.refused_at, default=1.0)
+    assert least >= 0.5, least
+
+
+@then('at most {most:g} in 100 places are taken at any time')
+def check_taken(context, most):
+    assert context.world.most_taken * 100 <= most, context.world.most_taken
+
+
+@then('no request is refused')
+def check_none_refused(context):
+    assert not context.world.refused_at, context.world.refused_at
+
+
+@then('all decisions are those of gateways without admission')
+def check_unchanged(context):
+    other = admission.World(*context.size, when='never')
+    other.imbalance = context.world.imbalance
+    _demand(other, context.per_s)
+    other.play(context.world.now_s)
+    went = [
+        [stream.backend.instance.instance_id for stream in world.streams]
+        for world in (context.world, other)
+    ]
+    assert went[0][: len(went[1]) - 1] == went[1][: len(went[0]) - 1]
+
+
+# Single decisions.
+
+
+def _filled(context, part, group=0):
+    """Fill a group of a single gateway up to a part of its places."""
+    world = context.world
+    known = world.gateways[0]
+    each = part * admission.SLOTS
+    for number, key in enumerate(world.members(group)):
+        running = round(each * (number + 1)) - round(each * number)
+        load = messages.RunnerLoad(key, running, 0, 100, 1 + group, True)
+        known.record_report(load, 0.0)
+    return known
+
+
+def _request(priority, is_returned=False):
+    return sendgates.RequestClass(
+        's', priority, 0.4, 0.12, 't', is_returned=is_returned
+    )
+
+
+def _decide(context, kind, now_s):
+    """Return the Retry-After of a request, None if it is admitted."""
+    known = context.world.gateways[0]
+    try:
+        known.admission.admit(kind, 8.0, 1, context.rng, now_s)
+    except errors.Overloaded as problem:
+        assert (problem.code, problem.outcome) == (1215, errors.NOT_RUN)
+        return problem.retry_after_s
+    return None
+
+
+@given('a gateway and a full group')
+def full_group(context):
+    context.world = admission.World(1, 2, 5)
+    for key in context.world.members(1):
+        known = context.world.gateways[0]
+        load = messages.RunnerLoad(key, 0, 0, 100, 2, False)
+        known.record_report(load, 0.0)
+    _filled(context, 1.0)
+
+
+@when('a second group opens')
+def open_group(context):
+    assert _decide(context, _request(1), 0.01) is not None
+    _filled(context, 0.0, 1)
+
+
+@then('the next request is admitted within {most_s:g} s')
+def check_admitted(context, most_s):
+    assert _decide(context, _request(1), 0.01 + most_s) is None
+
+
+@given('a gateway and a group with room for returned requests only')
+def nearly_full_group(context):
+    context.world = admission.World(1, 1, 5)
+    known = _filled(context, 0.72)
+    backend = known.by_id[context.world.members(0)[0]]
+    # More urgent demand, and passes near the longest.
+    for number in range(400):
+        known.admission.record_gap(backend, 0.1, number / 1000)
+    for _ in range(5):
+        assert _decide(context, _request(0), 0.4) is None
+
+
+@then(
+    'a new request is refused with 1215 and a Retry-After of at least'
+    ' {least_s:g} s'
+)
+def check_refused(context, least_s):
+    context.retry_after_s = _decide(context, _request(2), 0.41)
+    assert context.retry_after_s >= least_s
+
+
+@then('one that returns after that time is admitted')
+def check_returned(context):
+    returns = admissionreturns.Returns()
+    assert not returns.is_returned('r', 8000.0)
+    left_ms = 8000 - 1000 * context.retry_after_s
+    is_returned = returns.is_returned('r', left_ms)
+    assert _decide(context, _request(2, is_returned), 0.42) is None
+
+
+@then('one that repeats at once is refused')
+def check_repeated(context):
+    returns = admissionreturns.Returns()
+    assert not returns.is_returned('r', 8000.0)
+    is_returned = returns.is_returned('r', 7900.0)
+    assert _decide(context, _request(2, is_returned), 0.43) is not None
+
+
+@when('{count:d} requests of 8 s are refused within {span_s:g} s')
+def refuse_many(context, count, span_s):
+    context.waits = []
+    for number in range(count):
+        now_s = span_s * number / count
+        kind = _request(2 * (number % 2))
+        wait_s = _decide(context, kind, now_s)
+        if wait_s is not None:
+            context.waits.append((kind.priority, now_s, wait_s))
+
+
+@then('each Retry-After is at least {least_s:g} s and at most {most_s:g} s')
+def check_waits(context, least_s, most_s):
+    waits = [wait_s for _, _, wait_s in context.waits]
+    assert len(waits) >= 20, waits
+    assert least_s <= min(waits) and max(waits) <= most_s, waits
+
+
+@then('at most {most:d} of them return within the same {span_s:g} s')
+def check_spread(context, most, span_s):
+    ends = sorted(now_s + wait_s for _, now_s, wait_s in context.waits)
+    together = max(
+        sum(first <= other < first + span_s for other in ends)
+        for first in ends
+    )
+    assert together <= most, (together, ends)
+
+
+@then('the most urgent return sooner than the least urgent on average')
+def check_sooner(context):
+    means = []
+    for priority in (0, 2):
+        waits = [w for found, _, w in context.waits if found == priority]
+        means.append(sum(waits) / len(waits))
+    assert means[0] < means[1], means
+
+
+# Properties.
+
+
+@then(
+    'for all engines and measured passes the bound is within half and all of'
+    ' the slots'
+)
+def check_bounds(context):
+    spans = strategies.floats(0.001, 10.0)
+    gaps = strategies.lists(
+        strategies.tuples(spans, strategies.floats(0.0, 20.0)), max_size=30
+    )
+
+    @settings(max_examples=200, database=None, derandomize=True)
+    @for_all(gaps, strategies.integers(1, 64), spans)
+    def check(measured, slots, limit_s):
+        model = admissionmodel.PassModel(0.034, 0.0068, 20.0)
+        bound = admissionbounds.GroupBound()
+        now_s = 0.0
+        for gap_s, requests in measured:
+            now_s += gap_s
+            bound.record_gap(model, gap_s, requests, slots, now_s)
+            found = bound.most_requests(model, limit_s, slots, now_s)
+            assert slots / 2 <= found <= slots
+
+    check()
+
+
+@then(
+    'for all shares of demand a more urgent kind is admitted at least as far'
+)
+def check_order(context):
+    levels = strategies.lists(strategies.integers(0, 9), min_size=1)
+
+    @settings(max_examples=200, database=None, derandomize=True)
+    @for_all(levels, strategies.booleans())
+    def check(arrived, is_returned):
+        demand = admissionpriorities.Demand()
+        for number, priority in enumerate(arrived):
+            demand.record('s', priority, number / 10)
+        parts = [
+            admissionpriorities.allowance(
+                demand.share_before('s', priority), is_returned
+            )
+            for priority in range(10)
+        ]
+        assert parts == sorted(parts, reverse=True)
+        assert min(parts) > 0.5
+
+    check()
+
+
+@then(
+    'for all orders of decisions a kind gets at least {least:d} in 100 of its'
+    ' requests'
+)
+def check_floor(context, least):
+    room = strategies.lists(strategies.booleans(), min_size=20)
+
+    @settings(max_examples=200, database=None, derandomize=True)
+    @for_all(room)
+    def check(has_room):
+        floors = admissionpriorities.Floors()
+        admitted = 0
+        for each in has_room:
+            is_admitted = each or floors.is_due(('s', '', 1))
+            floors.record(('s', '', 1), is_admitted)
+            admitted += is_admitted
+        assert admitted >= least * len(has_room) / 100 - 1
+
+    check()
+
+
+@given(
+    'a service whose streaming routes have priorities {first:d} and'
+    ' {second:d}, and admission.when is {when}'
+)
+def make_gate(context, first, second, when):
+    table = admission.table((first, second))
+    context.known = backends.Backends('g')
+    context.known.admission.update_routes(routes.index(table), when)
+
+
+@then('admission is {state}')
+def check_state(context, state):
+    assert context.known.admission.is_on('s') == (state == 'on')
--- a/features/steps/closedgroups_steps.py
+++ b/features/steps/closedgroups_steps.py
@@ -162,7 +162,7 @@
         self.most_attempts = 0
         self.refused = [0] * gateways
         service = types.SimpleNamespace(engine=routes.Engine(SLOTS, 1, 8))
-        index = types.SimpleNamespace(services={'s': service})
+        index = routes.Index(None, {}, {}, {'s': service})
         app = types.SimpleNamespace(
             settings={'hall': 'h0'}, now_s=trio.current_time
         )
@@ -216,6 +216,7 @@
             team=None,
             request_head=None,
             route=types.SimpleNamespace(priority=1, target_ms=0, gap_ms=0),
+            is_returned=False,
         )
         while not await self.is_accepted(gateway, exchange):
             self.refused[gateway] += 1
--- a/features/steps/warmup_steps.py
+++ b/features/steps/warmup_steps.py
@@ -103,7 +103,7 @@
         known.update_gateways(self.names)
         known.update_runners(self.listed())
         service = types.SimpleNamespace(engine=routes.Engine(SLOTS, 1, 8))
-        index = types.SimpleNamespace(services={'s': service})
+        index = routes.Index(None, {}, {}, {'s': service})
         app = types.SimpleNamespace(
             settings={'hall': self.names[name]},
             now_s=self.now_s,
@@ -171,7 +171,7 @@
         exchange = types.SimpleNamespace(
             service='s', attempted=set(), started_s=self.now_s(),
             deadline_s=until_s,
-            team=None, request_head=None, route=_route(1),
+            team=None, request_head=None, route=_route(1), is_returned=False,
         )  # fmt: skip
         known = self.known[name]
         for _ in range(MAX_ATTEMPTS):
@@ -538,7 +538,7 @@
         self.known = backends.Backends('g-0', self.limiter)
         self.known.update_runners(runners)
         service = types.SimpleNamespace(engine=None)
-        index = types.SimpleNamespace(services={'s': service})
+        index = routes.Index(None, {}, {}, {'s': service})
         app = types.SimpleNamespace(
             settings={'hall': 'h0'},
             now_s=trio.current_time,
@@ -557,6 +557,7 @@
             service='s', attempted=set(tried), started_s=now_s,
             deadline_s=now_s + 8,
             team=None, request_head=None, route=_route(priority),
+            is_returned=False,
         )  # fmt: skip
 
     async def ask(self, number, priority=1, tried=()):
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -138,6 +138,7 @@
                 'hall': 'north',
                 'bounds': BOUNDS,
                 'digest_key': '',
+                'admission': {'when': 'priorities'},
             },
             incarnation=name,
             now_s=self.now_s,
--- a/mountridge/documents/routes.py
+++ b/mountridge/documents/routes.py
@@ -6,6 +6,7 @@
 Documents are validated as a whole: any error rejects the document.
 """
 
+import bisect
 import random
 import typing
 import zlib
@@ -207,8 +208,9 @@
     by_prefix: dict[tuple[str, str], Route]
     team_by_key: dict[str, Team]
     services: dict[str, Service]
-    #: Services whose streaming routes differ in priority.
-    ranked: frozenset[str] = frozenset()
+    #: Priorities of teams and routes, the most urgent first, of the services
+    #: whose streaming routes differ in priority.
+    ranked: dict[str, list[tuple[int, int]]] = {}
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
@@ -222,6 +224,20 @@
             end -= 1
         return None
 
+    def priority(self, service: str, route: Route, team: Team | None) -> int:
+        """Return the priority of a request, 0 first.
+
+        A team's own comes before its route's. Where routes to the service
+        differ in priority, they also order the requests of one team.
+        """
+        first = route.priority
+        if team is not None and team.priority is not None:
+            first = team.priority
+        levels = self.ranked.get(service)
+        if levels is None:
+            return first
+        return bisect.bisect_left(levels, (first, route.priority))
+
     def team(self, key: str | None) -> Team | None:
         """Return the team that an API key belongs to."""
         return self.team_by_key.get(key) if key is not None else None
@@ -238,16 +254,24 @@
     )
 
 
-def _ranked_services(table: RouteTable) -> frozenset[str]:
-    priorities: dict[str, set[int]] = {}
+def _ranked_services(table: RouteTable) -> dict[str, list[tuple[int, int]]]:
+    streaming: dict[str, set[int]] = {}
+    listed: dict[str, set[int]] = {}
     for route in table.routes:
-        if route.kind == STREAMING:
-            for share in route.shares:
-                found = priorities.setdefault(share.service, set())
+        for share in route.shares:
+            listed.setdefault(share.service, set()).add(route.priority)
+            if route.kind == STREAMING:
+                found = streaming.setdefault(share.service, set())
                 found.add(route.priority)
-    return frozenset(
-        name for name, found in priorities.items() if len(found) > 1
-    )
+    of_teams = {team.priority for team in table.teams or []} - {None}
+    return {
+        name: sorted(
+            {(each, each) for each in listed[name]}
+            | {(team, each) for team in of_teams for each in listed[name]}
+        )
+        for name, found in streaming.items()
+        if len(found) > 1
+    }
 
 
 def choose_service(route: Route, rng: random.Random) -> str:
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -32,6 +32,7 @@
     'NoRunner',
     'NotLeader',
     'OutcomeUnknown',
+    'Overloaded',
     'RefusedChange',
     'RunnerFailed',
     'StaleHeartbeat',
@@ -301,6 +302,13 @@
     status = 502
 
 
+class Overloaded(MountridgeError):
+    """No group has room for a request of this priority at present."""
+
+    code = 1215
+    status = 503
+
+
 class TimedOut(MountridgeError):
     """The request timed out and may still be running."""
 
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -8,7 +8,7 @@
 from mountridge import messages, metrics
 from mountridge.documents import instances
 from mountridge.net import dialects
-from mountridge.routing import backoffgates, backoffs, choosing
+from mountridge.routing import admission, backoffgates, backoffs, choosing
 from mountridge.routing import grouptracker, loadestimates, runnerregistry
 from mountridge.routing import runnerstates, sendgates, subsets, warmup
 from mountridge.routing import warmupgates
@@ -78,8 +78,16 @@
         self._warmup_gate = warmupgates.WarmupGate(
             self.warmup, self.registry.registered
         )
+        #: Whether there is room for requests, by service.
+        self.admission = admission.Admission(
+            self.registry, lambda: self.loads.report_interval_s, counters
+        )
         #: Decide which runners can be selected.
-        self.gates: list[sendgates.Gate] = [self._groups, self._backoff_gate]
+        self.gates: list[sendgates.Gate] = [
+            self._groups,
+            self._backoff_gate,
+            self.admission,
+        ]
         #: Apply to the runners that would be preferred: where their quotas
         #: are used up, a request waits rather than go to a failing runner.
         self.quotas: list[sendgates.Gate] = [self._warmup_gate]
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -210,6 +210,7 @@
         return errors.DeadlinePassed()
 
     async def _run_attempts(self, exchange: Exchange) -> None:
+        self.picker.admit(exchange)
         while True:
             picked = await self.picker.pick(exchange)
             if not self.crashes.may_retry(exchange, self.app.now_s()):
@@ -350,7 +351,7 @@
             added.append((names.team, exchange.team.name.encode('latin-1')))
         if exchange.service in self._index().ranked:
             # One digit; the runner lets the lowest in first.
-            level = min(max(picking.priority(exchange), 0), MAX_PRIORITY)
+            level = min(self.picker.priority(exchange), MAX_PRIORITY)
             added.append((names.priority, b'%d' % level))
         if exchange.last_event_id is not None:
             last = b'%d' % exchange.last_event_id
@@ -387,7 +388,7 @@
             exchange,
             reply,
             self.app.now_s,
-            lambda: self._migrate_if_slow(exchange, backend),
+            lambda: self._after_events(exchange, backend),
         )
         backend.record_success()
         self.crashes.record_success(exchange)
@@ -411,6 +412,19 @@
                 **each.fields,
             )
 
+    def _after_events(
+        self, exchange: Exchange, backend: backends.Backend
+    ) -> None:
+        """Record the pass that has made an event, and check its runner.
+
+        :raises RunnerSlow: another runner may resume the stream.
+        """
+        gap_s = exchange.newest_gap_s
+        if gap_s is not None:
+            now_s = self.app.now_s()
+            self.backends.admission.record_gap(backend, gap_s, now_s)
+        self._migrate_if_slow(exchange, backend)
+
     def _migrate_if_slow(
         self, exchange: Exchange, backend: backends.Backend
     ) -> None:
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -17,10 +17,11 @@
 
 from mountridge import application, errors, utils
 from mountridge.documents import routes
-from mountridge.routing import backends, groupstates, routedexchanges
+from mountridge.routing import admissionreturns, backends, groupstates
+from mountridge.routing import routedexchanges
 from mountridge.routing import sendgates, waitqueues, warmup
 
-__all__ = ['Picker', 'priority']
+__all__ = ['Picker']
 
 Exchange = routedexchanges.Exchange
 
@@ -62,6 +63,8 @@
         self._queues: dict[str, waitqueues.WaitQueue] = (
             collections.defaultdict(waitqueues.WaitQueue)
         )
+        self._admission_index: routes.Index | None = None
+        self._returns = admissionreturns.Returns()
         #: Since when all known runners of a service are owned by others.
         self._unowned_since_s: dict[str, float] = {}
 
@@ -86,6 +89,35 @@
         exchange.picked = picked
         return picked
 
+    def admit(self, exchange: Exchange) -> None:
+        """Check that there is room for a request that has not been sent.
+
+        :raises Overloaded: there is none.
+        """
+        index = self._index()
+        admission = self.backends.admission
+        if index is not self._admission_index:
+            self._admission_index = index
+            when = self._app.settings['admission']['when']
+            admission.update_routes(index, when)
+        if not admission.is_on(exchange.service):
+            return
+        head = exchange.request_head
+        exchange.is_returned = self._returns.is_returned(
+            exchange.route.name, head.deadline_ms
+        )
+        if exchange.last_event_id is not None:
+            # It has run in part; a refusal would lose that part.
+            return
+        now_s = self._app.now_s()
+        admission.admit(
+            self.request_class(exchange),
+            exchange.deadline_s - now_s,
+            self._gateways(),
+            self._rng,
+            now_s,
+        )
+
     async def _pick_unlimited(
         self, exchange: Exchange
     ) -> backends.Picked | None:
@@ -127,7 +159,7 @@
             left_s = exchange.deadline_s - now_s
             until_s = now_s + min(warmup.WINDOW_S, WAIT_FRACTION * left_s)
             return await self._wait_for_quota(exchange, None, until_s)
-        waiter = queue.join(priority(exchange))
+        waiter = queue.join(self.priority(exchange))
         until_s = now_s + max(0.0, self._max_wait_s(exchange, now_s))
         try:
             return await self._wait_for_quota(exchange, waiter, until_s)
@@ -310,13 +342,20 @@
         route, head = exchange.route, exchange.request_head
         return sendgates.RequestClass(
             exchange.service,
-            priority(exchange),
+            self.priority(exchange),
             route.target_ms / 1000,
             route.gap_ms / 1000,
             exchange.team.name if exchange.team else '',
             head.prompt_tokens if head else 0,
             head.output_tokens if head else 0,
             self._was_refused(exchange),
+            exchange.is_returned,
+        )
+
+    def priority(self, exchange: Exchange) -> int:
+        """Return the priority of a request, 0 first."""
+        return self._index().priority(
+            exchange.service, exchange.route, exchange.team
         )
 
     def _was_refused(self, exchange: Exchange) -> bool:
@@ -327,11 +366,3 @@
         """Return whether a service's runners form expert-parallel groups."""
         service = self._index().services.get(service_name)
         return bool(service and service.engine and service.engine.experts)
-
-
-def priority(exchange: Exchange) -> int:
-    """Return the priority, 0 first; a team's own overrides the route's."""
-    team = exchange.team
-    if team is not None and team.priority is not None:
-        return team.priority
-    return exchange.route.priority
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -60,8 +60,13 @@
         self.last_data_s = now_s
         #: Longest gap between two sends of events.
         self.longest_gap_s = 0.0
+        #: Gap before the newest event; None if it came together with others
+        #: or is the first one.
+        self.newest_gap_s: float | None = None
         self.status = 0
         self.picked: backends.Picked | None = None
+        #: Whether the caller was refused before and has waited.
+        self.is_returned = False
         #: Whether the next retry has already been allowed and counted.
         self.retry_granted = False
         #: Error answer of a runner, returned where no retry follows.
@@ -69,11 +74,14 @@
 
     def record_events(self, count: int, now_s: float) -> None:
         """Record that events are sent to the caller now."""
+        self.newest_gap_s = None
         if self.first_data_s is None:
             self.first_data_s = now_s
         else:
             gap_s = now_s - self.last_data_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            if count == 1 and self.events_sent > self.events_before:
+                self.newest_gap_s = gap_s
         self.last_data_s = now_s
         self.events_sent += count
 
--- a/mountridge/routing/sendgates.py
+++ b/mountridge/routing/sendgates.py
@@ -35,6 +35,8 @@
     output_tokens: int = 0
     #: Whether a rank has refused the request or failed before.
     was_refused: bool = False
+    #: Whether the caller was refused before and has waited.
+    is_returned: bool = False
 
 
 class Announcement(typing.NamedTuple):
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -110,6 +110,10 @@
         'cold_over': 1.0,
         'cold_slack': 0.0,
     },
+    # Whether entries refuse requests for which groups have no room: `never`,
+    # `priorities` (where streaming routes to a service differ in priority) or
+    # `always` (where the routes document states the engine).
+    'admission': {'when': 'priorities'},
 }
 
 
@@ -170,6 +174,7 @@
         rules['entry'][key] = _host_port
     rules['sidecar']['engine'] = _host_port
     rules['metrics'] = vol.Any('', _host_port)
+    rules['admission']['when'] = vol.In(['never', 'priorities', 'always'])
     rules['log']['level'] = vol.In(['DEBUG', 'INFO', 'WARNING', 'ERROR'])
     return vol.Schema(rules, required=True)
 
