--- a/mountridge/documents/routes.py
+++ b/mountridge/documents/routes.py
@@ -6,6 +6,7 @@
 Documents are validated as a whole: any error rejects the document.
 """
 
+import bisect
 import random
 import typing
 import zlib
@@ -71,6 +72,14 @@
     #: expert map.
     spare: int = 0
     copy_s: float = 0.0  # to copy one expert to a rank; 0: unknown
+    stride: float = 0.0  # steps in a pass, which sends one event; 0: unknown
+    step_ms: float = 0.0  # of a step without requests
+    request_ms: float = 0.0  # added to a step by each request that writes
+    context_ms: float = 0.0  # added for each 1,000 tokens of its context
+    read_per_s: float = 0.0  # prompt tokens; 0: unknown
+    expert_share: float = 0.0  # of the time of a step, in groups
+    usual_prompt: float = 0.0  # mean tokens of a request; 0: unknown
+    usual_output: float = 0.0  # mean tokens of an answer; 0: unknown
 
 
 class Service(typing.NamedTuple):
@@ -199,6 +208,9 @@
     by_prefix: dict[tuple[str, str], Route]
     team_by_key: dict[str, Team]
     services: dict[str, Service]
+    #: Priorities of teams and routes, the most urgent first, of the services
+    #: whose streaming routes differ in priority.
+    ranked: dict[str, list[tuple[int, int]]] = {}
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
@@ -212,6 +224,20 @@
             end -= 1
         return None
 
+    def priority(self, service: str, route: Route, team: Team | None) -> int:
+        """Return the priority of a request, 0 first.
+
+        A team's own comes before its route's. Where routes to the service
+        differ in priority, they also order the requests of one team.
+        """
+        first = route.priority
+        if team is not None and team.priority is not None:
+            first = team.priority
+        levels = self.ranked.get(service)
+        if levels is None:
+            return first
+        return bisect.bisect_left(levels, (first, route.priority))
+
     def team(self, key: str | None) -> Team | None:
         """Return the team that an API key belongs to."""
         return self.team_by_key.get(key) if key is not None else None
@@ -224,9 +250,30 @@
         {(r.host.lower(), r.prefix): r for r in table.routes},
         {key: team for team in table.teams or [] for key in team.keys},
         {service.name: service for service in table.services},
+        _ranked_services(table),
     )
 
 
+def _ranked_services(table: RouteTable) -> dict[str, list[tuple[int, int]]]:
+    streaming: dict[str, set[int]] = {}
+    listed: dict[str, set[int]] = {}
+    for route in table.routes:
+        for share in route.shares:
+            listed.setdefault(share.service, set()).add(route.priority)
+            if route.kind == STREAMING:
+                found = streaming.setdefault(share.service, set())
+                found.add(route.priority)
+    of_teams = {team.priority for team in table.teams or []} - {None}
+    return {
+        name: sorted(
+            {(each, each) for each in listed[name]}
+            | {(team, each) for team in of_teams for each in listed[name]}
+        )
+        for name, found in streaming.items()
+        if len(found) > 1
+    }
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Return one of a route's services at random, by weight."""
     if len(route.shares) == 1:
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -8,7 +8,7 @@
 from mountridge import messages, metrics
 from mountridge.documents import instances
 from mountridge.net import dialects
-from mountridge.routing import backoffgates, backoffs, choosing
+from mountridge.routing import admission, backoffgates, backoffs, choosing
 from mountridge.routing import grouptracker, limitgates, loadestimates
 from mountridge.routing import runnerlimits, runnerregistry, runnerstates
 from mountridge.routing import sendgates, subsets, warmup, warmupgates
@@ -84,11 +84,16 @@
         self._limit_gate = limitgates.LimitGate(
             self.limits, self.registry.of_service, counters
         )
+        #: Whether there is room for requests, by service.
+        self.admission = admission.Admission(
+            self.registry, lambda: self.loads.report_interval_s, counters
+        )
         #: Decide which runners can be selected.
         self.gates: list[sendgates.Gate] = [
             self._groups,
             self._backoff_gate,
             self._limit_gate,
+            self.admission,
         ]
         #: Apply to the runners that would be preferred: where their quotas
         #: are used up, a request waits rather than go to a failing runner.
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -58,6 +58,8 @@
 #: For errors that are not listed.
 DEFAULT_RETRY_AFTER_S = 1.0
 
+#: Least urgent value of the priority header of runners.
+MAX_PRIORITY = 9
 #: Status of a runner that is not the expected instance.
 MISDIRECTED = 421
 #: Errors that do not count as failures of the runner.
@@ -208,6 +210,7 @@
         return errors.DeadlinePassed()
 
     async def _run_attempts(self, exchange: Exchange) -> None:
+        self.picker.admit(exchange)
         while True:
             picked = await self.picker.pick(exchange)
             if not self.crashes.may_retry(exchange, self.app.now_s()):
@@ -349,6 +352,10 @@
         ]
         if exchange.team is not None:
             added.append((names.team, exchange.team.name.encode('latin-1')))
+        if exchange.service in self._index().ranked:
+            # One digit; the runner lets the lowest in first.
+            level = min(self.picker.priority(exchange), MAX_PRIORITY)
+            added.append((names.priority, b'%d' % level))
         if exchange.last_event_id is not None:
             last = b'%d' % exchange.last_event_id
             added.append((names.last_event_id, last))
@@ -387,7 +394,7 @@
             exchange,
             reply,
             self.app.now_s,
-            lambda: self._migrate_if_slow(exchange, backend),
+            lambda: self._after_events(exchange, backend),
         )
         backend.record_success()
         self.crashes.record_success(exchange)
@@ -422,6 +429,19 @@
                 **each.fields,
             )
 
+    def _after_events(
+        self, exchange: Exchange, backend: backends.Backend
+    ) -> None:
+        """Record the pass that has made an event, and check its runner.
+
+        :raises RunnerSlow: another runner may resume the stream.
+        """
+        gap_s = exchange.newest_gap_s
+        if gap_s is not None:
+            now_s = self.app.now_s()
+            self.backends.admission.record_gap(backend, gap_s, now_s)
+        self._migrate_if_slow(exchange, backend)
+
     def _migrate_if_slow(
         self, exchange: Exchange, backend: backends.Backend
     ) -> None:
