--- a/features/soak.feature
+++ b/features/soak.feature
@@ -45,3 +45,5 @@
       | a request that crashes too many runners | a request crashes 3 runners, and 4 more 5 s later               | requests that crash runners are held back |
       | two maps in a forward pass              | a forward pass runs with two maps                               | one map a pass                            |
       | a process that ends unexpectedly        | a process ends unexpectedly                                     | no process ends by itself                 |
+      | a message that cannot be decoded        | the metrics of an entry count a malformed message               | processes read all messages               |
+      | a process of another build              | a process starts on the old build instead of the new one        | processes run their build                 |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,7 +13,8 @@
 import trio
 import yaml
 
-from tools.soak import checks, report, schedule
+from mountridge import metrics
+from tools.soak import checks, report, rolls, schedule
 
 HERE = pathlib.Path('tools/soak')
 SIZES = yaml.safe_load((HERE / 'sizes.yaml').read_text())
@@ -224,6 +225,29 @@
     context.checker.sweep(NOW_S, 0, ['entry-1'])
 
 
+@when('the metrics of an entry count a malformed message')
+def count_malformed(context):
+    counted = metrics.Metrics(None)
+    counted.incr('message.malformed')
+
+    async def ask(address, path):
+        return 200, counted.text().encode()
+
+    system = types.SimpleNamespace(ask=ask)
+    rolled = rolls.Rolls(system, None, context.report)
+    trio.run(rolled.check_messages, 'entry-1', '127.0.0.1:1')
+
+
+@when('a process starts on the old build instead of the new one')
+def start_old(context):
+    folder = pathlib.Path(tempfile.mkdtemp())
+    (folder / 'entry-1.log').write_text('{"message": "started"}\n')
+    system = types.SimpleNamespace(
+        folder=folder, by_name=['entry-1'], on_old_build=set()
+    )
+    rolls.Rolls(system, None, context.report).check_builds()
+
+
 @then('the rule "{rule}" is broken')
 def check_broken(context, rule):
     assert set(context.report.broken) == {rule}, context.report.broken
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -21,6 +21,7 @@
 NETS = range(40, 80)
 #: Bound on the last address of a network by the run that uses it.
 LOCK_PORT = 6900
+METRICS_PORT = 8004
 PORTS = {'front': 8000, 'control': 8002, 'directory': 8003}
 
 
@@ -54,6 +55,8 @@
         self.by_name: dict[str, subprocess.Popen] = {}
         #: Checkout of the old build, with its environment; '' if none runs.
         self.old_build = old_build
+        #: Addresses of the metrics, by process, in a run of two builds.
+        self.metrics: dict[str, str] = {}
         #: Processes that run the old build from their next start on.
         self.on_old_build: set[str] = set()
         #: Processes that the soak test has ended and not started again.
@@ -71,6 +74,9 @@
         bounds = {k: float(v) for k, v in self.sizes['bounds'].items()}
         hall, halls = self.hall_of(name), self.sizes['halls']
         overrides = {'hall': hall, 'halls': halls, 'bounds': bounds}
+        if self.old_build:
+            self.metrics[name] = f'{host}:{METRICS_PORT}'
+            overrides['metrics'] = self.metrics[name]
         super().start(name, host, {**settings, **overrides})
         self.by_name[name] = self.processes[-1]
         self.incarnations[name] = self.incarnations.get(name, 0) + 1
--- a/tools/soak/rolls.py
+++ b/tools/soak/rolls.py
@@ -3,6 +3,7 @@
 """Rolls through all processes of a run: replaces each by another build."""
 
 import json
+import re
 
 import trio
 
@@ -12,6 +13,10 @@
 __all__ = ['Rolls']
 
 
+WATCH_INTERVAL_S = 1.0
+_MALFORMED = re.compile(rb'"message\.malformed"} (\d+)')
+
+
 class Rolls:
     """Carries out the rolls of a plan."""
 
@@ -30,6 +35,27 @@
         for roll in rolls:
             await self._carry_out(roll)
 
+    async def watch_messages(self) -> None:
+        """Check that no process gets a message that it cannot decode.
+
+        Faults of links do not alter messages between processes.
+        """
+        while True:
+            await trio.sleep(WATCH_INTERVAL_S)
+            for name, address in list(self.system.metrics.items()):
+                if name not in self.system.stopped:
+                    await self.check_messages(name, address)
+
+    async def check_messages(self, name: str, address: str) -> None:
+        """Check the count of a process, if it answers."""
+        status, text = await self.system.ask(address, b'/metrics')
+        if status != 200:
+            return
+        found = _MALFORMED.search(text)
+        count = int(found[1]) if found else 0
+        rule = 'processes read all messages'
+        self.report.check(rule, count == 0, name=name, count=count)
+
     async def _carry_out(self, roll: schedule.Roll) -> None:
         leader = self._leader()
         order = [name for name in roll.names if name != leader]
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -68,6 +68,8 @@
                 nursery.start_soon(caller.run, kinds, per_s)
             nursery.start_soon(self._check_periodically)
             nursery.start_soon(self._probe)
+            if self.planned_rolls:
+                nursery.start_soon(self.rolls.watch_messages)
             async with trio.open_nursery() as plan_nursery:
                 self._start_plan(plan_nursery)
             await self._assess_recovery()
