Select a runner that was held back at most once more

If selection and the check before the first byte ever disagreed, a request would go around without a pause, as a mutant showed.

--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -238,8 +238,9 @@
     ) -> None:
         now_s = self.app.now_s()
         exchange.is_in_flight = False
-        if isinstance(problem, errors.RunnersLimited):
-            # It was not sent, and can go to the same runner later.
+        is_limited = isinstance(problem, errors.RunnersLimited)
+        if is_limited and not exchange.unsent_attempts:
+            # It was not sent, and can go to the same runner later, once.
             exchange.attempted.discard(picked.backend.instance.instance_id)
         if problem.outcome != errors.NOT_RUN:
             exchange.may_have_run = True
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1472,8 +1472,9 @@
     ),
     Mutant(
         'runner limits: no second try at a runner that got nothing',
-        'forwarding', 'if isinstance(problem, errors.RunnersLimited):',
-        'if False:', 'runnerlimits',
+        'forwarding',
+        'if is_limited and not exchange.unsent_attempts:', 'if False:',
+        'runnerlimits',
     ),
 )  # fmt: skip
 
