--- a/features/admission.feature
+++ b/features/admission.feature
@@ -73,6 +73,16 @@
     When a second group opens
     Then the next request is admitted within 0.1 s
 
+  Scenario: Nothing is refused below half of the places, however long passes are
+    Given a gateway and a group with 0.48 of its places taken
+    When its passes take 0.3 s
+    Then requests of all priorities are admitted
+
+  Scenario: While newer reports are lost the last ones count for two seconds
+    Given a gateway and a group with 1 of its places taken
+    Then a request is refused for the next 1.9 s
+    And it is admitted 2.1 s after the reports
+
   Scenario: A caller that waited goes before newer requests of its kind
     Given a gateway and a group with room for returned requests only
     Then a new request is refused with 1215 and a Retry-After of at least 0.5 s
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -295,6 +295,36 @@
     assert _decide(context, _request(1), 0.01 + most_s) is None
 
 
+@given('a gateway and a group with {part:g} of its places taken')
+def partly_full_group(context, part):
+    context.world = admission.World(1, 1, 5)
+    context.known = _filled(context, part)
+
+
+@then('a request is refused for the next {span_s:g} s')
+def check_kept(context, span_s):
+    for now_s in (0.1, 0.9, span_s):
+        assert _decide(context, _request(0), now_s) is not None, now_s
+
+
+@then('it is admitted {after_s:g} s after the reports')
+def check_forgotten(context, after_s):
+    assert _decide(context, _request(0), after_s) is None
+
+
+@when('its passes take {pass_s:g} s')
+def long_passes(context, pass_s):
+    backend = context.known.by_id[context.world.members(0)[0]]
+    for number in range(400):
+        context.known.admission.record_gap(backend, pass_s, number / 1000)
+
+
+@then('requests of all priorities are admitted')
+def check_all_admitted(context):
+    for priority in (0, 0, 0, 1, 2):
+        assert _decide(context, _request(priority), 0.41) is None, priority
+
+
 @given('a gateway and a group with room for returned requests only')
 def nearly_full_group(context):
     context.world = admission.World(1, 1, 5)
--- a/mountridge/routing/admission.py
+++ b/mountridge/routing/admission.py
@@ -51,7 +51,9 @@
 
     def has_room(self, part: float) -> bool:
         """Return whether it has room up to a ``part`` of its bound."""
-        return self.requests < min(part * self.bound, self.places)
+        least = admissionbounds.MIN_SHARE * self.places
+        most = max(part * self.bound, least)
+        return self.requests < min(most, self.places)
 
 
 class Admission(sendgates.Gate):
@@ -125,6 +127,7 @@
         for key in keys:
             self._floors.record(key, is_admitted)
         if is_admitted:
+            self._metrics.incr(f'admission.admitted.{kind.priority}')
             return
         self._metrics.incr(f'admission.refused.{kind.priority}')
         raise self._overloaded(kind, service, rooms, left_s, rng, now_s)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1326,6 +1326,48 @@
         'return now_s - since_s < groupstates.MAX_CLOSED_WAIT_S',
         'return True', 'warmup',
     ),
+    Mutant(
+        'admission: no bound on requests', 'admission',
+        'return self.requests < min(most, self.places)', 'return True',
+        'admission',
+    ),
+    Mutant(
+        'admission: no room reserved for the more urgent',
+        'admissionpriorities',
+        'MOST_URGENT - RESERVED * share_before', 'MOST_URGENT', 'admission',
+    ),
+    Mutant(
+        'admission: no preference of returned requests',
+        'admissionpriorities',
+        'return min(part + RETURNED, MOST_URGENT) if is_returned else part',
+        'return part', 'admission',
+    ),
+    Mutant(
+        'admission: no floor', 'admissionpriorities',
+        'return self._credit.get(key, 0.0) + FLOOR >= 1', 'return False',
+        'admission',
+    ),
+    Mutant(
+        'admission: refuses below half of the places', 'admission',
+        'most = max(part * self.bound, least)', 'most = part * self.bound',
+        'admission',
+    ),
+    Mutant(
+        'admission: no turns for returns', 'admissionreturns',
+        'self._next_s += 1 / (RETURN_SHARE * free_per_s)', 'pass',
+        'admission',
+    ),
+    Mutant(
+        'admission: reports older than five intervals do not count',
+        'admission',
+        'backend.load(interval_s, now_s), backend.reported_requests',
+        'backend.load(interval_s, now_s), 0', 'admission',
+    ),
+    Mutant(
+        'admission: no priority header to runners', 'forwarding',
+        "added.append((names.priority, b'%d' % level))", 'pass',
+        'admission',
+    ),
 )  # fmt: skip
 
 
