--- a/mountridge/routing/admission.py
+++ b/mountridge/routing/admission.py
@@ -23,9 +23,9 @@
 
 #: Values of the setting `admission.when`.
 NEVER, PRIORITIES, ALWAYS = 'never', 'priorities', 'always'
-#: Loads of groups are added up again after this time: short against the
-#: interval of reports, long against the time of a decision.
-SUM_VALID_S = 0.01
+#: Loads of groups are added up again after this time: that takes longer than a
+#: decision, and reports come less often. Own requests count at once.
+SUM_VALID_S = 0.05
 #: Without newer ones, reports count for this long: about as long as streams
 #: run. After that the own requests, times the gateways, are a better estimate.
 REPORT_KEPT_S = 2.0
@@ -153,8 +153,18 @@
     def record_sent(
         self, backend: Backend, kind: sendgates.RequestClass, now_s: float
     ) -> None:
-        """Add up the loads again at the next decision."""
-        self._rooms.pop(kind.service, None)
+        """Add an own request to the load of its group."""
+        if kind.service not in self._rooms:
+            return
+        added_s, rooms = self._rooms[kind.service]
+        self._rooms[kind.service] = added_s, [
+            (
+                room._replace(requests=room.requests + 1)
+                if room.group == backend.group
+                else room
+            )
+            for room in rooms
+        ]
 
     def _part(self, kind: sendgates.RequestClass) -> float:
         before = self._demand.share_before(kind.service, kind.priority)
