Setting for the worth of a hop to another hall, and when one pays

routing.hall_cost is the worth of a hop. Above the default, routing/hallcosts.py also excludes far ranks of a group that has free slots in the gateway's hall, less those that other gateways may have taken since the reports, and charges only the default where the hall has none. At the default each decision is as before (digest in features/placement.feature).

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -228,10 +228,13 @@
 REQUESTS, REPEATS = 400, 9
 
 
-def _entry(gateways: int, runners: int, limit_per_s: float):
-    """Return the state of an entry that knows runners in 3 halls."""
-    known = backends.Backends('g-0')
-    known.loads.report_interval_s = 0.2
+def _entry(gateways: int, runners: int, limit_per_s: float, hall_cost: float):
+    """Return the state of an entry that knows runners in 3 halls.
+
+    A ``hall_cost`` counts where reports are frequent.
+    """
+    known = backends.Backends('g-0', hall_cost=hall_cost)
+    known.loads.report_interval_s = 0.12 if hall_cost else 0.2
     halls = {f'g-{n}': f'h{n % 3}' for n in range(gateways)}
     known.update_runners(
         instances.Instance(
@@ -245,11 +248,14 @@
     return known
 
 
-def _placing_us(gateways: int, runners: int, limit_per_s: float) -> float:
+def _placing_us(
+    gateways: int, runners: int, limit_per_s: float, hall_cost: float = 0.0
+) -> float:
     """Return the time to select a runner for one request, in us."""
     results = []
     for _ in range(REPEATS):
-        known, now_s = _entry(gateways, runners, limit_per_s), 10.0
+        known = _entry(gateways, runners, limit_per_s, hall_cost)
+        now_s = 10.0
         kind = sendgates.RequestClass('s')
         rng = random.Random(3)
         started_s = time.perf_counter()
@@ -269,8 +275,12 @@
         without = _placing_us(gateways, runners, 0.0)
         bound = _placing_us(gateways, runners, 38.0)
         more = 100 * (bound / without - 1)
-        rows.append([gateways, runners, without, bound, more])
+        default, dear = (
+            _placing_us(gateways, runners, 0.0, each) for each in (0.05, 0.4)
+        )
+        rows.append([gateways, runners, without, bound, more, default, dear])
     headers = ['gateways', 'runners', 'us a request', 'with bound', 'more %']
+    headers += ['frequent reports', 'with hall cost']
     print(tabulate.tabulate(rows, headers=headers, floatfmt='.1f'))
 
 
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -75,6 +75,7 @@
                 app.settings['lease']['lease_s'],
             ),
             app.metrics,
+            app.settings['routing']['hall_cost'],
         )
         self.index: routes.Index | None = None
         self.forwarder = forwarding.Forwarder(
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -9,9 +9,9 @@
 from mountridge.documents import instances
 from mountridge.net import dialects
 from mountridge.routing import backoffgates, backoffs, choosing
-from mountridge.routing import grouptracker, loadestimates, runnerregistry
-from mountridge.routing import runnerstates, sendgates, subsets, warmup
-from mountridge.routing import warmupgates
+from mountridge.routing import grouptracker, hallcosts, loadestimates
+from mountridge.routing import runnerregistry, runnerstates, sendgates
+from mountridge.routing import subsets, warmup, warmupgates
 
 __all__ = [
     'AVOID_SLOWDOWN',
@@ -36,9 +36,6 @@
 #: From this slowdown on, streams that can be resumed move to another runner.
 #: Processing the prompt again takes about two forward passes.
 MIGRATE_SLOWDOWN = 2.0
-#: Occupancy that a hop to another hall is worth: traffic between halls is
-#: charged for, while its delay is small compared to a time to first token.
-HALL_COST = 0.05
 #: Occupancy added for a cold runner, which is slower: in a group all ranks
 #: wait for the slowest.
 COLD_COST = 0.2
@@ -62,9 +59,12 @@
         name: str = '',
         limits: warmup.WarmupLimiter | None = None,
         counters: metrics.Metrics | None = None,
+        hall_cost: float = hallcosts.DEFAULT_HALL_COST,
     ) -> None:
         #: The name of this gateway, which decides its preferred subset.
         self.name = name
+        #: Occupancy that a hop to another hall is worth.
+        self.hall_cost = hall_cost
         counters = counters or metrics.Metrics(None)
         #: This gateway's share of the requests to runners that can turn cold.
         self.warmup = limits or warmup.WarmupLimiter(name)
@@ -246,6 +246,7 @@
         is_limited = self.warmup.is_limited(service)
         slow_start = self.registry.slow_start(now_s)
         interval_s = self.report_interval_s
+        hop_cost = self.hall_cost
 
         def occupancy(backend: Backend) -> float:
             added = slow_start.get(backend.instance.hall, 0.0)
@@ -254,7 +255,7 @@
             return backend.occupancy(interval_s, now_s) + added
 
         def cost(backend: Backend) -> float:
-            hop = HALL_COST if backend.instance.hall != hall else 0.0
+            hop = hop_cost if backend.instance.hall != hall else 0.0
             return occupancy(backend) + hop
 
         unreported = self.loads.others_unreported(service, gateways, now_s)
@@ -269,6 +270,11 @@
             known = len(self.registry.registered(service))
             unreported *= len(candidates) / known
         if best is None:
+            hops = hallcosts.assess(
+                candidates, hall, self.hall_cost, occupancy, unreported
+            )
+            unreported *= len(hops.candidates) / len(candidates)
+            candidates, hop_cost = hops
             preceding = int(rng.random() * (unreported + 1))
             best = choosing.select_after(candidates, cost, preceding, rng)
         age_s = now_s - best.reported_s
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -110,6 +110,11 @@
         'cold_over': 1.0,
         'cold_slack': 0.0,
     },
+    # How an entry selects runners.
+    'routing': {
+        # Share of a runner's slots that a hop to another hall is worth.
+        'hall_cost': 0.05,
+    },
 }
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1326,6 +1326,24 @@
         'return now_s - since_s < groupstates.MAX_CLOSED_WAIT_S',
         'return True', 'warmup',
     ),
+    Mutant(
+        'no group keeps requests in their hall', 'hallcosts',
+        'or free_slots.get(backend.group, 0) <= taken', 'or True', 'balance',
+    ),
+    Mutant(
+        'a queue in the hall rather than a hop', 'hallcosts',
+        'return Hops(candidates, DEFAULT_HALL_COST)',
+        'return Hops(candidates, hall_cost)', 'balance',
+    ),
+    Mutant(
+        'no margin for requests of other gateways', 'hallcosts',
+        'MARGIN * math.sqrt(taken)', '0', 'balance',
+    ),
+    Mutant(
+        'the setting for hops is ignored', 'backends',
+        'candidates, hop_cost = hops', 'candidates = hops.candidates',
+        'balance',
+    ),
 )  # fmt: skip
 
 
