Read the default worth of a hop from the settings, and time it

The default stood in two modules. bench/placing.py now also times selection with frequent reports at the default and at 0.4, among ranks of two groups; rules.feature has a refused value.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -231,7 +231,8 @@
 def _entry(gateways: int, runners: int, limit_per_s: float, hall_cost: float):
     """Return the state of an entry that knows runners in 3 halls.
 
-    A ``hall_cost`` counts where reports are frequent.
+    With a ``hall_cost`` they are ranks of two groups, and report so often
+    that it counts.
     """
     known = backends.Backends('g-0', hall_cost=hall_cost)
     known.loads.report_interval_s = 0.12 if hall_cost else 0.2
@@ -242,6 +243,9 @@
         )
         for n in range(runners)
     )
+    if hall_cost:
+        for number, backend in enumerate(known.by_id.values()):
+            backend.group = 1 + number // 3 % 2
     known.update_gateways(halls)
     known.warmup.update_gateways(halls, 0.0)
     known.warmup.update_services({'s': limit_per_s})
--- a/features/rules.feature
+++ b/features/rules.feature
@@ -82,14 +82,15 @@
     Then settings with <error> name "<path>"
 
     Examples:
-      | error                   | path          |
-      | an unknown key          | gateway.prot  |
-      | a negative number       | lease.lease_s |
-      | an address without port | bind          |
-      | an unknown role         | role          |
-      | keys neither off nor on | keys.folder   |
-      | a slow renewal          | lease.renew_s |
-      | a key of 65 bytes       | digest_key    |
+      | error                   | path              |
+      | an unknown key          | gateway.prot      |
+      | a negative number       | lease.lease_s     |
+      | an address without port | bind              |
+      | an unknown role         | role              |
+      | keys neither off nor on | keys.folder       |
+      | a slow renewal          | lease.renew_s     |
+      | a key of 65 bytes       | digest_key        |
+      | a hop worth nothing     | routing.hall_cost |
 
   Scenario: All errors of settings and of a sheet are reported at once
     Then settings with three errors give three lines
--- a/features/steps/rule_steps.py
+++ b/features/steps/rule_steps.py
@@ -444,6 +444,7 @@
     'keys neither off nor on': _with(keys={'off': False}),
     'a slow renewal': _with(lease={'renew_s': 2.0}),
     'a key of 65 bytes': _with(digest_key='k' * 65),
+    'a hop worth nothing': _with(routing={'hall_cost': 0}),
 }
 
 
--- a/mountridge/routing/hallcosts.py
+++ b/mountridge/routing/hallcosts.py
@@ -13,6 +13,7 @@
 import typing
 
 from mountridge.routing import runnerstates
+from mountridge import settings
 
 __all__ = ['DEFAULT_HALL_COST', 'Hops', 'assess']
 
@@ -20,7 +21,7 @@
 
 #: Occupancy that a hop to another hall is worth where an operator sets
 #: nothing: its delay is small compared to a time to first token.
-DEFAULT_HALL_COST = 0.05
+DEFAULT_HALL_COST: float = settings.DEFAULTS['routing']['hall_cost']
 #: Standard deviations by which others may have sent more requests than on
 #: average: a request that finds a near slot taken waits in a queue.
 MARGIN = 3.0
