--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -81,6 +81,7 @@
                 listening.PROCESS_START_S,
                 app.settings['lease']['lease_s'],
             ),
+            app.settings['routing']['hall_cost'],
         )
         self.index: routes.Index | None = None
         self.forwarder = forwarding.Forwarder(
--- a/mountridge/settings.py
+++ b/mountridge/settings.py
@@ -114,6 +114,11 @@
     # `priorities` (where streaming routes to a service differ in priority) or
     # `always` (where the routes document states the engine).
     'admission': {'when': 'priorities'},
+    # How an entry selects runners.
+    'routing': {
+        # Share of a runner's slots that a hop to another hall is worth.
+        'hall_cost': 0.05,
+    },
 }
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1559,6 +1559,24 @@
         "added.append((names.priority, b'%d' % level))", 'pass',
         'admission',
     ),
+    Mutant(
+        'no group keeps requests in their hall', 'hallcosts',
+        'or free_slots.get(backend.group, 0) <= taken', 'or True', 'balance',
+    ),
+    Mutant(
+        'a queue in the hall rather than a hop', 'hallcosts',
+        'return Hops(candidates, DEFAULT_HALL_COST)',
+        'return Hops(candidates, hall_cost)', 'balance',
+    ),
+    Mutant(
+        'no margin for requests of other gateways', 'hallcosts',
+        'MARGIN * math.sqrt(taken)', '0', 'balance',
+    ),
+    Mutant(
+        'the setting for hops is ignored', 'backends',
+        'candidates, hop_cost = hops', 'candidates = hops.candidates',
+        'balance',
+    ),
 )  # fmt: skip
 
 
