Bench: large groups whose demand shifts every two seconds

bench.shifts knew two deployments whose single reports cover a window, and gave a mean only. Add groups of 32 and 24 ranks whose ranks report in turn, demands that return, and a demand that does not shift; print the load of the most loaded rank right after shifts and before the next, the time from a shift to the next map in use, copies a minute and the processor time of a search.

--- a/bench/shifts.py
+++ b/bench/shifts.py
@@ -4,15 +4,21 @@
 
 Runs the planning of the product (`demand`, `mapplans`) on synthetic demand: a
 few experts get most choices, and every few seconds some of the experts swap
-their ranks in popularity. A change is in use once the rank with the most new
-experts has copied them one by one and the orders have been delivered. Not
-modelled: forward passes, requests, faults. Prints the load of the most loaded
-rank relative to the mean, over time, with the standard error over seeds.
-``python -m bench.shifts --help``.
+their ranks in popularity, or one of a few demands returns. A change is in use
+once the rank with the most new experts has copied them one by one and the
+orders have been delivered. Not modelled: forward passes, requests, faults.
+Prints the load of the most loaded rank relative to the mean: over time with
+the standard error over seeds, right after a shift to a demand that is new or
+returns, and at the end of the interval. Prints also the time from a shift to
+the next map in use, the experts copied each minute, and the processor time of
+a search. ``python -m bench.shifts --help``.
 """
 
+import collections
+import math
 import random
 import statistics
+import time
 import typing
 
 import click
@@ -22,8 +28,6 @@
 
 #: Time step of the simulation.
 STEP_S = 0.02
-#: From the end of the copies to the first forward pass with the new map.
-ORDERS_S = 0.25
 #: Minimum interval between two searches for a plan.
 PAUSE_S = 0.05
 #: Time constant of the decaying counts.
@@ -31,8 +35,6 @@
 #: Share of a report's choices that are due to single prompts.
 PROMPT_SHARE = 0.2
 CHOICES = 20000
-#: Exponent of the power law of experts' popularity.
-ZIPF = 1.3
 
 
 class Deployment(typing.NamedTuple):
@@ -43,8 +45,32 @@
     parameters: mapplans.EngineParameters
     shift_s: float
     shift_share: float  # of experts that swap their positions in a shift
-
-
+    #: From the end of the copies to the first pass with the new map.
+    orders_s: float = 0.25
+    #: Exponent of the power law of experts' popularity.
+    exponent: float = 1.3
+    alike: int = 1  # experts with the same popularity
+    #: Share of the choices that follow the power law.
+    common: float = 1.0
+    #: Ranks that report counts, in turn.
+    reporting: int = 1
+    prompt_share: float = PROMPT_SHARE
+    #: Random part of each expert's choices in one rank's report.
+    noise: float = 0.0
+    #: Number of demands that return; 0: none does.
+    demands: int = 0
+
+
+LARGE_GROUP = Deployment(
+    32, 12, mapplans.EngineParameters(5, 2, 128, 0.037), 2.13, 0.64,
+    orders_s=0.35, exponent=0.82, alike=2, common=0.75, reporting=10,
+    prompt_share=0.0, noise=0.5,
+)  # fmt: skip
+MANY_SETS = Deployment(
+    24, 16, mapplans.EngineParameters(5, 2, 96, 0.076), 3.8, 0.64,
+    orders_s=0.35, exponent=0.94, alike=2, common=0.75, reporting=10,
+    prompt_share=0.0, noise=0.5,
+)  # fmt: skip
 DEPLOYMENTS = {
     'slow copies': Deployment(
         12, 3, mapplans.EngineParameters(11, 4, 96, 0.4), 3.9, 0.59
@@ -52,6 +78,11 @@
     'fast copies': Deployment(
         16, 4, mapplans.EngineParameters(5, 2, 64, 0.04), 3.3, 0.59
     ),
+    'large group': LARGE_GROUP,
+    'many sets': MANY_SETS,
+    'large group, 9 demands return': LARGE_GROUP._replace(demands=9),
+    'many sets, 9 demands return': MANY_SETS._replace(demands=9),
+    'large group, one demand': LARGE_GROUP._replace(shift_s=1e9),
 }
 
 
@@ -59,6 +90,7 @@
     """A map that is being copied, and when it comes into use."""
 
     placement: mapplans.Placement
+    ready_s: float  # when all experts are copied
     in_use_s: float
 
 
@@ -73,29 +105,53 @@
             [list(range(rank, experts, ranks)) for rank in range(ranks)]
             for _ in range(deployment.sets)
         ]
-        self.order = [
-            self.rng.sample(range(experts), experts)
-            for _ in range(deployment.sets)
-        ]
+        self.order = self._draw_order()
+        self._orders = [self._draw_order() for _ in range(deployment.demands)]
+        self._drawn: set[int] = set()
         self.pending: Plan | None = None
+        self.copied = 0
+        self.searches_s: list[float] = []
         #: Share of the choices by expert, set by set.
         self.popularity = self._compute_popularity()
-        #: Sum of the popularity over the steps since the last report.
-        self._since = [0.0] * len(self.popularity)
+        #: The popularity in each step that the next report covers.
+        self._since: collections.deque[list[float]] = collections.deque(
+            maxlen=round(demand.SPAN_S / STEP_S)
+        )
         self._skew: float | None = None
         self.next_plan_s = 0.0
 
+    def _draw_order(self) -> list[list[int]]:
+        """Return the experts of each set by falling popularity."""
+        experts = self.deployment.parameters.experts
+        return [
+            self.rng.sample(range(experts), experts)
+            for _ in range(self.deployment.sets)
+        ]
+
     def _compute_popularity(self) -> list[float]:
+        deployment = self.deployment
         results = []
         for order in self.order:
             popularity = [0.0] * len(order)
             for position, expert in enumerate(order):
-                popularity[expert] = 1 / (1 + position) ** ZIPF
-            results += [value / sum(popularity) for value in popularity]
+                popularity[expert] = (
+                    1 + position // deployment.alike
+                ) ** -deployment.exponent
+            total = sum(popularity) / deployment.common
+            other = (1 - deployment.common) / len(order)
+            results += [value / total + other for value in popularity]
         return results
 
-    def shift(self) -> None:
-        """Let some experts swap their positions in the order."""
+    def shift(self) -> bool:
+        """Shift demand; return whether this demand has been here before."""
+        self._skew = None
+        if self._orders:
+            drawn = self.rng.randrange(len(self._orders))
+            returns = drawn in self._drawn
+            self._drawn.add(drawn)
+            self.order = self._orders[drawn]
+            self.popularity = self._compute_popularity()
+            return returns
         for order in self.order:
             count = round(self.deployment.shift_share * len(order))
             positions = self.rng.sample(range(len(order)), count)
@@ -104,7 +160,7 @@
             for position, expert in zip(positions, moved):
                 order[position] = expert
         self.popularity = self._compute_popularity()
-        self._skew = None
+        return False
 
     def use(self, placement: mapplans.Placement) -> None:
         """Put a map into use."""
@@ -112,23 +168,28 @@
         self._skew = None
 
     def record_step(self) -> None:
-        """Accumulate the choices of one time step."""
-        self._since = [a + b for a, b in zip(self._since, self.popularity)]
+        """Record the choices of one time step."""
+        self._since.append(self.popularity)
 
     def report(self) -> list[float]:
-        """Return the choices since the last report, with random noise."""
-        counts = []
-        steps = demand.SPAN_S / STEP_S
-        for value in self._since:
-            by_prompt = self.rng.expovariate(
-                self.deployment.parameters.experts
-            )
-            share = (
-                1 - PROMPT_SHARE
-            ) * value / steps + PROMPT_SHARE * by_prompt
-            counts.append(CHOICES * share)
-        self._since = [0.0] * len(self.popularity)
-        return counts
+        """Return a rank's choices since its last report, with noise."""
+        first = self._since[0]
+        if any(each is not first for each in self._since):
+            steps = len(self._since)
+            first = [sum(values) / steps for values in zip(*self._since)]
+        draw, experts = (
+            self.rng.expovariate,
+            self.deployment.parameters.experts,
+        )
+        noise, by_prompt = self.deployment.noise, self.deployment.prompt_share
+        if noise:
+            first = [v * (1 - noise + noise * draw(1.0)) for v in first]
+        if by_prompt:
+            first = [
+                (1 - by_prompt) * value + by_prompt * draw(experts)
+                for value in first
+            ]
+        return [CHOICES * value for value in first]
 
     def skew(self) -> float:
         """Return the ratio of the most loaded rank to the mean, over sets."""
@@ -152,7 +213,9 @@
             return
         self.next_plan_s = now_s + PAUSE_S
         slowdowns = [1.0] * self.deployment.ranks
+        began_s = time.process_time()
         planned = mapplans.plan(self.placement, counts, slowdowns, parameters)
+        self.searches_s.append(time.process_time() - began_s)
         if planned is None:
             return
         new = [
@@ -162,8 +225,11 @@
             )
             for rank in range(self.deployment.ranks)
         ]
-        copied_s = max(new) * self.deployment.parameters.copy_s
-        self.pending = Plan(planned.placement, now_s + copied_s + ORDERS_S)
+        self.copied += sum(new)
+        ready_s = now_s + max(new) * self.deployment.parameters.copy_s
+        self.pending = Plan(
+            planned.placement, ready_s, ready_s + self.deployment.orders_s
+        )
 
 
 #: Starts changes; gets the simulation, a report or None, whether demand has
@@ -226,10 +292,7 @@
             outdated[0] |= known.record(choices, now_s)
         if not (known.is_settled if waits else known.mean):
             return
-        copying = (
-            simulation.pending
-            and now_s < simulation.pending.in_use_s - ORDERS_S
-        )
+        copying = simulation.pending and now_s < simulation.pending.ready_s
         if simulation.pending is None or (outdated[0] and copying):
             outdated[0] = False
             simulation.start_change(
@@ -249,28 +312,64 @@
 }
 
 
-def simulate(deployment: Deployment, policy: Policy, seed: int, span_s: float):
-    """Return the mean skew, and the share of time with a skew above 2."""
+class Result(typing.NamedTuple):
+    """Means over one simulation; skews are ratios to the mean load."""
+
+    skew: float
+    over_2: float  # share of the time with a skew above 2
+    new_skew: float  # right after a shift to a new demand
+    known_skew: float  # right after a shift to one that was here before
+    last_skew: float  # right before the next shift
+    relief_s: float  # from a shift to the next map in use
+    copied_per_min: float
+    search_ms: float
+
+
+def simulate(
+    deployment: Deployment, policy: Policy, seed: int, span_s: float
+) -> Result:
+    """Simulate a policy for ``span_s``."""
     simulation = Simulation(deployment, seed)
-    skews = []
-    now_s, shift_s = 0.0, deployment.shift_s
+    skews, last, reliefs = [], [], []
+    after: dict[bool, list[float]] = {False: [], True: []}
+    now_s, shift_s, shifted_s = 0.0, deployment.shift_s, math.inf
     report_s = simulation.rng.random() * demand.SPAN_S
     while now_s < span_s:
         shifted = now_s >= shift_s
         if shifted:
-            simulation.shift()
+            last.append(simulation.skew())
+            after[simulation.shift()].append(simulation.skew())
+            shifted_s = shift_s
             shift_s += deployment.shift_s
         if simulation.pending and now_s >= simulation.pending.in_use_s:
             simulation.use(simulation.pending.placement)
+            if shifted_s < now_s:
+                reliefs.append(now_s - shifted_s)
+                shifted_s = math.inf
         simulation.record_step()
         counts = None
         if now_s >= report_s:
             counts = simulation.report()
-            report_s += demand.SPAN_S
+            report_s += demand.SPAN_S / deployment.reporting
         policy(simulation, counts, shifted, now_s)
         skews.append(simulation.skew())
         now_s += STEP_S
-    return statistics.mean(skews), sum(s > 2 for s in skews) / len(skews)
+    return Result(
+        statistics.mean(skews),
+        sum(s > 2 for s in skews) / len(skews),
+        _mean(after[False]),
+        _mean(after[True]),
+        _mean(last),
+        _mean(reliefs),
+        60 * simulation.copied / span_s,
+        1000 * _mean(simulation.searches_s),
+    )
+
+
+def _mean(values: typing.Iterable[float]) -> float:
+    """Return the mean of the known values; not a number if there is none."""
+    known = [value for value in values if not math.isnan(value)]
+    return statistics.mean(known) if known else math.nan
 
 
 def _std_error(values: list[float]) -> float:
@@ -280,24 +379,24 @@
 @click.command()
 @click.option('--seeds', default=6, help='Simulations of each policy.')
 @click.option('--span-s', default=20.0, help='Duration of a simulation.')
-def main(seeds: int, span_s: float) -> None:
+@click.option('--only', default='', help='Deployments whose titles have it.')
+@click.option('--policy', default='', help='Policies whose names have it.')
+def main(seeds: int, span_s: float, only: str, policy: str) -> None:
     """Print the table of policies, on each deployment."""
     rows = []
     for title, deployment in DEPLOYMENTS.items():
         for name, make in POLICIES.items():
+            if only not in title or policy not in name:
+                continue
             results = [
                 simulate(deployment, make(), s, span_s) for s in range(seeds)
             ]
-            skews = [skew for skew, _ in results]
-            shares = [share for _, share in results]
-            rows.append(
-                [
-                    title, name, statistics.mean(skews), _std_error(skews),
-                    statistics.mean(shares), _std_error(shares),
-                ]  # fmt: skip
-            )
-    head = ['deployment', 'policy', 'skew', '+-', 'time over 2', '+-']
-    click.echo(tabulate.tabulate(rows, head, floatfmt='.3f'))
+            row = [_mean(values) for values in zip(*results)]
+            error = _std_error([result.skew for result in results])
+            rows.append([title, name, row[0], error, *row[1:]])
+    head = ['deployment', 'policy', 'skew', '+-', 'time over 2', 'new',
+            'returned', 'last', 'relief s', 'copies/min', 'ms']  # fmt: skip
+    click.echo(tabulate.tabulate(rows, head, floatfmt='.3g'))
 
 
 if __name__ == '__main__':
