Demand: notice shifts in overlapping windows, plan from the counts after

Of 2.1 s between two shifts of demand 1.2 passed until a better map was in use: windows of 0.2 s side by side, one of them mixed; a fixed least distance of 0.2, which mixed windows did not reach; then one whole window of waiting for counts that are all from after the shift.

The window now moves by half its length, the least distance is 0.12 (with 1.7 times the usual one as before), and counts from before the shift are estimated from the experts that were selected most, and subtracted, so that the first plan does not wait. It waits if less than half of the counts are new.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -514,14 +514,14 @@
     ),
     Mutant(
         'demand: no detection of shifts', 'demand',
-        '        if distance > max(\n            MIN_SHIFT_DISTANCE, '
-        'SHIFT_RATIO * self._usual_distance\n        ):',
+        '        if previous and distance > max(\n            '
+        'MIN_SHIFT_DISTANCE, SHIFT_RATIO * self._usual_distance\n        ):',
         '        if False:', 'demand',
     ),
     Mutant(
         'demand: no reset of counts after a shift', 'demand',
-        'if self.is_shifting or not self.mean:',
-        'if not self.mean:', 'demand',
+        '            self._use_new_counts(part, self.mean)\n',
+        '            self._mixed_parts = 0\n', 'demand',
     ),
     Mutant(
         'demand: no retention across epochs', 'rankgroups',
@@ -1326,6 +1326,24 @@
         'return now_s - since_s < groupstates.MAX_CLOSED_WAIT_S',
         'return True', 'warmup',
     ),
+    Mutant(
+        'demand: no subtraction of counts from before a shift', 'demand',
+        'max(0.0, new - scale * old) for new', 'new for new', 'turns',
+    ),
+    Mutant(
+        'demand: no plan until counts are all from after a shift', 'demand',
+        'self.is_shifting = 1 - former_share < MIN_NEW_SHARE',
+        'self.is_shifting = True', 'turns',
+    ),
+    Mutant(
+        'demand: plans from counts mostly before a shift', 'demand',
+        'self.is_shifting = 1 - former_share < MIN_NEW_SHARE',
+        'self.is_shifting = False', 'turns',
+    ),
+    Mutant(
+        'demand: no windows that overlap', 'demand',
+        'PART_S = SPAN_S / 2', 'PART_S = SPAN_S', 'turns',
+    ),
 )  # fmt: skip
 
 
