Maps: copy for at most 0.25 s in one change

Passes keep their old length until a change is complete, and the rank that copies longest decides when that is: up to 0.45 s of the 2.1 s between shifts of demand, for the last copies, which gain least. The next change copies them, if they are still worth it.

The new scenario fails with the former limit (mutant).

--- a/features/mapplans.feature
+++ b/features/mapplans.feature
@@ -64,6 +64,13 @@
     Then at most 3 experts are new to a rank over all sets
     And rank 3 holds at most 0 experts in each set
 
+  Scenario: A change is copied in a fraction of the time between two shifts
+    Given a group of 32 ranks with 128 experts in 12 sets and 0.037 s per copy
+    And the experts' shares follow a power law with exponent 1.0
+    When a map is planned
+    Then at most 6 experts are new to a rank over all sets
+    And the most loaded rank has at most 1.4 times the mean load
+
   Scenario: Requests avoid a slow runner while another is available
     Given 3 gateways and 4 runners of 6 slots
     And the first runner takes 5 times its usual time
--- a/features/steps/mapplans_steps.py
+++ b/features/steps/mapplans_steps.py
@@ -33,6 +33,17 @@
     _make_group(context, 12, 3, parameters)
 
 
+@given(
+    'a group of 32 ranks with 128 experts in 12 sets '
+    'and {copy_s:g} s per copy'
+)
+def make_large_group(context, copy_s):
+    parameters = mapplans.EngineParameters(
+        slots=5, max_new=2, experts=128, copy_s=copy_s
+    )
+    _make_group(context, 32, 12, parameters)
+
+
 @given(
     'a group of {ranks:d} ranks with {experts:d} experts in {sets:d} sets '
     'and {slots:d} slots'
--- a/mountridge/experts/mapplans.py
+++ b/mountridge/experts/mapplans.py
@@ -27,10 +27,11 @@
 #: other ranks have slots. Below it, weighting its load is enough.
 RELIEVE_SLOWDOWN = 2.0
 
-#: Limit of the time to copy the experts of one change to a rank: shorter than
-#: the usual time between demand shifts, as passes stay slow until the change
-#: is complete. One copy is always allowed.
-MAX_COPY_S = 0.45
+#: Limit of the time to copy the experts of one change to a rank: an eighth of
+#: the time between demand shifts that come every two seconds, as passes stay
+#: slow until the change is complete; the next change copies what else is
+#: worth it. One copy is always allowed.
+MAX_COPY_S = 0.25
 
 Placement = ranks.Placement
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1344,6 +1344,10 @@
         'demand: no windows that overlap', 'demand',
         'PART_S = SPAN_S / 2', 'PART_S = SPAN_S', 'turns',
     ),
+    Mutant(
+        'maps: no limit on copies by the time between shifts', 'mapplans',
+        'MAX_COPY_S = 0.25', 'MAX_COPY_S = 0.45', 'mapplans',
+    ),
 )  # fmt: skip
 
 
