Maps: log how long after a shift of demand a map is planned and in use

Operators had to pair lines by time. 'map planned' and 'map in use' now carry shift_age_ms, -1 if the change answers no shift or one was detected during its search.

--- a/features/steps/turns_steps.py
+++ b/features/steps/turns_steps.py
@@ -205,6 +205,24 @@
     context.group.progress = mapchanges.Progress(change, [])
 
 
+@when('a change is planned that {uses} the counts after the shift')
+def plan_change(context, uses):
+    # Set when the search begins, and by a shift during it.
+    context.group.outdated = uses == 'does not use'
+    context.group.answer_shift()
+
+
+@then('{time} is logged with it, and none with the next change')
+def check_shift_age(context, time):
+    group = context.group
+    age_ms = group.shift_age_ms(context.now_s)
+    since_s = context.now_s - context.shifted_s[-1]
+    if time == 'its age':
+        assert 0 <= 1000 * since_s - age_ms <= 350, (age_ms, since_s)
+        group.answer_shift()
+    assert group.shift_age_ms(context.now_s) == -1
+
+
 @then('within {limit_s:g} s of each shift a newer plan may replace the change')
 def check_replaceable(context, limit_s):
     for number in range(1, len(context.shifted_s) + 1):
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -51,3 +51,16 @@
     And a group that is copying the experts of a change throughout
     When 3 shifts of demand have been reported
     Then within 0.4 s of each shift a newer plan may replace the change
+
+  Scenario Outline: The time from a shift to its map is logged once
+    Given 16 ranks that report in turn the selections of the last 0.2 s
+    And 0.64 of the experts swap their popularity every 2.13 s
+    And a group that is copying the experts of a change throughout
+    When 2 shifts of demand have been reported
+    And a change is planned that <uses> the counts after the shift
+    Then <time> is logged with it, and none with the next change
+
+    Examples:
+      | uses         | time    |
+      | uses         | its age |
+      | does not use | no age  |
--- a/mountridge/groups/groups.py
+++ b/mountridge/groups/groups.py
@@ -218,7 +218,11 @@
         progress.choose_step(group.newest_step, group.pass_s(now_s))
         change, phase = progress.change, progress.phase
         if phase == mapchanges.Phase.DONE:
-            logger.info('map in use', **mapplanning.log_fields(change))
+            logger.info(
+                'map in use',
+                **mapplanning.log_fields(change),
+                shift_age_ms=group.shift_age_ms(now_s),
+            )
             group.progress = None
             group.next_plan_s = now_s + mapplanning.PAUSE_S
             return
--- a/mountridge/groups/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -146,7 +146,11 @@
             ),
             states,
         )
+        group.answer_shift()
         logger.info(
-            'map planned', **log_fields(group.change), reason=planned.reason
+            'map planned',
+            **log_fields(group.change),
+            reason=planned.reason,
+            shift_age_ms=group.shift_age_ms(self.app.now_s()),
         )
         self.on_change_begun(group)
--- a/mountridge/groups/rankgroups.py
+++ b/mountridge/groups/rankgroups.py
@@ -59,6 +59,10 @@
         #: Whether demand has shifted since the current change was planned.
         self.outdated = False
         self.planning = False
+        #: When the last shift was detected, if no change was planned since.
+        self._shifted_s: float | None = None
+        #: When the shift was detected that the last change answers, if any.
+        self._answered_s: float | None = None
         #: Step of the last hold sent by another box, and its time.
         self.remote_hold = (ranks.NO_VERSION, 0.0)
         #: Phase, version and step last announced to the ranks, and when.
@@ -99,7 +103,7 @@
         counts = report.counts
         if counts.levels and self.demand.record(counts, now_s):
             self.outdated = True
-            self.next_plan_s = now_s
+            self._shifted_s = self.next_plan_s = now_s
             logger.info('demand shifted', group=state.group, step=state.step)
 
     def _begin_epoch(self, state: ranks.RankState) -> None:
@@ -115,6 +119,21 @@
         self._passes.clear()
         self._complete_until_s = 0.0
 
+    def answer_shift(self) -> None:
+        """Record that a change has been planned."""
+        self._answered_s = None
+        if not self.outdated:
+            self._answered_s, self._shifted_s = self._shifted_s, None
+
+    def shift_age_ms(self, now_s: float) -> int:
+        """Return the time since the shift that the last change answers.
+
+        It is -1 if no shift was detected between that change and the previous.
+        """
+        if self._answered_s is None:
+            return -1
+        return round(1000 * (now_s - self._answered_s))
+
     def record_contact(self, rank: int, route: bytes, now_s: float) -> None:
         """Record that a rank's own sidecar has reported."""
         self.contacts[rank] = Contact(route, now_s)
