--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -187,7 +187,9 @@
         #: Whether a search was still to run when the last report was answered.
         self.replies_first = False
         self.node = types.SimpleNamespace(term=1)
-        self.metrics = types.SimpleNamespace(incr=lambda _: None)
+        self.metrics = types.SimpleNamespace(
+            incr=lambda _: None, gauge=lambda name, value: None
+        )
         self.groups = groups.Groups(self, self, lambda _: None)
 
     def wall_s(self):
--- a/features/steps/turns_steps.py
+++ b/features/steps/turns_steps.py
@@ -230,3 +230,17 @@
             number == shift and age_s <= limit_s and new <= 0.2 and accepts
             for shift, age_s, new, _, accepts in context.samples
         ), [each for each in context.samples if each[0] == number]
+
+
+@then(
+    "the gauges of the leader have the plans' gains and the time to their use"
+)
+def check_gauges(context):
+    gauges = context.world.gauges
+    before, after = (
+        gauges['maps.g.slowest_before'],
+        gauges['maps.g.slowest_after'],
+    )
+    assert before > after >= 1.0, gauges
+    # Demand shifts every second; one that shifts again is counted anew.
+    assert 0 <= gauges['maps.g.shift_to_use_ms'] <= 2000, gauges
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -64,3 +64,8 @@
       | uses         | time    |
       | uses         | its age |
       | does not use | no age  |
+
+  Scenario: Gauges tell how far the slowest ranks are above the mean
+    Given a group of 4 engines whose demand shifts every second
+    When sidecars and a leader change its maps for 40 s with orders carried out at once
+    Then the gauges of the leader have the plans' gains and the time to their use
--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -33,7 +33,9 @@
     def __init__(self, world):
         self.world = world
         self.node = types.SimpleNamespace(term=world.term)
-        self.metrics = types.SimpleNamespace(incr=lambda _: None)
+        self.metrics = types.SimpleNamespace(
+            incr=lambda _: None, gauge=world.gauges.__setitem__
+        )
         sheet = mapplans.EngineParameters(
             SHEET.places, SHEET.spare, SHEET.experts
         )
@@ -181,6 +183,8 @@
         self.planned_at_s, self.change_durations_s = {}, []
         #: How long no pass could begin, for a hold or while the group formed.
         self.stalled_s = 0.0
+        #: Newest values of the leaders' gauges, by name.
+        self.gauges = {}
         self.leader = Leader(self)
 
     def start(self):
--- a/mountridge/experts/mapplans.py
+++ b/mountridge/experts/mapplans.py
@@ -57,6 +57,9 @@
 
     placement: Placement
     reason: str
+    #: Load of the slowest ranks, relative to the mean, before and after.
+    slowest_before: float = 0.0
+    slowest_after: float = 0.0
 
 
 def plan(
@@ -96,6 +99,8 @@
         f'slowest ranks at {before / mean:.2f} times the mean, then '
         f'{after / mean:.2f}, for {copied} experts copied'
         f'{_describe_slow_ranks(slowdowns)}',
+        before / mean,
+        after / mean,
     )
 
 
--- a/mountridge/groups/groups.py
+++ b/mountridge/groups/groups.py
@@ -218,11 +218,16 @@
         progress.choose_step(group.newest_step, group.pass_s(now_s))
         change, phase = progress.change, progress.phase
         if phase == mapchanges.Phase.DONE:
+            age_ms = group.shift_age_ms(now_s)
             logger.info(
                 'map in use',
                 **mapplanning.log_fields(change),
-                shift_age_ms=group.shift_age_ms(now_s),
+                shift_age_ms=age_ms,
             )
+            if age_ms >= 0:
+                self.app.metrics.gauge(
+                    f'maps.{change.group}.shift_to_use_ms', age_ms
+                )
             group.progress = None
             group.next_plan_s = now_s + mapplanning.PAUSE_S
             return
--- a/mountridge/groups/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -147,6 +147,9 @@
             states,
         )
         group.answer_shift()
+        gauge, name = self.app.metrics.gauge, f'maps.{state.group}'
+        gauge(f'{name}.slowest_before', round(planned.slowest_before, 2))
+        gauge(f'{name}.slowest_after', round(planned.slowest_after, 2))
         logger.info(
             'map planned',
             **log_fields(group.change),
