Admission: count at least one slot a runner

Cause: a runner may register 0 slots; the bound of a group of such runners was 0, and the choice of the group with most room divided by it, which ended the task. Found by reading. Change: a runner counts as having at least one slot, as in its occupancy.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -78,6 +78,11 @@
     When its passes take 0.3 s
     Then requests of all priorities are admitted
 
+  Scenario: Runners that register no slots count as having one each
+    Given a gateway and a group whose runners have no slots and one request each
+    When its passes take 0.3 s
+    Then a request is refused, and a runner is found for one that is sent
+
   Scenario: While newer reports are lost the last ones count for two seconds
     Given a gateway and a group with 1 of its places taken
     Then a request is refused for the next 1.9 s
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -319,6 +319,27 @@
         context.known.admission.record_gap(backend, pass_s, number / 1000)
 
 
+@given(
+    'a gateway and a group whose runners have no slots and one request each'
+)
+def group_without_slots(context):
+    context.world = admission.World(1, 1, 5)
+    context.known = known = context.world.gateways[0]
+    known.update_runners(
+        [each._replace(slots=0) for each in context.world.listed]
+    )
+    for key in context.world.members(0):
+        load = messages.RunnerLoad(key, 1, 0, 100, 1, True)
+        known.record_report(load, 0.0)
+
+
+@then('a request is refused, and a runner is found for one that is sent')
+def check_no_slots(context):
+    assert _decide(context, _request(1), 0.41) is not None
+    picked = context.known.pick(_request(1), 'h0', set(), 1, context.rng, 0.41)
+    assert picked is not None
+
+
 @then('requests of all priorities are admitted')
 def check_all_admitted(context):
     for priority in (0, 0, 0, 1, 2):
--- a/mountridge/routing/admission.py
+++ b/mountridge/routing/admission.py
@@ -245,7 +245,7 @@
                 load = backend.own_requests * self._gateways
             each[0] += 1
             each[1] += load
-            each[2] += backend.instance.slots
+            each[2] += max(1, backend.instance.slots)
         rooms = []
         for group, (ranks, requests, places) in sums.items():
             each = self._bound(name, group).most_requests(
