Daemons of an installation read their build name from a stored file

Whether the many calls or the digest is at fault is not traced; a start needs neither. Where nothing is stored the digest is computed as before.

--- a/features/steps/upgrade_steps.py
+++ b/features/steps/upgrade_steps.py
@@ -14,7 +14,7 @@
 import zmq
 
 from features.worlds import core
-from mountridge import errors, messages, records
+from mountridge import builds, errors, messages, records
 from mountridge.consensus import entries, replicas
 from mountridge.documents import instances
 from mountridge.state import commands, statemachine, views
@@ -300,6 +300,25 @@
     assert dumped['format_level'] == level, dumped
 
 
+@given('a name that the installation has stored')
+def store_name(context):
+    context.stamp = pathlib.Path(tempfile.mkdtemp(), 'build')
+    context.stamp.write_text('stored-name\n')
+
+
+@then('it is the name of the build, and no source file is read')
+def check_stored_name(context):
+    builds.load_stamp(str(context.stamp.with_name('missing')))
+    assert builds.build_name() == builds.source_digest()
+    builds.source_digest.cache_clear()
+    try:
+        builds.load_stamp(str(context.stamp))
+        assert builds.build_name() == 'stored-name'
+        assert not builds.source_digest.cache_info().misses
+    finally:
+        builds._stamped.clear()
+
+
 # Voters of two builds.
 
 
--- a/features/upgrades.feature
+++ b/features/upgrades.feature
@@ -72,3 +72,7 @@
     Given a controller process
     Then its log line at the start has the build and the format level
     And "mountridge version" and "mountridge dump" print the same
+
+  Scenario: An installed process starts without reading its sources
+    Given a name that the installation has stored
+    Then it is the name of the build, and no source file is read
