Entries give admission the routes when they load them

Cause: the picker compared the routes in force with those it had seen at each request, and kept a copy for that, while the limiter of cold runners gets them from the entry with the view. Change: the entry updates both at one place; the picker keeps no copy. Fakes lose the setting that nobody reads there any more. No assertion has changed.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -116,3 +116,7 @@
       | equal priorities            | 1     | 1      | priorities | off   |
       | always                      | 1     | 1      | always     | on    |
       | different priorities        | 0  | 1      | priorities | on    |
+
+  Scenario: An entry applies admission with the routes that it loads
+    When streaming routes of different priorities are put at an entry
+    Then all entries admit requests to their service by room
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -7,9 +7,10 @@
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
+import msgspec
 import trio
 
-from features.worlds import admission, answers, rests
+from features.worlds import admission, answers, crashes, rests
 from mountridge.documents import routes
 from mountridge import errors, messages
 from mountridge.net import httpserver
@@ -507,3 +508,22 @@
 @then('admission is {state}')
 def check_state(context, state):
     assert context.known.admission.is_on('s') == (state == 'on')
+
+
+@when('streaming routes of different priorities are put at an entry')
+def put_routes(context):
+    async def script(play):
+        entries = [play.world.daemons[name] for name in play.world.entries]
+        before = [e.backends.admission.is_on('s') for e in entries]
+        document = admission.table()._replace(version=2)
+        await entries[0].put_routes(msgspec.json.encode(document))
+        await trio.sleep(1)
+        after = [e.backends.admission.is_on('s') for e in entries]
+        context.is_on = (before, after)
+
+    crashes.play(context, script, count=1)
+
+
+@then('all entries admit requests to their service by room')
+def check_entries(context):
+    assert context.is_on == ([False] * 3, [True] * 3), context.is_on
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -172,7 +172,6 @@
                 'hall': 'north',
                 'bounds': bounds,
                 'digest_key': '',
-                'admission': {'when': 'priorities'},
             },
             incarnation='1',
             now_s=trio.current_time,
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -138,7 +138,6 @@
                 'hall': 'north',
                 'bounds': BOUNDS,
                 'digest_key': '',
-                'admission': {'when': 'priorities'},
             },
             incarnation=name,
             now_s=self.now_s,
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -239,6 +239,9 @@
         self.backends.warmup.update_services(
             {service.name: service.cold_per_s for service in table.services}
         )
+        self.backends.admission.update_routes(
+            self.index, self.app.settings['admission']['when']
+        )
         self.forwarder.routes_known.set()
         logger.info(
             'routes in force',
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -63,7 +63,6 @@
         self._queues: dict[str, waitqueues.WaitQueue] = (
             collections.defaultdict(waitqueues.WaitQueue)
         )
-        self._admission_index: routes.Index | None = None
         self._returns = admissionreturns.Returns()
         #: Since when all known runners of a service are owned by others.
         self._unowned_since_s: dict[str, float] = {}
@@ -95,12 +94,7 @@
 
         :raises Overloaded: there is none.
         """
-        index = self._index()
         admission = self.backends.admission
-        if index is not self._admission_index:
-            self._admission_index = index
-            when = self._app.settings['admission']['when']
-            admission.update_routes(index, when)
         if not admission.is_on(exchange.service):
             return
         head = exchange.request_head
