Gates: one hook for answers, one question for queues

Cause: an answer was recorded twice, by a hook of the gates (backoffs) and one of the records of a request (limits), and the gate of limits had a question of its own beside is_limiting. Change: the record of a request takes the answer; is_limiting takes the time and all gates are asked. Two mutants follow the lines they replace.

--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -183,19 +183,6 @@
         ]
         return sendgates.Sends([r for r in records if r is not None])
 
-    def record_reply(
-        self, backend: Backend, head: dialects.ReplyHead, now_s: float
-    ) -> list[sendgates.Announcement]:
-        """Record what a runner's answer says of later requests.
-
-        Returns the changes to log.
-        """
-        return [
-            announcement
-            for gate in (*self.gates, *self.quotas)
-            for announcement in gate.record_reply(backend, head, now_s)
-        ]
-
     def record_misdirected(
         self, head: dialects.ReplyHead, now_s: float
     ) -> list[sendgates.Announcement]:
@@ -232,10 +219,11 @@
         return self._groups.closed_for_s(service, now_s)
 
     def is_limiting(self, service: str, now_s: float) -> bool:
-        """Return whether requests may have to wait for a quota."""
+        """Return whether requests may have to wait in turn for a runner."""
         return any(
-            gate.is_limiting(service) for gate in self.quotas
-        ) or self._limit_gate.is_limiting_all(service, now_s)
+            gate.is_limiting(service, now_s)
+            for gate in (*self.gates, *self.quotas)
+        )
 
     # Selection.
 
--- a/mountridge/routing/backoffgates.py
+++ b/mountridge/routing/backoffgates.py
@@ -5,7 +5,6 @@
 import math
 
 from mountridge import errors, metrics
-from mountridge.documents import instances
 from mountridge.net import dialects
 from mountridge.routing import backoffs, runnerstates, sendgates
 
@@ -75,14 +74,41 @@
         now_s: float,
     ) -> sendgates.SendRecord:
         """Count a request, which may be the probe after a backoff."""
-        return _BackoffRecord(self._states, self._counters, backend.instance)
+        return _BackoffRecord(self._states, self._counters, backend)
+
+
+class _BackoffRecord(sendgates.SendRecord):
+    """A request to a runner that may back off, and may be its probe."""
+
+    def __init__(
+        self,
+        states: backoffs.Backoffs,
+        counters: metrics.Metrics,
+        backend: Backend,
+    ):
+        self._states = states
+        self._counters = counters
+        self._backend = backend
+        self._is_probe = states.begin_request(backend.instance)
+
+    def check(self, now_s: float) -> None:
+        """Check that the runner does not back off since its selection.
+
+        :raises RunnersResting: the runner is backing off or leaving; nothing
+            is sent.
+        """
+        if not self._states.may_send(self._backend.instance, now_s):
+            self._counters.incr('rest.held_back')
+            raise errors.RunnersResting(
+                'the runner is backing off or leaving since it was selected'
+            )
 
     def record_reply(
-        self, backend: Backend, head: dialects.ReplyHead, now_s: float
+        self, head: dialects.ReplyHead, now_s: float
     ) -> list[sendgates.Announcement]:
         """Record a backoff or departure that an answer announces."""
         announced = []
-        runner = backend.instance
+        runner = self._backend.instance
         if head.backoff_s is not None:
             until_s = self._states.back_off(runner, head.backoff_s, now_s)
             self._counters.incr('rest.asked')
@@ -104,34 +130,7 @@
             )
         return announced
 
-
-class _BackoffRecord(sendgates.SendRecord):
-    """A request to a runner that may back off, and may be its probe."""
-
-    def __init__(
-        self,
-        states: backoffs.Backoffs,
-        counters: metrics.Metrics,
-        runner: instances.Instance,
-    ):
-        self._states = states
-        self._counters = counters
-        self._runner = runner
-        self._is_probe = states.begin_request(runner)
-
-    def check(self, now_s: float) -> None:
-        """Check that the runner does not back off since its selection.
-
-        :raises RunnersResting: the runner is backing off or leaving; nothing
-            is sent.
-        """
-        if not self._states.may_send(self._runner, now_s):
-            self._counters.incr('rest.held_back')
-            raise errors.RunnersResting(
-                'the runner is backing off or leaving since it was selected'
-            )
-
     def end(self, now_s: float) -> None:
         """Record that the outcome of the request is known."""
         if self._is_probe:
-            self._states.end_probe(self._runner)
+            self._states.end_probe(self._backend.instance)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -382,7 +382,8 @@
             if self.picker.has_ranks(exchange.service):
                 self.backends.record_refusal(backend, now_s)
             raise errors.RunnerReplaced(f'the runner answered {head.status}')
-        self._record_reply(exchange, backend, head, sends)
+        announced = sends.record_reply(head, now_s)
+        self._log_announced(exchange, backend.instance.instance_id, announced)
         if head.not_run:
             # A backoff concerns this runner alone, not its group.
             is_backoff = head.backoff_s is not None
@@ -400,28 +401,13 @@
         backend.record_success()
         self.crashes.record_success(exchange)
 
-    def _record_reply(
-        self,
-        exchange: Exchange,
-        backend: backends.Backend,
-        head: dialects.ReplyHead,
-        sends: sendgates.Sends,
-    ) -> None:
-        """Record what an answer announces: a backoff, a limit, a departure.
-
-        It is valid for all requests to this runner from now on.
-        """
-        now_s = self.app.now_s()
-        announced = self.backends.record_reply(backend, head, now_s)
-        announced += sends.record_reply(head, now_s)
-        self._log_announced(exchange, backend.instance.instance_id, announced)
-
     def _log_announced(
         self,
         exchange: Exchange,
         runner_id: str | None,
         announced: list[sendgates.Announcement],
     ) -> None:
+        """Log what an answer announces: a backoff, a limit, a departure."""
         for each in announced:
             logger.info(
                 each.text,
--- a/mountridge/routing/limitgates.py
+++ b/mountridge/routing/limitgates.py
@@ -31,7 +31,7 @@
         self._by_service = by_service
         self._counters = counters
 
-    def is_limiting_all(self, service: str, now_s: float) -> bool:
+    def is_limiting(self, service: str, now_s: float) -> bool:
         """Return whether the limits of all runners of a service apply."""
         if not self._limits:
             return False
--- a/mountridge/routing/sendgates.py
+++ b/mountridge/routing/sendgates.py
@@ -68,8 +68,7 @@
     ) -> list['Announcement']:
         """Record what its answer says of later requests to the runner.
 
-        Returns the changes to log. For what depends on when the request was
-        sent; else `Gate.record_reply`.
+        Returns the changes to log.
         """
         return []
 
@@ -80,7 +79,7 @@
 class Gate:
     """Base of all gates; this one holds back nothing."""
 
-    def is_limiting(self, service: str) -> bool:
+    def is_limiting(self, service: str, now_s: float) -> bool:
         """Return whether requests may have to wait in turn for a runner."""
         return False
 
@@ -112,15 +111,6 @@
         """Count a request that is about to be sent; None if not counted."""
         return None
 
-    def record_reply(
-        self, backend: Backend, head: dialects.ReplyHead, now_s: float
-    ) -> list[Announcement]:
-        """Record what a runner's answer says of later requests.
-
-        Returns the changes to log.
-        """
-        return []
-
 
 class Sends(SendRecord):
     """The records that all gates keep of one request to a runner."""
--- a/mountridge/routing/warmupgates.py
+++ b/mountridge/routing/warmupgates.py
@@ -33,7 +33,7 @@
         """Find the owned runners again at the next request."""
         self._owned_ids.clear()
 
-    def is_limiting(self, service: str) -> bool:
+    def is_limiting(self, service: str, now_s: float) -> bool:
         """Return whether the runners of a service can be cold."""
         return self._limiter.is_limited(service)
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -634,7 +634,7 @@
     ),
     Mutant(
         'backoffs: no check between selection and send', 'backoffgates',
-        'if not self._states.may_send(self._runner, now_s):',
+        'if not self._states.may_send(self._backend.instance, now_s):',
         'if False:', 'rests',
     ),
     Mutant(
@@ -1454,8 +1454,8 @@
         'runnerlimits',
     ),
     Mutant(
-        'runner limits: no order of waiting requests', 'backends',
-        'or self._limit_gate.is_limiting_all(service, now_s)', '',
+        'runner limits: no order of waiting requests', 'limitgates',
+        'return bool(backends) and all(', 'return False and all(',
         'runnerlimits',
     ),
     Mutant(
