Forwarding: log each retry sent, with the state of its budget

Cause: neither a log line nor a metric told by which quota a retry was allowed, how old the process was, how many gateways it counted and how long the retry waited, so three hypotheses of the incident could not be told apart. Change: one line for each retry sent, counters of those allowed and refused. What is decided is the same; a mutant follows its line.

--- a/mountridge/routing/budgets.py
+++ b/mountridge/routing/budgets.py
@@ -9,14 +9,22 @@
 """
 
 import collections
+import typing
 
-__all__ = ['RetryBudget']
+__all__ = ['RetryBudget', 'Usage']
 
 #: Share of the quota that is used: this gateway's window and that of the
 #: operators' count do not begin at the same moment.
 USED_SHARE = 0.8
 
 
+class Usage(typing.NamedTuple):
+    """Sends of one service by one gateway within the window."""
+
+    first: int
+    retries: int
+
+
 class RetryBudget:
     """First sends and retries in the current window, by service."""
 
@@ -56,3 +64,10 @@
             return False
         retries.append(now_s)
         return True
+
+    def usage(self, service: str, now_s: float) -> Usage:
+        """Return what is counted for a service."""
+        return Usage(
+            len(self._recent(self._first, service, now_s)),
+            len(self._recent(self._retries, service, now_s)),
+        )
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -16,7 +16,7 @@
 from mountridge import application, errors, utils
 from mountridge.documents import routes
 from mountridge.logs import logger
-from mountridge.net import dialects, httpserver, lasthop
+from mountridge.net import dialects, httpserver, lasthop, listening
 from mountridge.routing import backends, budgets, crashwatch, picking
 from mountridge.routing import quarantine, routedanswers, routedexchanges
 from mountridge.routing import routefilters, sendgates
@@ -288,9 +288,14 @@
             return False
         if exchange.events_sent and not route.resumable:
             return False
-        return self.budget.try_acquire(
+        is_allowed = self.budget.try_acquire(
             exchange.service, self._gateway_count(), now_s
         )
+        exchange.retry_allowed_s = now_s if is_allowed else None
+        self.app.metrics.incr(
+            f'retry.{"allowed" if is_allowed else "refused"}'
+        )
+        return is_allowed
 
     async def _attempt(
         self, exchange: Exchange, picked: backends.Picked
@@ -317,7 +322,7 @@
                 self._runner_headers(exchange, backend),
                 request.body,
                 exchange.request_head.request_id,
-                lambda: self._before_send(sends, exchange.deadline_s),
+                lambda: self._before_send(exchange, sends),
             ) as reply:
                 if reply.head.status == MISDIRECTED:
                     sends.discard()
@@ -326,7 +331,7 @@
             sends.end(self.app.now_s())
             backend.request_ended()
 
-    def _before_send(self, sends: sendgates.Sends, until_s: float) -> None:
+    def _before_send(self, exchange: Exchange, sends: sendgates.Sends) -> None:
         """Check that a request may still be sent, and record that it is.
 
         The runner was selected before the connection was made, and may have
@@ -336,10 +341,27 @@
         :raises DeadlinePassed: the deadline has passed; nothing is sent.
         """
         now_s = self.app.now_s()
-        if now_s >= until_s:
+        if now_s >= exchange.deadline_s:
             raise errors.DeadlinePassed()
         sends.check(now_s)
         sends.mark_sent(now_s)
+        if exchange.retry_allowed_s is not None:
+            self._log_retry(exchange, now_s)
+            exchange.retry_allowed_s = None
+
+    def _log_retry(self, exchange: Exchange, now_s: float) -> None:
+        """Log a retry that is sent, with the state of its budget."""
+        usage = self.budget.usage(exchange.service, now_s)
+        logger.info(
+            'retry sent',
+            request=exchange.request_head.request_id,
+            service=exchange.service,
+            first_sends=usage.first,
+            retries=usage.retries,
+            gateways=self._gateway_count(),
+            process_age_s=round(now_s - listening.PROCESS_START_S, 1),
+            waited_ms=_to_ms(now_s - exchange.retry_allowed_s),
+        )
 
     def _runner_headers(
         self, exchange: Exchange, backend: backends.Backend
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -69,6 +69,8 @@
         self.is_returned = False
         #: Whether the next retry has already been allowed and counted.
         self.retry_granted = False
+        #: When the budget allowed the next retry; None once it is sent.
+        self.retry_allowed_s: float | None = None
         #: Error answer of a runner, returned where no retry follows.
         self.error_answer: Answer | None = None
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -715,7 +715,7 @@
     ),
     Mutant(
         'clocks: no deadline check before sending', 'forwarding',
-        'if now_s >= until_s:', 'if False:', 'suspension',
+        'if now_s >= exchange.deadline_s:', 'if False:', 'suspension',
     ),
     Mutant(
         'quarantine: no refusal of quarantined requests', 'routefilters',
