Known red: retries beyond the budget under restarts, partial views and queues

Cause: the budget had one scenario, of gateways that always run, always have each other in their view and send a retry at the moment at which it is allowed. Change: a fleet on scripted time whose runners fail all attempts, with restarts, losses of power, partitions, drains, joins, changes of traffic and waits, alone and overlapping.

--- /dev/null
+++ b/features/retrybudget.feature
@@ -0,0 +1,27 @@
+Feature: Retries stay within a budget that all gateways share
+
+  # Guards against more retries than the budget allows while processes restart,
+  # views are partial or old, and several faults overlap.
+  Scenario Outline: <count> gateways stay within the retry budget while <fault>
+    Given <count> gateways with <per_s> requests a second and a slack of <slack>
+    And all attempts at runners fail
+    When <fault>, in <runs> runs
+    Then no window has more retries than the budget in any run
+
+    Examples:
+      | count | per_s | slack | runs | fault                                      |
+      | 10    | 42    | 96    | 2    | nothing else happens                       |
+      | 37    | 150   | 202   | 2    | nothing else happens                       |
+      | 10    | 42    | 96    | 3    | gateways restart three times               |
+      | 37    | 150   | 202   | 2    | gateways restart three times               |
+      | 37    | 150   | 202   | 2    | gateways restart with no leader in a burst |
+      | 37    | 150   | 202   | 2    | all power is lost twice                    |
+      | 37    | 150   | 202   | 2    | half of the gateways are cut off           |
+      | 37    | 150   | 202   | 2    | most gateways drain                        |
+      | 37    | 150   | 202   | 2    | gateways join                              |
+      | 37    | 150   | 202   | 2    | traffic ends                               |
+      | 37    | 150   | 202   | 2    | queued retries are sent at once            |
+      | 1     | 10    | 60    | 10   | several faults overlap                     |
+      | 10    | 42    | 96    | 20   | several faults overlap                     |
+      | 37    | 150   | 202   | 15   | several faults overlap                     |
+      | 100   | 400   | 400   | 4    | several faults overlap                     |
--- /dev/null
+++ b/features/worlds/retries.py
@@ -0,0 +1,298 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""A fleet of gateways whose runners fail all attempts, on scripted time.
+
+Each gateway retries as often as its budget allows. Faults restart gateways,
+cut them off from the leader, or change which gateways a view names.
+"""
+
+import bisect
+import random
+import typing
+
+from mountridge.routing import budgets
+
+__all__ = ['FAULTS', 'Fleet']
+
+STEP_S = 0.1
+WINDOW_S = 10.0
+RATIO = 0.2
+LEASE_S = 3.0
+RENEWAL_S = 0.75
+#: Longest time from the decision to retry until a runner is available.
+MAX_WAIT_S = 3.2
+#: Retries that one request may want.
+MAX_RETRIES = 2
+SERVICE = 's'
+END_S = 45.0
+
+
+class Gateway:
+    """One gateway and its current process."""
+
+    def __init__(self, name: str, rng: random.Random):
+        self.name = name
+        self.rng = rng
+        self.is_draining = False
+        self.cut_until_s = 0.0
+        self.down_until_s = 0.0
+        self.next_renewal_s = rng.uniform(0, RENEWAL_S)
+        self.start(0.0)
+
+    def start(self, now_s: float) -> None:
+        """Begin a process that knows nothing of the previous one."""
+        self.view: dict[str, bool] = {}
+        self.budget = budgets.RetryBudget(RATIO, Fleet.slack, WINDOW_S)
+        #: When each retry that has been allowed is sent.
+        self.waiting_s: list[float] = []
+
+    def apply_view(self, view: dict[str, bool], now_s: float) -> None:
+        """Apply a view granted with a lease: is live, by gateway."""
+        self.view = dict(view)
+
+    def try_acquire(self, now_s: float) -> bool:
+        """Ask the budget for a retry."""
+        live = sum(self.view.values())
+        return self.budget.try_acquire(SERVICE, live, now_s)
+
+
+class Fleet:
+    """The gateways, their leader, and what the runners receive."""
+
+    slack = 0.0
+
+    def __init__(self, count: int, per_s: float, slack: float, seed: str):
+        Fleet.slack = slack
+        self.rng = random.Random(seed)
+        self.gateways = [self._gateway(n) for n in range(count)]
+        self.per_s = per_s
+        self.now_s = 0.0
+        self.factor = 1.0
+        self.leaderless_until_s = 0.0
+        #: When each registered gateway last renewed its lease.
+        self.registered_s: dict[str, float] = {}
+        self.first_s: list[float] = []
+        self.retries_s: list[float] = []
+        self.script: list[tuple[float, typing.Callable[[], None]]] = []
+
+    def _gateway(self, number: int) -> Gateway:
+        return Gateway(f'gateway-{number}', self.rng)
+
+    def at(self, now_s: float, action: typing.Callable[[], None]) -> None:
+        """Let an action happen at a time."""
+        self.script.append((now_s, action))
+
+    def some(self, share: float) -> list[Gateway]:
+        """Return that share of the gateways, drawn at random."""
+        count = max(1, round(share * len(self.gateways)))
+        return self.rng.sample(self.gateways, count)
+
+    # Faults.
+
+    def restart(self, share: float) -> None:
+        """Kill gateways; they start again after up to 0.5 s."""
+        for gateway in self.some(share):
+            gateway.start(self.now_s)
+            gateway.down_until_s = self.now_s + self.rng.uniform(0.1, 0.5)
+
+    def lose_power(self) -> None:
+        """Restart all gateways; the leader forgets who was registered."""
+        self.restart(1.0)
+        self.registered_s.clear()
+        for gateway in self.gateways:
+            gateway.next_renewal_s = self.now_s + self.rng.uniform(0.3, 2.0)
+
+    def cut(self, share: float, for_s: float) -> None:
+        """Cut gateways off from the leader; callers still reach them."""
+        for gateway in self.some(share):
+            gateway.cut_until_s = self.now_s + for_s
+
+    def lose_leader(self, for_s: float) -> None:
+        """Leave the fleet without a leader."""
+        self.leaderless_until_s = self.now_s + for_s
+
+    def drain(self, share: float) -> None:
+        """Let gateways drain, which go on with what they have accepted."""
+        for gateway in self.some(share):
+            gateway.is_draining = True
+
+    def join(self, count: int) -> None:
+        """Add gateways."""
+        first = len(self.gateways)
+        added = [self._gateway(first + n) for n in range(count)]
+        for gateway in added:
+            gateway.start(self.now_s)
+            gateway.next_renewal_s = self.now_s
+        self.gateways += added
+
+    def scale_traffic(self, factor: float) -> None:
+        """Multiply the usual traffic."""
+        self.factor = factor
+
+    # The run.
+
+    def run(self) -> None:
+        """Play the script to the end."""
+        self.script.sort(key=lambda each: each[0])
+        while self.now_s < END_S:
+            while self.script and self.script[0][0] <= self.now_s:
+                self.script.pop(0)[1]()
+            for gateway in self.gateways:
+                if gateway.down_until_s <= self.now_s:
+                    self._renew(gateway)
+                    self._serve(gateway)
+            self.now_s += STEP_S
+        self.retries_s.sort()
+
+    def _renew(self, gateway: Gateway) -> None:
+        if self.now_s < gateway.next_renewal_s:
+            return
+        gateway.next_renewal_s = self.now_s + RENEWAL_S
+        if self.now_s < max(gateway.cut_until_s, self.leaderless_until_s):
+            return
+        self.registered_s[gateway.name] = self.now_s
+        draining = {each.name for each in self.gateways if each.is_draining}
+        view = {
+            name: name not in draining
+            for name, renewed_s in self.registered_s.items()
+            if self.now_s - renewed_s <= LEASE_S
+        }
+        gateway.apply_view(view, self.now_s)
+
+    def _serve(self, gateway: Gateway) -> None:
+        due = [s for s in gateway.waiting_s if s <= self.now_s]
+        gateway.waiting_s = [s for s in gateway.waiting_s if s > self.now_s]
+        for _ in due:
+            self.send_retry(gateway)
+        mean = self.per_s * self.factor * STEP_S / len(self.gateways)
+        for _ in range(_poisson(mean, self.rng)):
+            self.first_s.append(self.now_s)
+            gateway.budget.record_first(SERVICE, self.now_s)
+            self._retry(gateway)
+
+    def _retry(self, gateway: Gateway) -> None:
+        for _ in range(MAX_RETRIES):
+            if not gateway.try_acquire(self.now_s):
+                return
+            wait_s = self.wait_s()
+            gateway.waiting_s.append(self.now_s + wait_s)
+
+    def wait_s(self) -> float:
+        """Return how long a retry waits for a runner."""
+        return self.rng.choice((0.0, self.rng.uniform(0, MAX_WAIT_S)))
+
+    def send_retry(self, gateway: Gateway) -> None:
+        """Record a retry that reaches a runner."""
+        self.retries_s.append(self.now_s)
+
+    # What the runners have received.
+
+    def excess(self) -> float:
+        """Return by how much the worst window exceeds the budget.
+
+        The requests are counted in the window, in the one before it, or in
+        the one half a window before, whichever has most.
+        """
+        return max(
+            (self._excess_until(end_s) for end_s in set(self.retries_s)),
+            default=0.0,
+        )
+
+    def _excess_until(self, end_s: float) -> float:
+        first = max(
+            _count(self.first_s, end_s - shift * WINDOW_S)
+            for shift in (0, 0.5, 1)
+        )
+        return _count(self.retries_s, end_s) - RATIO * first - Fleet.slack
+
+
+def _count(times_s: list[float], end_s: float) -> int:
+    """Return how many times are in the window that ends at ``end_s``."""
+    begin = bisect.bisect_right(times_s, end_s - WINDOW_S)
+    return bisect.bisect_right(times_s, end_s) - begin
+
+
+def _poisson(mean: float, rng: random.Random) -> int:
+    count, elapsed = 0, rng.expovariate(1.0)
+    while elapsed < mean:
+        count += 1
+        elapsed += rng.expovariate(1.0)
+    return count
+
+
+def _restarts(fleet: Fleet) -> None:
+    for at_s in (20.0, 23.5, 27.0):
+        fleet.at(at_s, lambda: fleet.restart(0.85))
+
+
+def _restarts_in_burst(fleet: Fleet) -> None:
+    fleet.at(18.0, lambda: fleet.scale_traffic(1.6))
+    fleet.at(19.0, lambda: fleet.lose_leader(6.0))
+    _restarts(fleet)
+
+
+def _power_losses(fleet: Fleet) -> None:
+    for at_s in (20.0, 24.0):
+        fleet.at(at_s, fleet.lose_power)
+
+
+def _partition(fleet: Fleet) -> None:
+    fleet.at(15.0, lambda: fleet.cut(0.5, 15.0))
+
+
+def _drains(fleet: Fleet) -> None:
+    fleet.at(20.0, lambda: fleet.drain(0.9))
+
+
+def _joins(fleet: Fleet) -> None:
+    fleet.at(20.0, lambda: fleet.join(max(1, len(fleet.gateways) // 3)))
+
+
+def _traffic_ends(fleet: Fleet) -> None:
+    fleet.at(15.0, lambda: fleet.scale_traffic(2.0))
+    fleet.at(20.0, lambda: fleet.scale_traffic(0.05))
+
+
+def _queued_retries(fleet: Fleet) -> None:
+    release_s = 24.0
+
+    def wait_s() -> float:
+        left_s = release_s - fleet.now_s
+        return left_s if 0 < left_s <= MAX_WAIT_S else 0.0
+
+    fleet.wait_s = wait_s
+
+
+def _several(fleet: Fleet) -> None:
+    """Draw up to eight faults within 20 s."""
+    for _ in range(fleet.rng.randint(3, 8)):
+        share = fleet.rng.uniform(0.1, 1.0)
+        for_s = fleet.rng.uniform(1.0, 12.0)
+        action = fleet.rng.choice(
+            (
+                lambda share=share: fleet.restart(share),
+                lambda share=share: fleet.restart(share),
+                fleet.lose_power,
+                lambda share=share, for_s=for_s: fleet.cut(share, for_s),
+                lambda for_s=for_s: fleet.lose_leader(for_s),
+                lambda share=share: fleet.drain(share / 2),
+                lambda: fleet.join(max(1, len(fleet.gateways) // 4)),
+                lambda share=share: fleet.scale_traffic(2 * share),
+            )
+        )
+        fleet.at(fleet.rng.uniform(12.0, 32.0), action)
+
+
+#: What happens to a fleet, by the words of the scenarios.
+FAULTS: dict[str, typing.Callable[[Fleet], None]] = {
+    'nothing else happens': lambda fleet: None,
+    'gateways restart three times': _restarts,
+    'gateways restart with no leader in a burst': _restarts_in_burst,
+    'all power is lost twice': _power_losses,
+    'half of the gateways are cut off': _partition,
+    'most gateways drain': _drains,
+    'gateways join': _joins,
+    'traffic ends': _traffic_ends,
+    'queued retries are sent at once': _queued_retries,
+    'several faults overlap': _several,
+}
