Retry budget: count a retry until a window after it was sent

Cause: a retry was counted at the moment at which it was allowed. It may then wait seconds for a runner, so retries of several windows were sent within one. Change: the budget returns a retry, which counts while it waits and from its send on; one that is never sent is returned to the budget. The fleet of the scenarios sends what it is given; its check and bound are the same.

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -255,7 +255,8 @@
     for now_s, budget in sorted(sends, key=lambda each: each[0]):
         budget.record_first('s', now_s)
         context.firsts_s.append(now_s)
-        while budget.try_acquire('s', len(context.budgets), now_s):
+        while retry := budget.try_acquire('s', len(context.budgets), now_s):
+            retry.mark_sent(now_s)
             context.retries_s.append(now_s)
 
 
--- a/features/worlds/retries.py
+++ b/features/worlds/retries.py
@@ -43,14 +43,14 @@
         """Begin a process that knows nothing of the previous one."""
         self.view: dict[str, bool] = {}
         self.budget = budgets.RetryBudget(RATIO, Fleet.slack, WINDOW_S)
-        #: When each retry that has been allowed is sent.
-        self.waiting_s: list[float] = []
+        #: Retries that have been allowed, by when they are sent.
+        self.waiting: list[tuple[float, budgets.Retry]] = []
 
     def apply_view(self, view: dict[str, bool], now_s: float) -> None:
         """Apply a view granted with a lease: is live, by gateway."""
         self.view = dict(view)
 
-    def try_acquire(self, now_s: float) -> bool:
+    def try_acquire(self, now_s: float) -> budgets.Retry | None:
         """Ask the budget for a retry."""
         live = sum(self.view.values())
         return self.budget.try_acquire(SERVICE, live, now_s)
@@ -160,10 +160,10 @@
         gateway.apply_view(view, self.now_s)
 
     def _serve(self, gateway: Gateway) -> None:
-        due = [s for s in gateway.waiting_s if s <= self.now_s]
-        gateway.waiting_s = [s for s in gateway.waiting_s if s > self.now_s]
-        for _ in due:
-            self.send_retry(gateway)
+        due = [each for each in gateway.waiting if each[0] <= self.now_s]
+        gateway.waiting = [w for w in gateway.waiting if w[0] > self.now_s]
+        for _, retry in due:
+            self._send(retry)
         mean = self.per_s * self.factor * STEP_S / len(self.gateways)
         for _ in range(_poisson(mean, self.rng)):
             self.first_s.append(self.now_s)
@@ -172,17 +172,17 @@
 
     def _retry(self, gateway: Gateway) -> None:
         for _ in range(MAX_RETRIES):
-            if not gateway.try_acquire(self.now_s):
+            retry = gateway.try_acquire(self.now_s)
+            if retry is None:
                 return
-            wait_s = self.wait_s()
-            gateway.waiting_s.append(self.now_s + wait_s)
+            gateway.waiting.append((self.now_s + self.wait_s(), retry))
 
     def wait_s(self) -> float:
         """Return how long a retry waits for a runner."""
         return self.rng.choice((0.0, self.rng.uniform(0, MAX_WAIT_S)))
 
-    def send_retry(self, gateway: Gateway) -> None:
-        """Record a retry that reaches a runner."""
+    def _send(self, retry: budgets.Retry) -> None:
+        retry.mark_sent(self.now_s)
         self.retries_s.append(self.now_s)
 
     # What the runners have received.
--- a/mountridge/routing/budgets.py
+++ b/mountridge/routing/budgets.py
@@ -6,12 +6,15 @@
 requests, plus a slack. A gateway's quota is what its own requests earn and
 an equal share of the slack, so that the limit holds for the sum without
 messages between gateways.
+
+A retry counts from when it is allowed until a window after it was sent, since
+it may wait for a runner in between.
 """
 
 import collections
 import typing
 
-__all__ = ['RetryBudget', 'Usage']
+__all__ = ['Retry', 'RetryBudget', 'Usage']
 
 #: Share of the quota that is used: this gateway's window and that of the
 #: operators' count do not begin at the same moment.
@@ -22,52 +25,76 @@
     """Sends of one service by one gateway within the window."""
 
     first: int
-    retries: int
+    retries: int  # sent, or waiting to be sent
+
+
+class _Counts:
+    """Sends of one service."""
+
+    def __init__(self) -> None:
+        self.first_s: collections.deque[float] = collections.deque()
+        self.sent_s: collections.deque[float] = collections.deque()
+        #: Retries that have been allowed but not sent.
+        self.waiting = 0
+
+
+class Retry:
+    """A retry that the budget has allowed, until it is sent or released."""
+
+    __slots__ = ('_counts', 'allowed_s')
+
+    def __init__(self, counts: _Counts, now_s: float):
+        self._counts = counts
+        self.allowed_s = now_s
+        counts.waiting += 1
+
+    def mark_sent(self, now_s: float) -> None:
+        """Count it as sent."""
+        self._counts.waiting -= 1
+        self._counts.sent_s.append(now_s)
+
+    def release(self) -> None:
+        """Return it to the budget; it will not be sent."""
+        self._counts.waiting -= 1
 
 
 class RetryBudget:
-    """First sends and retries in the current window, by service."""
+    """First sends and retries of this process, by service."""
 
     def __init__(self, ratio: float, slack: float, window_s: float):
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._first: dict[str, collections.deque[float]] = {}
-        self._retries: dict[str, collections.deque[float]] = {}
-
-    def _recent(
-        self,
-        sends: dict[str, collections.deque[float]],
-        service: str,
-        now_s: float,
-    ) -> collections.deque[float]:
-        """Return the send times of a service within the window."""
-        found = sends.setdefault(service, collections.deque())
-        while found and found[0] <= now_s - self._window_s:
-            found.popleft()
-        return found
+        self._counts: dict[str, _Counts] = {}
 
     def record_first(self, service: str, now_s: float) -> None:
-        """Count the first send of a request."""
-        self._recent(self._first, service, now_s).append(now_s)
+        """Count a request, whose first send is no retry."""
+        self._current(service, now_s).first_s.append(now_s)
 
-    def try_acquire(self, service: str, gateways: int, now_s: float) -> bool:
-        """Count a retry; return False, without counting, if none is left.
+    def try_acquire(
+        self, service: str, gateways: int, now_s: float
+    ) -> Retry | None:
+        """Allow a retry and count it; None if no quota is left.
 
         ``gateways`` is the number of gateways that share the slack.
         """
-        retries = self._recent(self._retries, service, now_s)
-        first = self._recent(self._first, service, now_s)
+        counts = self._current(service, now_s)
         slack = self._slack / max(1, gateways)
-        quota = USED_SHARE * (self._ratio * len(first) + slack)
-        if len(retries) + 1 > quota:
-            return False
-        retries.append(now_s)
-        return True
+        quota = USED_SHARE * (self._ratio * len(counts.first_s) + slack)
+        if len(counts.sent_s) + counts.waiting + 1 > quota:
+            return None
+        return Retry(counts, now_s)
 
     def usage(self, service: str, now_s: float) -> Usage:
         """Return what is counted for a service."""
-        return Usage(
-            len(self._recent(self._first, service, now_s)),
-            len(self._recent(self._retries, service, now_s)),
-        )
+        counts = self._current(service, now_s)
+        retries = len(counts.sent_s) + counts.waiting
+        return Usage(len(counts.first_s), retries)
+
+    def _current(self, service: str, now_s: float) -> _Counts:
+        """Return the counts of a service as of now."""
+        counts = self._counts.setdefault(service, _Counts())
+        for times_s in (counts.first_s, counts.sent_s):
+            while times_s and times_s[0] <= now_s - self._window_s:
+                times_s.popleft()
+        return counts
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -125,6 +125,9 @@
         except trio.Cancelled:
             self._log_request(exchange, 'caller left')
             raise
+        finally:
+            if exchange.retry is not None:
+                exchange.retry.release()
 
     async def _answer_error(
         self, exchange: Exchange, problem: errors.MountridgeError
@@ -288,12 +291,19 @@
             return False
         if exchange.events_sent and not route.resumable:
             return False
-        is_allowed = self.budget.try_acquire(
+        return self._acquire_retry(exchange, now_s)
+
+    def _acquire_retry(self, exchange: Exchange, now_s: float) -> bool:
+        """Return whether the budget allows a retry, and count it."""
+        if exchange.retry is not None:
+            # The one allowed before was not sent.
+            return True
+        exchange.retry = self.budget.try_acquire(
             exchange.service, self._gateway_count(), now_s
         )
-        exchange.retry_allowed_s = now_s if is_allowed else None
+        is_allowed = exchange.retry is not None
         self.app.metrics.incr(
-            f'retry.{"allowed" if is_allowed else "refused"}'
+            'retry.allowed' if is_allowed else 'retry.refused'
         )
         return is_allowed
 
@@ -345,11 +355,14 @@
             raise errors.DeadlinePassed()
         sends.check(now_s)
         sends.mark_sent(now_s)
-        if exchange.retry_allowed_s is not None:
-            self._log_retry(exchange, now_s)
-            exchange.retry_allowed_s = None
+        if exchange.retry is not None:
+            exchange.retry.mark_sent(now_s)
+            self._log_retry(exchange, exchange.retry, now_s)
+            exchange.retry = None
 
-    def _log_retry(self, exchange: Exchange, now_s: float) -> None:
+    def _log_retry(
+        self, exchange: Exchange, retry: budgets.Retry, now_s: float
+    ) -> None:
         """Log a retry that is sent, with the state of its budget."""
         usage = self.budget.usage(exchange.service, now_s)
         logger.info(
@@ -360,7 +373,7 @@
             retries=usage.retries,
             gateways=self._gateway_count(),
             process_age_s=round(now_s - listening.PROCESS_START_S, 1),
-            waited_ms=_to_ms(now_s - exchange.retry_allowed_s),
+            waited_ms=_to_ms(now_s - retry.allowed_s),
         )
 
     def _runner_headers(
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -6,7 +6,7 @@
 
 from mountridge.documents import routes
 from mountridge.net import dialects, httpserver
-from mountridge.routing import backends
+from mountridge.routing import backends, budgets
 
 __all__ = ['Answer', 'Exchange', 'runner_fields', 'to_ms']
 
@@ -69,8 +69,8 @@
         self.is_returned = False
         #: Whether the next retry has already been allowed and counted.
         self.retry_granted = False
-        #: When the budget allowed the next retry; None once it is sent.
-        self.retry_allowed_s: float | None = None
+        #: A retry that the budget has allowed and that has not been sent.
+        self.retry: budgets.Retry | None = None
         #: Error answer of a runner, returned where no retry follows.
         self.error_answer: Answer | None = None
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1253,7 +1253,8 @@
     ),
     Mutant(
         'budgets: no limit on retries', 'budgets',
-        'if len(retries) + 1 > quota:', 'if False:', 'entry', 'budget',
+        'if len(counts.sent_s) + counts.waiting + 1 > quota:', 'if False:',
+        'entry', 'budget',
     ),
     Mutant(
         'entry: no wait for open requests on a planned stop', 'entry',
