Retry budget: share the slack by lease, and count gateways that left the view

Cause: the slack was divided by the live gateways in the view of the moment. A view after a loss of power, behind a partition or during drains names fewer gateways than send, and a process that had just started had a share of the slack at once. Change: a share is held only under a lease that has been held long enough for all views to name this gateway, through gaps of two lease durations; draining gateways count, and those that left the view do so for 30 s (routing/slackshares.py).

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -25,3 +25,6 @@
       | 10    | 42    | 96    | 20   | several faults overlap                     |
       | 37    | 150   | 202   | 15   | several faults overlap                     |
       | 100   | 400   | 400   | 4    | several faults overlap                     |
+      | 10    | 200   | 40    | 2    | all gateways restart after a burst of failures |
+      | 37    | 300   | 100   | 2    | all gateways restart after a burst of failures |
+      | 10    | 200   | 40    | 20   | several faults overlap                     |
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -239,7 +239,8 @@
 @given('{count:d} gateways that share a retry budget of 0.2 and 96 in 10 s')
 def gateways_with_budget(context, count):
     context.budgets = [
-        budgets.RetryBudget(0.2, 96, 10.0) for _ in range(count)
+        budgets.RetryBudget(0.2, 96, 10.0, lambda now_s: 1 / count)
+        for _ in range(count)
     ]
 
 
@@ -255,7 +256,7 @@
     for now_s, budget in sorted(sends, key=lambda each: each[0]):
         budget.record_first('s', now_s)
         context.firsts_s.append(now_s)
-        while retry := budget.try_acquire('s', len(context.budgets), now_s):
+        while retry := budget.try_acquire('s', now_s):
             retry.mark_sent(now_s)
             context.retries_s.append(now_s)
 
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -11,7 +11,7 @@
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
 from mountridge.net import dialects, httpserver
-from mountridge.routing import backends, forwarding
+from mountridge.routing import backends, budgets, forwarding
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 HOST = '127.0.0.1'
@@ -162,15 +162,9 @@
 
     def __init__(self, *faults, engine=None):
         self.runners = [Runner(fault) for fault in faults]
-        bounds = {
-            'retry_ratio': 0.2,
-            'retry_slack': 96.0,
-            'retry_window_s': 10.0,
-        }
         app = types.SimpleNamespace(
             settings={
                 'hall': 'north',
-                'bounds': bounds,
                 'digest_key': '',
             },
             incarnation='1',
@@ -180,7 +174,12 @@
         self.known = backends.Backends()
         self.index = routes.index(_table(engine))
         self.forwarder = forwarding.Forwarder(
-            app, dialects.NATIVE, lambda: self.index, self.known, lambda: 1
+            app,
+            dialects.NATIVE,
+            lambda: self.index,
+            self.known,
+            lambda: 1,
+            budgets.RetryBudget(0.2, 96.0, 10.0, lambda now_s: 1.0),
         )
         self.server = httpserver.Server(
             self.forwarder.handle, lambda: LIMITS, lambda: False
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -17,7 +17,7 @@
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
 from mountridge.net import dialects, httpserver
-from mountridge.routing import backends, forwarding
+from mountridge.routing import backends, budgets, forwarding
 
 __all__ = ['Answer', 'Arrival', 'Runner', 'World']
 
@@ -25,7 +25,8 @@
 #: Latency of one way to a runner, its service time and its report interval.
 LATENCY_S, SERVICE_S, REPORT_S = 0.005, 0.3, 0.2
 SLOTS = 6
-BOUNDS = {'retry_ratio': 0.2, 'retry_slack': 96.0, 'retry_window_s': 10.0}
+#: Ratio, slack and window of the retry budget.
+BUDGET = (0.2, 96.0, 10.0)
 
 
 class Answer(typing.NamedTuple):
@@ -136,7 +137,6 @@
         app = types.SimpleNamespace(
             settings={
                 'hall': 'north',
-                'bounds': BOUNDS,
                 'digest_key': '',
             },
             incarnation=name,
@@ -146,6 +146,7 @@
         made = forwarding.Forwarder(
             app, dialects.NATIVE, lambda: self.index,
             backends.Backends(name), lambda: count,
+            budgets.RetryBudget(*BUDGET, lambda now_s: 1 / count),
         )  # fmt: skip
         made.pool = _Pool(self, name)
         return made
--- a/features/worlds/retries.py
+++ b/features/worlds/retries.py
@@ -1,6 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""A fleet of gateways whose runners fail all attempts, on scripted time.
+"""A fleet of gateways whose runners fail attempts, on scripted time.
 
 Each gateway retries as often as its budget allows. Faults restart gateways,
 cut them off from the leader, or change which gateways a view names.
@@ -10,7 +10,9 @@
 import random
 import typing
 
-from mountridge.routing import budgets
+from mountridge import messages
+from mountridge.routing import budgets, slackshares
+from mountridge.state import leases
 
 __all__ = ['FAULTS', 'Fleet']
 
@@ -24,7 +26,9 @@
 #: Retries that one request may want.
 MAX_RETRIES = 2
 SERVICE = 's'
+HALL = 'h'
 END_S = 45.0
+DRAIN_S = 8.0
 
 
 class Gateway:
@@ -33,27 +37,30 @@
     def __init__(self, name: str, rng: random.Random):
         self.name = name
         self.rng = rng
-        self.is_draining = False
         self.cut_until_s = 0.0
         self.down_until_s = 0.0
+        #: When it ends for good.
+        self.down_from_s = END_S
         self.next_renewal_s = rng.uniform(0, RENEWAL_S)
         self.start(0.0)
 
     def start(self, now_s: float) -> None:
         """Begin a process that knows nothing of the previous one."""
-        self.view: dict[str, bool] = {}
-        self.budget = budgets.RetryBudget(RATIO, Fleet.slack, WINDOW_S)
+        self.lease = leases.HeldLease()
+        self.shares = slackshares.SlackShares(
+            self.name, HALL, LEASE_S, self.lease.held_for_s
+        )
+        self.budget = budgets.RetryBudget(
+            RATIO, Fleet.slack, WINDOW_S, self.shares.share
+        )
         #: Retries that have been allowed, by when they are sent.
         self.waiting: list[tuple[float, budgets.Retry]] = []
 
-    def apply_view(self, view: dict[str, bool], now_s: float) -> None:
-        """Apply a view granted with a lease: is live, by gateway."""
-        self.view = dict(view)
-
-    def try_acquire(self, now_s: float) -> budgets.Retry | None:
-        """Ask the budget for a retry."""
-        live = sum(self.view.values())
-        return self.budget.try_acquire(SERVICE, live, now_s)
+    def apply_view(self, names: set[str], now_s: float) -> None:
+        """Apply a view granted with a lease: the registered gateways."""
+        grant = messages.Grant(LEASE_S, messages.Fence(1, 1), 1, False, [], [])
+        self.lease.apply_grant(grant, now_s)
+        self.shares.update_gateways(dict.fromkeys(names, HALL), now_s)
 
 
 class Fleet:
@@ -68,6 +75,7 @@
         self.per_s = per_s
         self.now_s = 0.0
         self.factor = 1.0
+        self.is_failing = True
         self.leaderless_until_s = 0.0
         #: When each registered gateway last renewed its lease.
         self.registered_s: dict[str, float] = {}
@@ -112,9 +120,9 @@
         self.leaderless_until_s = self.now_s + for_s
 
     def drain(self, share: float) -> None:
-        """Let gateways drain, which go on with what they have accepted."""
+        """Let gateways drain, which serve on for a while and then end."""
         for gateway in self.some(share):
-            gateway.is_draining = True
+            gateway.down_from_s = self.now_s + DRAIN_S
 
     def join(self, count: int) -> None:
         """Add gateways."""
@@ -129,6 +137,10 @@
         """Multiply the usual traffic."""
         self.factor = factor
 
+    def set_failing(self, is_failing: bool) -> None:
+        """Let all attempts fail from now on, or none."""
+        self.is_failing = is_failing
+
     # The run.
 
     def run(self) -> None:
@@ -138,7 +150,7 @@
             while self.script and self.script[0][0] <= self.now_s:
                 self.script.pop(0)[1]()
             for gateway in self.gateways:
-                if gateway.down_until_s <= self.now_s:
+                if gateway.down_until_s <= self.now_s < gateway.down_from_s:
                     self._renew(gateway)
                     self._serve(gateway)
             self.now_s += STEP_S
@@ -151,13 +163,12 @@
         if self.now_s < max(gateway.cut_until_s, self.leaderless_until_s):
             return
         self.registered_s[gateway.name] = self.now_s
-        draining = {each.name for each in self.gateways if each.is_draining}
-        view = {
-            name: name not in draining
+        names = {
+            name
             for name, renewed_s in self.registered_s.items()
             if self.now_s - renewed_s <= LEASE_S
         }
-        gateway.apply_view(view, self.now_s)
+        gateway.apply_view(names, self.now_s)
 
     def _serve(self, gateway: Gateway) -> None:
         due = [each for each in gateway.waiting if each[0] <= self.now_s]
@@ -168,11 +179,12 @@
         for _ in range(_poisson(mean, self.rng)):
             self.first_s.append(self.now_s)
             gateway.budget.record_first(SERVICE, self.now_s)
-            self._retry(gateway)
+            if self.is_failing:
+                self._retry(gateway)
 
     def _retry(self, gateway: Gateway) -> None:
         for _ in range(MAX_RETRIES):
-            retry = gateway.try_acquire(self.now_s)
+            retry = gateway.budget.try_acquire(SERVICE, self.now_s)
             if retry is None:
                 return
             gateway.waiting.append((self.now_s + self.wait_s(), retry))
@@ -231,6 +243,13 @@
     _restarts(fleet)
 
 
+def _failures_then_restart(fleet: Fleet) -> None:
+    fleet.is_failing = False
+    fleet.wait_s = lambda: 0.0
+    fleet.at(20.0, lambda: fleet.set_failing(True))
+    fleet.at(22.0, lambda: fleet.restart(1.0))
+
+
 def _power_losses(fleet: Fleet) -> None:
     for at_s in (20.0, 24.0):
         fleet.at(at_s, fleet.lose_power)
@@ -278,6 +297,7 @@
                 lambda share=share: fleet.drain(share / 2),
                 lambda: fleet.join(max(1, len(fleet.gateways) // 4)),
                 lambda share=share: fleet.scale_traffic(2 * share),
+                lambda: fleet.set_failing(not fleet.is_failing),
             )
         )
         fleet.at(fleet.rng.uniform(12.0, 32.0), action)
@@ -288,6 +308,7 @@
     'nothing else happens': lambda fleet: None,
     'gateways restart three times': _restarts,
     'gateways restart with no leader in a burst': _restarts_in_burst,
+    'all gateways restart after a burst of failures': _failures_then_restart,
     'all power is lost twice': _power_losses,
     'half of the gateways are cut off': _partition,
     'most gateways drain': _drains,
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -17,8 +17,9 @@
 from mountridge.groups import engines
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, listening
-from mountridge.routing import backends, crashreports, entryapi, forwarding
-from mountridge.routing import hallorders, runnerlimits, warmup
+from mountridge.routing import backends, budgets, crashreports, entryapi
+from mountridge.routing import forwarding, hallorders, runnerlimits
+from mountridge.routing import slackshares, warmup
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -83,6 +84,13 @@
             ),
             app.settings['routing']['hall_cost'],
         )
+        #: Of the slack in the retry budget.
+        self.slack_shares = slackshares.SlackShares(
+            app.name,
+            app.settings['hall'],
+            app.settings['lease']['lease_s'],
+            self.lease.held_for_s,
+        )
         self.index: routes.Index | None = None
         self.forwarder = forwarding.Forwarder(
             app,
@@ -90,6 +98,12 @@
             lambda: self.index,
             self.backends,
             lambda: len(self.gateways()),
+            budgets.RetryBudget(
+                bounds['retry_ratio'],
+                bounds['retry_slack'],
+                bounds['retry_window_s'],
+                self.slack_shares.share,
+            ),
         )
         app.on_suspension.append(
             lambda gap_s: self.forwarder.cancel_overdue(app.now_s())
@@ -182,6 +196,7 @@
         halls = {m.name: m.hall for m in gateways}
         self.backends.warmup.update_gateways(halls, self.app.now_s())
         self.backends.limits.update_gateways(halls, self.app.now_s())
+        self.slack_shares.update_gateways(halls, self.app.now_s())
         for address in self.backends.update_runners(registered):
             self.app.start_task(self.forwarder.pool.evict, address)
         self._report_cold(registered)
--- a/mountridge/routing/budgets.py
+++ b/mountridge/routing/budgets.py
@@ -4,8 +4,8 @@
 
 In each window the retries of a service may be at most ``ratio`` times its
 requests, plus a slack. A gateway's quota is what its own requests earn and
-an equal share of the slack, so that the limit holds for the sum without
-messages between gateways.
+its share of the slack, so that the limit holds for the sum without messages
+between gateways.
 
 A retry counts from when it is allowed until a window after it was sent, since
 it may wait for a runner in between.
@@ -26,6 +26,7 @@
 
     first: int
     retries: int  # sent, or waiting to be sent
+    slack_share: float
 
 
 class _Counts:
@@ -59,27 +60,32 @@
 
 
 class RetryBudget:
-    """First sends and retries of this process, by service."""
-
-    def __init__(self, ratio: float, slack: float, window_s: float):
+    """First sends and retries of this process, by service.
+
+    ``slack_share`` returns the share of the slack of this process, 0 to 1.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        slack_share: typing.Callable[[float], float],
+    ):
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
+        self._slack_share = slack_share
         self._counts: dict[str, _Counts] = {}
 
     def record_first(self, service: str, now_s: float) -> None:
         """Count a request, whose first send is no retry."""
         self._current(service, now_s).first_s.append(now_s)
 
-    def try_acquire(
-        self, service: str, gateways: int, now_s: float
-    ) -> Retry | None:
-        """Allow a retry and count it; None if no quota is left.
-
-        ``gateways`` is the number of gateways that share the slack.
-        """
+    def try_acquire(self, service: str, now_s: float) -> Retry | None:
+        """Allow a retry and count it; None if no quota is left."""
         counts = self._current(service, now_s)
-        slack = self._slack / max(1, gateways)
+        slack = self._slack * self._slack_share(now_s)
         quota = USED_SHARE * (self._ratio * len(counts.first_s) + slack)
         if len(counts.sent_s) + counts.waiting + 1 > quota:
             return None
@@ -89,7 +95,7 @@
         """Return what is counted for a service."""
         counts = self._current(service, now_s)
         retries = len(counts.sent_s) + counts.waiting
-        return Usage(len(counts.first_s), retries)
+        return Usage(len(counts.first_s), retries, self._slack_share(now_s))
 
     def _current(self, service: str, now_s: float) -> _Counts:
         """Return the counts of a service as of now."""
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -82,6 +82,7 @@
         index: typing.Callable[[], routes.Index | None],
         backends: backends.Backends,
         gateway_count: typing.Callable[[], int],
+        budget: budgets.RetryBudget,
     ):
         self.app = app
         self.dialect = dialect
@@ -93,13 +94,7 @@
         self.rng = random.Random(app.incarnation)
         self.pool = lasthop.Pool(dialect.headers, app.now_s)
         self._index = index
-        self._gateway_count = gateway_count
-        bounds = app.settings['bounds']
-        self.budget = budgets.RetryBudget(
-            bounds['retry_ratio'],
-            bounds['retry_slack'],
-            bounds['retry_window_s'],
-        )
+        self.budget = budget
         self.picker = picking.Picker(
             app, index, backends, gateway_count, self.rng
         )
@@ -298,9 +293,7 @@
         if exchange.retry is not None:
             # The one allowed before was not sent.
             return True
-        exchange.retry = self.budget.try_acquire(
-            exchange.service, self._gateway_count(), now_s
-        )
+        exchange.retry = self.budget.try_acquire(exchange.service, now_s)
         is_allowed = exchange.retry is not None
         self.app.metrics.incr(
             'retry.allowed' if is_allowed else 'retry.refused'
@@ -371,7 +364,7 @@
             service=exchange.service,
             first_sends=usage.first,
             retries=usage.retries,
-            gateways=self._gateway_count(),
+            slack_share=round(usage.slack_share, 4),
             process_age_s=round(now_s - listening.PROCESS_START_S, 1),
             waited_ms=_to_ms(now_s - retry.allowed_s),
         )
--- a/mountridge/state/leases.py
+++ b/mountridge/state/leases.py
@@ -12,7 +12,12 @@
 from mountridge import messages
 from mountridge.state import views
 
-__all__ = ['HeldLease', 'LeaseTable']
+__all__ = ['HeldLease', 'LeaseTable', 'MAX_GAP_LEASES']
+
+#: A holder that regains its lease within this many lease durations has had it
+#: all the while, as by ``HeldLease.held_for_s``: longer than an election and
+#: most partitions take.
+MAX_GAP_LEASES = 2
 
 
 class HeldLease:
@@ -20,6 +25,8 @@
 
     def __init__(self) -> None:
         self.until_s = 0.0
+        self._since_s = 0.0
+        self._max_gap_s = 0.0
         self.fence = messages.Fence(0, 0)
         self.view = views.View()
         self.shares: dict[str, messages.Share] = {}
@@ -28,6 +35,15 @@
         """Return whether new work may be accepted at ``now_s``."""
         return now_s < self.until_s
 
+    def held_for_s(self, now_s: float) -> float:
+        """Return for how long it has been held, but for short gaps.
+
+        0 where it ended longer than such a gap ago.
+        """
+        if now_s >= self.until_s + self._max_gap_s:
+            return 0.0
+        return now_s - self._since_s
+
     def apply_grant(self, grant: messages.Grant, sent_s: float) -> bool:
         """Apply a grant for the renewal sent at ``sent_s``.
 
@@ -39,6 +55,9 @@
         if not self.view.apply(grant.index, grant.snapshot, grant.changes):
             return False
         self.fence = grant.fence
+        self._max_gap_s = MAX_GAP_LEASES * grant.lease_s
+        if sent_s >= self.until_s + self._max_gap_s:
+            self._since_s = sent_s
         self.until_s = max(self.until_s, sent_s + grant.lease_s)
         self.shares = {share.row: share for share in grant.shares}
         return True
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -424,9 +424,31 @@
         'if False:\n        return Refusal', 'entry', 'runner that left',
     ),
     Mutant(
-        'entry: no division of the retry slack among gateways', 'budgets',
-        'slack = self._slack / max(1, gateways)', 'slack = self._slack',
-        'entry', 'budget',
+        'budgets: no division of the slack among gateways', 'slackshares',
+        'return 1 / len(self._gateways.halls)', 'return 1.0', 'retrybudget',
+    ),
+    Mutant(
+        'budgets: a share of the slack without a settled lease', 'slackshares',
+        'if self._held_for_s(now_s) < self._settled_s:', 'if False:',
+        'retrybudget',
+    ),
+    Mutant(
+        'budgets: a share of the slack from the first lease on', 'slackshares',
+        'if self._held_for_s(now_s) < self._settled_s:',
+        'if self._held_for_s(now_s) <= 0:', 'retrybudget',
+    ),
+    Mutant(
+        'budgets: gateways that left the view share nothing', 'gatewaysets',
+        'RETENTION_S = 30.0', 'RETENTION_S = 0.0', 'retrybudget',
+    ),
+    Mutant(
+        'budgets: retries that wait for a runner do not count', 'budgets',
+        'counts.waiting += 1', 'pass', 'retrybudget',
+    ),
+    Mutant(
+        'budgets: retries count until a window after they are allowed',
+        'budgets', 'self._counts.sent_s.append(now_s)',
+        'self._counts.sent_s.append(self.allowed_s)', 'retrybudget',
     ),
     Mutant(
         'entry: no timeout for opening connections', 'sockets',
@@ -1254,7 +1276,7 @@
     Mutant(
         'budgets: no limit on retries', 'budgets',
         'if len(counts.sent_s) + counts.waiting + 1 > quota:', 'if False:',
-        'entry', 'budget',
+        'retrybudget',
     ),
     Mutant(
         'entry: no wait for open requests on a planned stop', 'entry',
