Retry budget: a process that starts has no retries of its predecessor's

Cause: a process counted sends and retries in memory only, and had its whole quota at its start. What its predecessor had sent in the same window still counts at the runners, so each restart allowed the quota once more. Seen by the lines of retries: in the window that broke the rule 37 gateways ran 187 processes, and 689 of 1,087 retries were sent by processes of less than 3 s. Change: the quota has two parts. A token bucket is empty at the start and filled by requests and by the share of the slack; a sliding window permits bursts and is used only once its record is complete. So in any window the processes of one gateway send at most what its bucket holds and earns in it, and one window's quota.

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -239,7 +239,7 @@
 @given('{count:d} gateways that share a retry budget of 0.2 and 96 in 10 s')
 def gateways_with_budget(context, count):
     context.budgets = [
-        budgets.RetryBudget(0.2, 96, 10.0, lambda now_s: 1 / count)
+        budgets.RetryBudget(0.2, 96, 10.0, 0.0, lambda now_s: 1 / count)
         for _ in range(count)
     ]
 
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -179,7 +179,7 @@
             lambda: self.index,
             self.known,
             lambda: 1,
-            budgets.RetryBudget(0.2, 96.0, 10.0, lambda now_s: 1.0),
+            budgets.RetryBudget(0.2, 96.0, 10.0, -100.0, lambda now_s: 1.0),
         )
         self.server = httpserver.Server(
             self.forwarder.handle, lambda: LIMITS, lambda: False
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -146,7 +146,7 @@
         made = forwarding.Forwarder(
             app, dialects.NATIVE, lambda: self.index,
             backends.Backends(name), lambda: count,
-            budgets.RetryBudget(*BUDGET, lambda now_s: 1 / count),
+            budgets.RetryBudget(*BUDGET, -100.0, lambda now_s: 1 / count),
         )  # fmt: skip
         made.pool = _Pool(self, name)
         return made
--- a/features/worlds/retries.py
+++ b/features/worlds/retries.py
@@ -51,7 +51,7 @@
             self.name, HALL, LEASE_S, self.lease.held_for_s
         )
         self.budget = budgets.RetryBudget(
-            RATIO, Fleet.slack, WINDOW_S, self.shares.share
+            RATIO, Fleet.slack, WINDOW_S, now_s, self.shares.share
         )
         #: Retries that have been allowed, by when they are sent.
         self.waiting: list[tuple[float, budgets.Retry]] = []
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -102,6 +102,7 @@
                 bounds['retry_ratio'],
                 bounds['retry_slack'],
                 bounds['retry_window_s'],
+                listening.PROCESS_START_S,
                 self.slack_shares.share,
             ),
         )
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -16,7 +16,7 @@
 from mountridge import application, errors, utils
 from mountridge.documents import routes
 from mountridge.logs import logger
-from mountridge.net import dialects, httpserver, lasthop, listening
+from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, budgets, crashwatch, picking
 from mountridge.routing import quarantine, routedanswers, routedexchanges
 from mountridge.routing import routefilters, sendgates
@@ -364,8 +364,9 @@
             service=exchange.service,
             first_sends=usage.first,
             retries=usage.retries,
+            tokens=round(usage.tokens, 2),
             slack_share=round(usage.slack_share, 4),
-            process_age_s=round(now_s - listening.PROCESS_START_S, 1),
+            process_age_s=round(now_s - self.budget.started_s, 1),
             waited_ms=_to_ms(now_s - retry.allowed_s),
         )
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -441,6 +441,20 @@
         'budgets: gateways that left the view share nothing', 'gatewaysets',
         'RETENTION_S = 30.0', 'RETENTION_S = 0.0', 'retrybudget',
     ),
+    Mutant(
+        'budgets: a full bucket at the start', 'budgets',
+        'self.tokens = 0.0', 'self.tokens = 8.0', 'retrybudget',
+    ),
+    Mutant(
+        'budgets: a sliding window without a record', 'budgets',
+        'if now_s < self.started_s + self._window_s:', 'if False:',
+        'retrybudget',
+    ),
+    Mutant(
+        'budgets: retries that wait use no capacity of the bucket', 'budgets',
+        'free = max(0.0, capacity - counts.waiting_tokens)',
+        'free = capacity', 'retrybudget',
+    ),
     Mutant(
         'budgets: retries that wait for a runner do not count', 'budgets',
         'counts.waiting += 1', 'pass', 'retrybudget',
@@ -1275,7 +1289,7 @@
     ),
     Mutant(
         'budgets: no limit on retries', 'budgets',
-        'if len(counts.sent_s) + counts.waiting + 1 > quota:', 'if False:',
+        'if retries + 1 > self._window_quota(counts, now_s):', 'if False:',
         'retrybudget',
     ),
     Mutant(
