Retry budget: the first send of a request is no retry

Cause: the budget was asked after each failed attempt, also where no runner had received the request because its connection was refused or timed out. The budget limits sends beyond the first of a request. Change: it is asked only once the request has been sent. Seen: with no retries left, requests whose first runner can't be reached are served by the second (3 rows; without the change they fail); what was sent is not retried (2 rows). forwarding 47 passed.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -34,6 +34,23 @@
       | safe      | never answers                       | 504 and outcome unknown | 1    |
       | unsafe    | never answers                       | 504 and outcome unknown | 1    |
 
+  # Guards against retries that are refused although no runner has received
+  # the request, and against sends beyond the first that are not counted.
+  Scenario Outline: With no retries left, a request whose first runner <fault>
+    Given two runners of which the first <fault>
+    And no retries are left in the budget
+    When a <kind> request is sent
+    Then its answer is <answer>
+    And the runners ran it <runs> times
+
+    Examples:
+      | kind      | fault                          | answer           | runs |
+      | safe      | cannot be reached              | 200 and complete | 1    |
+      | unsafe    | cannot be reached              | 200 and complete | 1    |
+      | streaming | cannot be reached              | 200 and complete | 1    |
+      | safe      | reports that it has not run it | 503              | 0    |
+      | safe      | closes without an answer       | 502              | 1    |
+
   Scenario: A request that may have run is not reported as not run after a refusal
     Given a runner that closes without an answer, and one that reports that it has not run it
     When a safe request is sent
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -285,6 +285,13 @@
     context.world = World(replaced, replaced, replaced, 'answers correctly')
 
 
+@given('no retries are left in the budget')
+def no_retries_left(context):
+    context.world.forwarder.budget = budgets.RetryBudget(
+        0.0, 0.0, 10.0, 0.0, lambda now_s: 0.0
+    )
+
+
 @given('two ranks of a closed group')
 def closed_ranks(context):
     engine = routes.Engine(4, 1000, experts=8)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -289,9 +289,12 @@
         return self._acquire_retry(exchange, now_s)
 
     def _acquire_retry(self, exchange: Exchange, now_s: float) -> bool:
-        """Return whether the budget allows a retry, and count it."""
-        if exchange.retry is not None:
-            # The one allowed before was not sent.
+        """Return whether the budget allows a retry, and count it.
+
+        The budget counts sends after a request's first one, so it is not
+        asked where nothing has been sent since it last allowed one.
+        """
+        if not exchange.is_sent or exchange.retry is not None:
             return True
         exchange.retry = self.budget.try_acquire(exchange.service, now_s)
         is_allowed = exchange.retry is not None
@@ -348,6 +351,7 @@
             raise errors.DeadlinePassed()
         sends.check(now_s)
         sends.mark_sent(now_s)
+        exchange.is_sent = True
         if exchange.retry is not None:
             exchange.retry.mark_sent(now_s)
             self._log_retry(exchange, exchange.retry, now_s)
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -69,6 +69,8 @@
         self.is_returned = False
         #: Whether the next retry has already been allowed and counted.
         self.retry_granted = False
+        #: Whether it has been sent to any runner.
+        self.is_sent = False
         #: A retry that the budget has allowed and that has not been sent.
         self.retry: budgets.Retry | None = None
         #: Error answer of a runner, returned where no retry follows.
