Scenarios of the retry budget for three mechanisms that no scenario needed

Cause: three mutants lived: a full bucket at the start, a share from the first lease on, retries that wait and use no capacity of the bucket. Change: constant restarts, one gateway with a lease long before the others, queues under more traffic; mutants of all mechanisms of the budget. Product unchanged.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -9,22 +9,25 @@
     Then no window has more retries than the budget in any run
 
     Examples:
-      | count | per_s | slack | runs | fault                                      |
-      | 10    | 42    | 96    | 2    | nothing else happens                       |
-      | 37    | 150   | 202   | 2    | nothing else happens                       |
-      | 10    | 42    | 96    | 3    | gateways restart three times               |
-      | 37    | 150   | 202   | 2    | gateways restart three times               |
-      | 37    | 150   | 202   | 2    | gateways restart with no leader in a burst |
-      | 37    | 150   | 202   | 2    | all power is lost twice                    |
-      | 37    | 150   | 202   | 2    | half of the gateways are cut off           |
-      | 37    | 150   | 202   | 2    | most gateways drain                        |
-      | 37    | 150   | 202   | 2    | gateways join                              |
-      | 37    | 150   | 202   | 2    | traffic ends                               |
-      | 37    | 150   | 202   | 2    | queued retries are sent at once            |
-      | 1     | 10    | 60    | 10   | several faults overlap                     |
-      | 10    | 42    | 96    | 20   | several faults overlap                     |
-      | 37    | 150   | 202   | 15   | several faults overlap                     |
-      | 100   | 400   | 400   | 4    | several faults overlap                     |
+      | count | per_s | slack | runs | fault                                          |
+      | 10    | 42    | 96    | 2    | nothing else happens                           |
+      | 37    | 150   | 202   | 2    | nothing else happens                           |
+      | 10    | 42    | 96    | 3    | gateways restart three times                   |
+      | 37    | 150   | 202   | 2    | gateways restart three times                   |
+      | 37    | 150   | 202   | 2    | gateways restart with no leader in a burst     |
+      | 37    | 150   | 202   | 2    | all power is lost twice                        |
+      | 37    | 150   | 202   | 2    | half of the gateways are cut off               |
+      | 37    | 150   | 202   | 2    | most gateways drain                            |
+      | 37    | 150   | 202   | 2    | gateways join                                  |
+      | 37    | 150   | 202   | 2    | traffic ends                                   |
+      | 37    | 150   | 202   | 2    | queued retries are sent at once                |
+      | 1     | 10    | 60    | 10   | several faults overlap                         |
+      | 10    | 42    | 96    | 20   | several faults overlap                         |
+      | 37    | 150   | 202   | 15   | several faults overlap                         |
+      | 100   | 400   | 400   | 4    | several faults overlap                         |
       | 10    | 200   | 40    | 2    | all gateways restart after a burst of failures |
       | 37    | 300   | 100   | 2    | all gateways restart after a burst of failures |
-      | 10    | 200   | 40    | 20   | several faults overlap                     |
+      | 10    | 200   | 40    | 20   | several faults overlap                         |
+      | 37    | 60    | 120   | 2    | all gateways restart each second               |
+      | 37    | 300   | 100   | 6    | one gateway has a lease long before the others |
+      | 10    | 400   | 40    | 2    | queued retries are sent at once                |
--- a/features/worlds/retries.py
+++ b/features/worlds/retries.py
@@ -250,6 +250,18 @@
     fleet.at(22.0, lambda: fleet.restart(1.0))
 
 
+def _constant_restarts(fleet: Fleet) -> None:
+    fleet.wait_s = lambda: 0.0
+    for second in range(20, 32):
+        fleet.at(second, lambda: fleet.restart(1.0))
+
+
+def _one_gateway_returns(fleet: Fleet) -> None:
+    fleet.at(15.0, fleet.lose_power)
+    for gateway in fleet.gateways[1:]:
+        gateway.cut_until_s = 30.0
+
+
 def _power_losses(fleet: Fleet) -> None:
     for at_s in (20.0, 24.0):
         fleet.at(at_s, fleet.lose_power)
@@ -309,6 +321,8 @@
     'gateways restart three times': _restarts,
     'gateways restart with no leader in a burst': _restarts_in_burst,
     'all gateways restart after a burst of failures': _failures_then_restart,
+    'all gateways restart each second': _constant_restarts,
+    'one gateway has a lease long before the others': _one_gateway_returns,
     'all power is lost twice': _power_losses,
     'half of the gateways are cut off': _partition,
     'most gateways drain': _drains,
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1287,6 +1287,16 @@
         '        except trio', 'as problem:\n            return\n'
         '        except trio', 'forwarding', 'truncates',
     ),
+    Mutant(
+        'budgets: the first send counts as a retry', 'forwarding',
+        'if not exchange.is_sent or exchange.retry is not None:',
+        'if exchange.retry is not None:', 'forwarding', 'no retries left',
+    ),
+    Mutant(
+        'budgets: no send counts as a retry', 'forwarding',
+        'if not exchange.is_sent or exchange.retry is not None:',
+        'if True:', 'forwarding', 'no retries left',
+    ),
     Mutant(
         'budgets: no limit on retries', 'budgets',
         'if retries + 1 > self._window_quota(counts, now_s):', 'if False:',
