Scenarios of a gateway's share of the slack: restart, isolation, loss, drain

Cause: the shares were tested in a fleet of budgets alone, not as entries hold them. Change: 11 rows with entries and controllers on virtual time, three mutants.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -31,3 +31,24 @@
       | 37    | 60    | 120   | 2    | all gateways restart each second               |
       | 37    | 300   | 100   | 6    | one gateway has a lease long before the others |
       | 10    | 400   | 40    | 2    | queued retries are sent at once                |
+
+  # Guards against shares that a new or cut off gateway uses too early or too
+  # long, and against shares that add up to more than the slack.
+  Scenario Outline: The share of a gateway <after_s> s after <event>
+    Given three entries that have held their leases for 15 s
+    When <event> and <after_s> s pass
+    Then the first entry has <share> of the slack
+
+    Examples:
+      | event                          | after_s | share |
+      | nothing else happens           | 1       | 1/3   |
+      | the first restarts             | 10      | 0     |
+      | the first restarts             | 13      | 1/3   |
+      | the first is isolated          | 7       | 1/3   |
+      | the first is isolated          | 10      | 0     |
+      | the first is isolated for 5 s  | 10      | 1/3   |
+      | the first is isolated for 12 s | 20      | 0     |
+      | the first is isolated for 12 s | 26      | 1/3   |
+      | the second is killed           | 20      | 1/3   |
+      | the second is killed           | 40      | 1/2   |
+      | the second begins to drain     | 3       | 1/3   |
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -2,9 +2,12 @@
 
 """Steps on the retry budget that all gateways share."""
 
+import fractions
+
 from behave import given, then, when
+import trio
 
-from features.worlds import retries
+from features.worlds import retries, system
 
 
 @given(
@@ -35,3 +38,78 @@
     assert all(fleet.retries_s for fleet in context.fleets)
     excess = [fleet.excess() for fleet in context.fleets]
     assert max(excess) <= 0, excess
+
+
+# Shares of the slack.
+
+
+def _isolate_for(span_s):
+    async def isolate(world):
+        world.isolate('e1')
+        await trio.sleep(span_s)
+        world.heal('e1')
+
+    return isolate
+
+
+async def _restart(world):
+    await world.restart('e1', 0.0)
+
+
+async def _isolate(world):
+    world.isolate('e1')
+
+
+async def _kill_second(world):
+    world.kill('e2')
+
+
+async def _drain_second(world):
+    world.stop('e2')
+
+
+async def _do_nothing(world):
+    pass
+
+
+EVENTS = {
+    'nothing else happens': _do_nothing,
+    'the first restarts': _restart,
+    'the first is isolated': _isolate,
+    'the first is isolated for 5 s': _isolate_for(5),
+    'the first is isolated for 12 s': _isolate_for(12),
+    'the second is killed': _kill_second,
+    'the second begins to drain': _drain_second,
+}
+
+
+@given('three entries that have held their leases for 15 s')
+def entries_with_leases(context):
+    context.sizes = {
+        'gateways': 0,
+        'agents': 0,
+        'controllers': 3,
+        'entries': 3,
+    }
+
+
+@when('{event} and {after_s:g} s pass')
+def pass_time(context, event, after_s):
+    async def script(world):
+        for name in world.controllers + world.entries:
+            world.start(name)
+        await trio.sleep(0.01)
+        world.elect()
+        await trio.sleep(15)
+        begun_s = trio.current_time()
+        await EVENTS[event](world)
+        await trio.sleep_until(begun_s + after_s)
+        first = world.daemons['e1']
+        context.share = first.slack_shares.share(first.app.now_s())
+
+    system.play(script, context.scenario.name, **context.sizes)
+
+
+@then('the first entry has {share} of the slack')
+def check_share(context, share):
+    assert context.share == float(fractions.Fraction(share)), context.share
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -441,6 +441,21 @@
         'budgets: gateways that left the view share nothing', 'gatewaysets',
         'RETENTION_S = 30.0', 'RETENTION_S = 0.0', 'retrybudget',
     ),
+    Mutant(
+        'budgets: no end of a lapsed lease', 'leases',
+        'if now_s >= self.until_s + self._max_gap_s:', 'if False:',
+        'retrybudget', 'share of',
+    ),
+    Mutant(
+        'budgets: a lease lasts through any gap', 'leases',
+        'if sent_s >= self.until_s + self._max_gap_s:',
+        'if not self._since_s:', 'retrybudget',
+    ),
+    Mutant(
+        'budgets: shares that do not know the view', 'entry',
+        'self.slack_shares.update_gateways(halls, self.app.now_s())', 'pass',
+        'retrybudget', 'share of',
+    ),
     Mutant(
         'budgets: a full bucket at the start', 'budgets',
         'self.tokens = 0.0', 'self.tokens = 8.0', 'retrybudget',
