Scenarios of shares: a step of their own

Cause: the step of the commit before matched one of runnerlimits, which then failed. Change: another wording.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -36,7 +36,7 @@
   # long, and against shares that add up to more than the slack.
   Scenario Outline: The share of a gateway <after_s> s after <event>
     Given three entries that have held their leases for 15 s
-    When <event> and <after_s> s pass
+    When <event>, and shares are read <after_s> s later
     Then the first entry has <share> of the slack
 
     Examples:
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -93,8 +93,8 @@
     }
 
 
-@when('{event} and {after_s:g} s pass')
-def pass_time(context, event, after_s):
+@when('{event}, and shares are read {after_s:g} s later')
+def read_share(context, event, after_s):
     async def script(world):
         for name in world.controllers + world.entries:
             world.start(name)
