--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -84,7 +84,7 @@
             ),
             app.settings['routing']['hall_cost'],
         )
-        #: Of the slack in the retry budget.
+        #: The share of this gateway in the slack of the retry budget.
         self.slack_shares = slackshares.SlackShares(
             app.name,
             app.settings['hall'],
--- a/mountridge/routing/budgets.py
+++ b/mountridge/routing/budgets.py
@@ -45,7 +45,8 @@
     def __init__(self, now_s: float):
         self.first_s: collections.deque[float] = collections.deque()
         self.sent_s: collections.deque[float] = collections.deque()
-        #: Retries that have been allowed but not sent, of either part.
+        #: Retries that have been allowed but not sent: by the sliding window,
+        #: and with a token.
         self.waiting = 0
         self.waiting_tokens = 0
         self.tokens = 0.0
--- a/mountridge/routing/picking.py
+++ b/mountridge/routing/picking.py
@@ -4,9 +4,10 @@
 
 A request waits only where a runner may become available soon: where none is
 known, where the groups of all are closed or all back off, where a probe
-request checks whether the runners of an old view still exist, and where
-this gateway has used up its quotas of runners that can be cold. What can't be
-served in time is refused at once, as where all halls are out of service.
+request checks whether the runners of an old view still exist, where several
+runners have refused it by outdated loads, and where this gateway has used up
+its quotas of runners that can be cold. What can't be served in time is refused
+at once, as where all halls are out of service.
 """
 
 import collections
