Retry budget: all that requests earn goes to the bucket

Cause: half of what requests earn was in the sliding window, which a process uses only after 10 s. Change: the bucket gets all that requests earn and holds half of the slack, without a refill by time; the sliding window permits the other half of the slack. The first sends need not be kept any more.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -32,6 +32,19 @@
       | 37    | 300   | 100   | 6    | one gateway has a lease long before the others |
       | 10    | 400   | 40    | 2    | queued retries are sent at once                |
 
+  # Guards against a second quota of a window for a process that has restarted.
+  Scenario: The sliding window is used only once its record is complete
+    Given a budget of a process that started 9 s ago, with a slack of 20 in 10 s
+    Then it allows 0 retries
+    And 2 s later it allows 9 retries
+
+  # Guards against the sends of two windows within one.
+  Scenario: A retry counts until a window after it was sent
+    Given a budget of a process that started 60 s ago, with a slack of 20 in 10 s
+    When as many retries as possible are allowed, and sent 4 s later
+    Then 9 s later it allows 0 retries
+    And 2 s later it allows 9 retries
+
   # Guards against shares that a new or cut off gateway uses too early or too
   # long, and against shares that add up to more than the slack.
   Scenario Outline: The share of a gateway <after_s> s after <event>
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -8,6 +8,7 @@
 import trio
 
 from features.worlds import retries, system
+from mountridge.routing import budgets
 
 
 @given(
@@ -40,6 +41,47 @@
     assert max(excess) <= 0, excess
 
 
+# One budget.
+
+
+@given(
+    'a budget of a process that started {ago_s:g} s ago, with a slack of'
+    ' {slack:g} in {window_s:g} s'
+)
+def one_budget(context, ago_s, slack, window_s):
+    context.now_s = ago_s
+    context.budget = budgets.RetryBudget(
+        0.2, slack, window_s, 0.0, lambda now_s: 1.0
+    )
+
+
+def _acquire_all(context):
+    found = []
+    while retry := context.budget.try_acquire('s', context.now_s):
+        found.append(retry)
+    return found
+
+
+@when('as many retries as possible are allowed, and sent {later_s:g} s later')
+def send_all_later(context, later_s):
+    allowed = _acquire_all(context)
+    assert allowed
+    context.now_s += later_s
+    for retry in allowed:
+        retry.mark_sent(context.now_s)
+
+
+@then('it allows {count:d} retries')
+def check_allowed(context, count):
+    assert len(_acquire_all(context)) == count
+
+
+@then('{later_s:g} s later it allows {count:d} retries')
+def check_allowed_later(context, later_s, count):
+    context.now_s += later_s
+    check_allowed(context, count)
+
+
 # Shares of the slack.
 
 
--- a/mountridge/routing/budgets.py
+++ b/mountridge/routing/budgets.py
@@ -5,12 +5,13 @@
 In each window the retries of a service may be at most ``ratio`` times its
 requests, plus a slack. A gateway's quota is what its own requests earn and
 its share of the slack, so that the limit holds for the sum without messages
-between gateways. The quota has two equal parts:
+between gateways:
 
-- a token bucket, which is empty when the process starts, so that a restart
-  never adds to what the gateway may send;
-- a sliding window, which permits bursts. It needs a record of a whole window,
-  so a process uses it only once it is older than that.
+- A token bucket gets what requests earn, and holds up to half of the slack. It
+  is empty when the process starts, so that a restart never adds to what the
+  gateway may send.
+- A sliding window permits the other half of the slack. It needs a record of a
+  whole window, so a process uses it only once it is older.
 
 A retry counts from when it is allowed until a window after it was sent, since
 it may wait for a runner in between.
@@ -24,33 +25,33 @@
 #: Share of the budget that gateways use. The rest is for requests and retries
 #: that the caller, the gateway and the runner see in different windows.
 USED_SHARE = 0.95
-#: Part of the quota in the token bucket; the other is in the sliding window.
+#: Part of the slack that the token bucket holds; the other is in the sliding
+#: window.
 BUCKET_SHARE = 0.5
-#: Part of a window's slack in the bucket that can be used at once.
-BURST_SHARE = 0.5
+#: Tokens that a bucket holds at least, and those that it holds without a share
+#: of the slack; the slack for each gateway is larger.
+MIN_CAPACITY = 1.0
+UNSHARED_CAPACITY = 2.0
 
 
 class Usage(typing.NamedTuple):
-    """Sends of one service by one gateway, and what it may still send."""
+    """Retries of one service by one gateway, and what it may still send."""
 
-    first: int  # within the window
     retries: int  # by the sliding window: sent within it, or waiting
     tokens: float  # in the bucket
     slack_share: float
 
 
 class _Counts:
-    """Sends of one service, and its bucket."""
+    """Retries of one service, and its bucket."""
 
-    def __init__(self, now_s: float):
-        self.first_s: collections.deque[float] = collections.deque()
+    def __init__(self) -> None:
         self.sent_s: collections.deque[float] = collections.deque()
         #: Retries that have been allowed but not sent: by the sliding window,
         #: and with a token.
         self.waiting = 0
         self.waiting_tokens = 0
         self.tokens = 0.0
-        self.refilled_s = now_s
 
 
 class Retry:
@@ -86,7 +87,7 @@
 
 
 class RetryBudget:
-    """First sends and retries of this process, by service.
+    """What this process may retry, by service.
 
     ``started_s`` is when the process started, and ``slack_share`` returns its
     share of the slack, 0 to 1.
@@ -110,10 +111,8 @@
     def record_first(self, service: str, now_s: float) -> None:
         """Count a request, whose first send is no retry."""
         counts = self._current(service, now_s)
-        counts.first_s.append(now_s)
-        self._add_tokens(
-            counts, USED_SHARE * BUCKET_SHARE * self._ratio, now_s
-        )
+        counts.tokens += USED_SHARE * self._ratio
+        self._limit_tokens(counts, now_s)
 
     def try_acquire(self, service: str, now_s: float) -> Retry | None:
         """Allow a retry and count it; None if no quota is left."""
@@ -121,7 +120,7 @@
         if counts.tokens >= 1:
             return Retry(counts, True, now_s)
         retries = len(counts.sent_s) + counts.waiting
-        if retries + 1 > self._window_quota(counts, now_s):
+        if retries + 1 > self._window_quota(now_s):
             return None
         return Retry(counts, False, now_s)
 
@@ -129,7 +128,6 @@
         """Return what is counted for a service."""
         counts = self._current(service, now_s)
         return Usage(
-            len(counts.first_s),
             len(counts.sent_s) + counts.waiting,
             counts.tokens,
             self._slack_share(now_s),
@@ -137,47 +135,33 @@
 
     def _current(self, service: str, now_s: float) -> _Counts:
         """Return the counts of a service as of now."""
-        counts = self._counts.get(service)
-        if counts is None:
-            counts = self._counts[service] = _Counts(self.started_s)
-        for times_s in (counts.first_s, counts.sent_s):
-            while times_s and times_s[0] <= now_s - self._window_s:
-                times_s.popleft()
-        self._refill(counts, now_s)
+        counts = self._counts.setdefault(service, _Counts())
+        while counts.sent_s and counts.sent_s[0] <= now_s - self._window_s:
+            counts.sent_s.popleft()
+        self._limit_tokens(counts, now_s)
         return counts
 
-    def _window_quota(self, counts: _Counts, now_s: float) -> float:
+    def _slack_of(self, part: float, now_s: float) -> float:
+        """Return a part of this gateway's slack for a window."""
+        return USED_SHARE * part * self._slack * self._slack_share(now_s)
+
+    def _window_quota(self, now_s: float) -> float:
         """Return the retries that the sliding window permits."""
         if now_s < self.started_s + self._window_s:
             return 0.0
-        earned = self._ratio * len(counts.first_s)
-        slack = self._slack * self._slack_share(now_s)
-        return USED_SHARE * (1 - BUCKET_SHARE) * (earned + slack)
-
-    # The token bucket.
-
-    def _bucket_slack(self, now_s: float) -> float:
-        """Return the slack of a window that the bucket may add."""
-        share = self._slack_share(now_s)
-        return USED_SHARE * BUCKET_SHARE * self._slack * share
-
-    def _refill(self, counts: _Counts, now_s: float) -> None:
-        """Add the slack for the time since the last refill."""
-        slack = self._bucket_slack(now_s)
-        per_s = max(0.0, slack - self._capacity(slack)) / self._window_s
-        elapsed_s = now_s - counts.refilled_s
-        counts.refilled_s = now_s
-        self._add_tokens(counts, per_s * elapsed_s, now_s)
-
-    def _add_tokens(
-        self, counts: _Counts, tokens: float, now_s: float
-    ) -> None:
-        capacity = self._capacity(self._bucket_slack(now_s))
-        # What waits to be sent counts, so that in no window more is sent than
-        # the capacity and what is added in it.
-        free = max(0.0, capacity - counts.waiting_tokens)
-        counts.tokens = min(counts.tokens + tokens, free)
-
-    def _capacity(self, slack: float) -> float:
-        """Return the tokens that a bucket holds, at least one."""
-        return max(1.0, BURST_SHARE * slack)
+        return self._slack_of(1 - BUCKET_SHARE, now_s)
+
+    def _limit_tokens(self, counts: _Counts, now_s: float) -> None:
+        """Drop the tokens that the bucket does not hold.
+
+        What waits to be sent takes room, so that in no window more is sent
+        than the bucket holds and what is added in it.
+        """
+        room = self._capacity(now_s) - counts.waiting_tokens
+        counts.tokens = min(counts.tokens, max(0.0, room))
+
+    def _capacity(self, now_s: float) -> float:
+        """Return the tokens that a bucket holds."""
+        if not self._slack_share(now_s):
+            return UNSHARED_CAPACITY
+        return max(MIN_CAPACITY, self._slack_of(BUCKET_SHARE, now_s))
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -368,7 +368,6 @@
             'retry sent',
             request=exchange.request_head.request_id,
             service=exchange.service,
-            first_sends=usage.first,
             retries=usage.retries,
             tokens=round(usage.tokens, 2),
             slack_share=round(usage.slack_share, 4),
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -467,8 +467,8 @@
     ),
     Mutant(
         'budgets: retries that wait use no capacity of the bucket', 'budgets',
-        'free = max(0.0, capacity - counts.waiting_tokens)',
-        'free = capacity', 'retrybudget',
+        'room = self._capacity(now_s) - counts.waiting_tokens',
+        'room = self._capacity(now_s)', 'retrybudget',
     ),
     Mutant(
         'budgets: retries that wait for a runner do not count', 'budgets',
@@ -1314,7 +1314,7 @@
     ),
     Mutant(
         'budgets: no limit on retries', 'budgets',
-        'if retries + 1 > self._window_quota(counts, now_s):', 'if False:',
+        'if retries + 1 > self._window_quota(now_s):', 'if False:',
         'retrybudget',
     ),
     Mutant(
