Keys are never overwritten, and none is made if one of the names has one

Cause: the key maker looked for secret keys only, so a public key kept without its secret one was replaced; names before the refused one had their keys already. Change: all names are checked for both files first.

--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -17,6 +17,7 @@
 
 from mountridge.consensus import consensus, entries, storage
 from mountridge import errors
+from mountridge.net import keys
 
 CONFIG = entries.Config({'c1.0': 'a'}, {})
 
@@ -330,3 +331,38 @@
 
     damage()
     assert seen['refused'] and seen['fewer'], seen
+
+
+# Key folders.
+
+SUFFIXES = {'public key': '.key', 'secret key': '.key_secret'}
+
+
+def _contents(folder):
+    return {path.name: path.read_bytes() for path in folder.iterdir()}
+
+
+@given('a key folder that has only the {kept} of "{name}"')
+def key_folder(context, kept, name):
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    keys.create_key_pairs(str(context.folder), [name])
+    for path in list(context.folder.iterdir()):
+        if path.suffix != SUFFIXES[kept]:
+            path.unlink()
+    context.before = _contents(context.folder)
+
+
+@then('making keys for "{first}" and "{second}" is refused with code {code:d}')
+def making_refused(context, first, second, code):
+    try:
+        keys.create_key_pairs(str(context.folder), [first, second])
+    except errors.BadSettings as problem:
+        assert problem.code == code
+    else:
+        raise AssertionError('keys were made')
+
+
+@then('all files are as before')
+def files_as_before(context):
+    assert len(context.before) == 1
+    assert _contents(context.folder) == context.before
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -68,3 +68,14 @@
   Scenario: Random truncations and bit flips never yield wrong entries
     Given a data folder with 5 synced frames
     Then 150 random truncations and flips yield a prefix or a refusal
+
+  # Guards against keys that are lost because another pair takes their name.
+  Scenario Outline: A key pair is not made where its <kept> exists
+    Given a key folder that has only the <kept> of "c1"
+    Then making keys for "c2" and "c1" is refused with code 1501
+    And all files are as before
+
+    Examples:
+      | kept       |
+      | public key |
+      | secret key |
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -248,8 +248,8 @@
     """Make a key pair in FOLDER for each of NAMES.
 
     Prints the names of the new files: NAME.key (public) and
-    NAME.key_secret. Never overwrites a secret key: the first name that has
-    one is an error; the names before it have their keys by then.
+    NAME.key_secret. Never overwrites a key: if any of the names has one,
+    that is an error and no key is made.
     """
     try:
         for path in keys.create_key_pairs(folder, list(names)):
--- a/mountridge/net/keys.py
+++ b/mountridge/net/keys.py
@@ -26,14 +26,16 @@
 def create_key_pairs(folder: str, names: list[str]) -> list[pathlib.Path]:
     """Create a key pair for each name and return the new files.
 
-    :raises BadSettings: a secret key of that name exists.
+    :raises BadSettings: a key of one of the names exists; nothing is created.
     """
     key_folder = pathlib.Path(folder)
     key_folder.mkdir(parents=True, exist_ok=True)
+    for name in names:
+        for suffix in ('.key', '.key_secret'):
+            if (key_folder / f'{name}{suffix}').exists():
+                raise errors.BadSettings(f'{name}{suffix} already exists')
     created = []
     for name in names:
-        if (key_folder / f'{name}.key_secret').exists():
-            raise errors.BadSettings(f'{name}: the key already exists')
         public, secret = zmq.auth.create_certificates(str(key_folder), name)
         os.chmod(secret, 0o600)
         created += [pathlib.Path(public), pathlib.Path(secret)]
