Log how a runner's answer was framed, and what was left of a stream at its end

Cause: neither a log line nor a metric told by which framing an answer had ended, nor whether a stream had ended within an event, so the hypotheses of the incident could not be told apart. Change: fields framing and partial_event_bytes of the line at the end of a request. What is decided stays as it was.

--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -18,7 +18,15 @@
 from mountridge import errors
 from mountridge.net import dialects
 
-__all__ = ['Pool', 'Reply']
+__all__ = [
+    'CHUNKED', 'CLOSE', 'LENGTH', 'Pool', 'Reply',
+]  # fmt: skip
+
+#: Framings of an answer, by what marks its end: a length in its head, its
+#: last chunk, or the end of the connection.
+LENGTH, CHUNKED, CLOSE = 'length', 'chunked', 'close'
+#: Statuses whose answers have no body.
+BODILESS_STATUSES = (204, 304)
 
 READ_BYTES = 65536
 #: Idle connections kept to one runner by one gateway.
@@ -96,11 +104,17 @@
     """A runner's answer: its head, and its body in chunks."""
 
     def __init__(
-        self, connection: _Connection, head: dialects.ReplyHead, headers
+        self,
+        connection: _Connection,
+        head: dialects.ReplyHead,
+        headers: Headers,
+        framing: str,
     ):
         self._connection = connection
         self.head = head
         self.headers: Headers = headers
+        #: `LENGTH`, `CHUNKED` or `CLOSE`.
+        self.framing = framing
 
     async def chunks(self) -> typing.AsyncIterator[bytes]:
         """Yield the body; return only at its explicit end.
@@ -218,7 +232,8 @@
         for _ in range(MAX_ANSWERS):
             status, headers = await self._read_head(connection)
             head = dialects.read_reply_head(status, headers, self._names)
-            reply = Reply(connection, head, headers)
+            framing = _framing(request.method, status, headers)
+            reply = Reply(connection, head, headers, framing)
             if None in (request_id, head.request_id):
                 return reply
             if head.request_id == request_id:
@@ -297,6 +312,15 @@
             await trio.aclose_forcefully(connection.stream)
 
 
+def _framing(method: bytes, status: int, headers: Headers) -> str:
+    names = {name.lower() for name, _ in headers}
+    if method == b'HEAD' or status in BODILESS_STATUSES:
+        return LENGTH
+    if b'transfer-encoding' in names:
+        return CHUNKED
+    return LENGTH if b'content-length' in names else CLOSE
+
+
 def _encode(http: h11.Connection, request: h11.Request, body: bytes) -> bytes:
     data = http.send(request)
     if body:
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -169,6 +169,8 @@
             output_tokens=head.output_tokens if head else 0,
             tries=exchange.attempts,
             events=exchange.events_sent,
+            framing=exchange.framing,
+            partial_event_bytes=exchange.partial_event_bytes,
             longest_gap_ms=_to_ms(exchange.longest_gap_s),
             first_ms=_to_ms(first_s and first_s - exchange.started_s),
             took_ms=_to_ms(now_s - exchange.started_s),
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -31,6 +31,8 @@
         exchange unless a stream has been started.
     :raises BadAnswer: it was truncated, or an event is missing.
     """
+    exchange.framing = reply.framing
+    exchange.partial_event_bytes = 0
     is_stream = exchange.route.kind == routes.STREAMING
     if is_stream and reply.head.status < 300:
         await _forward_stream(exchange, reply, now_s, after_events)
@@ -85,6 +87,7 @@
             exchange.record_events(len(new), now_s())
             await responder.send(b''.join(event.data for event in new))
             after_events()
+    exchange.partial_event_bytes = len(splitter.remainder)
     if splitter.remainder:
         await responder.send(splitter.remainder)
     await responder.finish()
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -66,6 +66,10 @@
         #: or is the first one.
         self.newest_gap_s: float | None = None
         self.status = 0
+        #: Framing of the newest answer of a runner, empty if there is none.
+        self.framing = ''
+        #: Bytes after the last complete event at the end of that answer.
+        self.partial_event_bytes = 0
         self.picked: backends.Picked | None = None
         #: Whether the caller was refused before and has waited.
         self.is_returned = False
