Known red: streams that a runner broke off and that end as complete

Cause: a stream that its runner ends within an event, or with its connection before the first event, or with its process between two events, reaches the caller with the last chunk of a complete answer. Change: rows for the three framings of a runner's answer (length, chunks, the end of the connection), of streams that may be resumed and that may not; two rows of streams that end with their connection after the last event, which pass. Seen: 10 rows fail, 49 scenarios pass.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -34,6 +34,29 @@
       | safe      | never answers                       | 504 and outcome unknown | 1    |
       | unsafe    | never answers                       | 504 and outcome unknown | 1    |
 
+  # Guards against streams that a runner broke off and that reach the caller
+  # with the end of a complete one.
+  Scenario Outline: A <kind> request whose runner's stream <fault>
+    Given two runners of which the first <fault>
+    When a <kind> request is sent
+    Then its answer is <answer>
+    And the runners ran it <runs> times
+
+    Examples:
+      | kind           | fault                                         | answer                            | runs |
+      | streaming      | closes within an event, with no length        | 200 and complete                  | 2    |
+      | streaming      | closes before its first event, with no length | 200 and complete                  | 2    |
+      | streaming      | ends between two events, with no length       | 200 and complete                  | 2    |
+      | streaming      | sends its last chunk within an event          | 200 and complete                  | 2    |
+      | streaming      | sends a length that ends within an event      | 200 and complete                  | 2    |
+      | streaming-once | closes within an event, with no length        | 200, 2 events, without an end     | 1    |
+      | streaming-once | closes before its first event, with no length | 200, 0 events, without an end     | 1    |
+      | streaming-once | ends between two events, with no length       | 200, 2 events, without an end     | 1    |
+      | streaming-once | sends its last chunk within an event          | 200, 2 events, without an end     | 1    |
+      | streaming-once | sends a length that ends within an event      | 200, 2 events, without an end     | 1    |
+      | streaming      | closes after its last event, with no length   | 200 and complete                  | 1    |
+      | streaming-once | closes after its last event, with no length   | 200 and complete                  | 1    |
+
   # Guards against retries that are refused although no runner has received
   # the request, and against sends beyond the first that are not counted.
   Scenario Outline: With no retries left, a request whose first runner <fault>
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -15,11 +15,18 @@
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 HOST = '127.0.0.1'
+#: Streams that may not be resumed.
+ONCE = 'streaming-once'
 PAUSES = 'pauses after 2 events'
 #: Events after which a stream is truncated; a half is within the next one.
 TRUNCATIONS = {
     'truncates its answer': 2,
     'truncates an event': 2.5,
+    'closes within an event, with no length': 2.5,
+    'closes before its first event, with no length': 0,
+    'ends between two events, with no length': 2,
+    'sends its last chunk within an event': 2.5,
+    'sends a length that ends within an event': 2.5,
     PAUSES: 2,
 }
 #: The fault of a rank that refuses requests while its group is closed.
@@ -40,6 +47,25 @@
     return _head(status, request, extra + length) + body
 
 
+def _stream_bytes(request, fault):
+    """Return a stream that ends as the fault says, its framing whole."""
+    first = int(request.get(b'last-event-id', b'0'))
+    cut = TRUNCATIONS.get(fault)
+    whole = EVENTS[first:] if cut is None else EVENTS[first : int(cut)]
+    data = b''.join(whole)
+    if cut not in (None, int(cut or 0)):
+        data += EVENTS[int(cut)][:4]
+    if fault == 'ends each line with CRLF, with no length':
+        data = data.replace(b'\n', b'\r\n')
+    if 'no length' in fault:
+        return _head(200, request, b'\r\n') + data
+    if 'length' in fault:
+        return _answer_bytes(200, request, data)
+    chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+    chunk = b'%x\r\n%s\r\n0\r\n\r\n' % (len(data), data)
+    return _head(200, request, chunked) + chunk
+
+
 def _stream(request, truncate_after=None):
     """Return a stream from the event after the last one that was received."""
     first = int(request.get(b'last-event-id', b'0'))
@@ -64,6 +90,14 @@
         self.was_reset = False
         #: Called when a request is received, before the answer.
         self.on_request = lambda: None
+        self.listening = trio.CancelScope()
+
+    async def listen(self, listener, nursery):
+        """Accept connections until ``listening`` is cancelled."""
+        with self.listening:
+            await trio.serve_listeners(
+                self.serve, [listener], handler_nursery=nursery
+            )
 
     async def serve(self, stream):
         request = await self._read(stream)
@@ -76,6 +110,9 @@
                 self.closed.set()
                 return
             await stream.send_all(data)
+            if self.fault == 'ends between two events, with no length':
+                self.listening.cancel()
+                await trio.testing.wait_all_tasks_blocked()
             if self.fault == PAUSES:
                 await trio.sleep(PAUSE_S)
                 await stream.send_all(_stream(request)[len(data) :])
@@ -97,7 +134,7 @@
         head = data.partition(b'\r\n\r\n')[0]
         lines = [x.partition(b': ') for x in head.split(b'\r\n')[1:]]
         found = {name.lower(): value for name, _, value in lines}
-        found[b'streams'] = b'/streaming/' in head
+        found[b'streams'] = b'/streaming' in head
         return found
 
     def _answer(self, request):
@@ -114,6 +151,9 @@
             return None, False
         if fault == 'closes without an answer':
             return b'', False
+        framed = ('no length', 'last chunk', 'a length')
+        if request[b'streams'] and any(x in fault for x in framed):
+            return _stream_bytes(request, fault), 'no length' not in fault
         if request[b'streams']:
             cut = TRUNCATIONS.get(fault)
             return _stream(request, cut), cut is None or fault == PAUSES
@@ -152,6 +192,11 @@
         )  # fmt: skip
         for kind in routes.KINDS
     ]
+    made.append(
+        made[routes.KINDS.index(routes.STREAMING)]._replace(
+            name=ONCE, prefix=f'/{ONCE}/', resumable=False
+        )
+    )
     services = [routes.Service('s', '/h', 8, engine)]
     teams = [routes.Team('crews', ['key'], None)]
     return routes.RouteTable(1, made, services, LIMITS, teams)
@@ -194,9 +239,7 @@
             if runner.fault == 'cannot be reached':
                 await listener.aclose()
             else:
-                nursery.start_soon(
-                    trio.serve_listeners, runner.serve, [listener]
-                )
+                nursery.start_soon(runner.listen, listener, nursery)
             registered.append(
                 instances.Instance(
                     f'i-{number}', 's', f'{HOST}:{port}', 'north', 'v', 4,
@@ -453,11 +496,16 @@
 def check_answer(context, answer):
     head, _, body = context.data.partition(b'\r\n\r\n')
     status = int(head.split(b' ')[1])
-    assert status == int(answer.split()[0]), context.data
-    if answer.endswith('complete') and context.kind == 'streaming':
+    assert status == int(answer[:3]), context.data
+    if answer.endswith('complete') and context.kind.startswith('streaming'):
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('events, without an end'):
+        count = int(answer.split()[1])
+        sent = [x for x in body.split(b'\r\n') if len(x) > 3]
+        assert b''.join(sent) == b''.join(EVENTS[:count]), body
+        assert not body.endswith(b'0\r\n\r\n'), body
     elif answer.endswith('complete'):
         assert body == b'whole', context.data
     elif answer.endswith('unknown'):
