Split streams into events at blank lines of each kind of line end

Cause: only a line feed followed by another one ended an event. A stream whose lines end with CRLF or CR had no events: its caller got all of it at its end. Seen: the four new rows with CRLF and CR fail before, all pass after.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -165,3 +165,18 @@
       | sends a body of 3000 bytes      | 413    |
       | sends half a head and waits     | 408    |
       | sends an invalid request        | 400    |
+
+  # Guards against events that are passed on only at the end of their stream.
+  Scenario Outline: A stream whose lines end with <line_end> is split into its events
+    When a stream of 5 events whose lines end with <line_end> arrives in pieces of <size> bytes
+    Then each event is complete when the first piece after its blank line has arrived
+    And its pieces add up to what arrived
+
+    Examples:
+      | line_end | size |
+      | LF       | 1    |
+      | LF       | 7    |
+      | CRLF     | 1    |
+      | CRLF     | 7    |
+      | CR       | 1    |
+      | CR       | 7    |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -2,6 +2,7 @@
 
 """Steps for the forwarder, with raw callers and runners on loopback."""
 
+import itertools
 import types
 
 from behave import given, then, when
@@ -10,7 +11,7 @@
 
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
-from mountridge.net import dialects, httpserver
+from mountridge.net import dialects, events, httpserver
 from mountridge.routing import backends, budgets, forwarding
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
@@ -585,3 +586,40 @@
 def check_status(context, status):
     assert context.data.startswith(b'HTTP/1.1 %d ' % status), context.data
     assert not any(runner.runs for runner in context.world.runners)
+
+
+@when(
+    'a stream of {count:d} events whose lines end with {line_end} arrives in'
+    ' pieces of {size:d} bytes'
+)
+def split_stream(context, count, line_end, size):
+    line_end = line_end.encode().replace(b'CR', b'\r').replace(b'LF', b'\n')
+    context.sent = [x.replace(b'\n', line_end) for x in EVENTS[:count]]
+    data = b''.join(context.sent)
+    splitter = events.Splitter()
+    #: Bytes that had arrived, and the events that were complete then.
+    context.progress = []
+    context.events = []
+    for start in range(0, len(data), size):
+        context.events += splitter.feed(data[start : start + size])
+        arrived = min(start + size, len(data))
+        context.progress.append((arrived, len(context.events)))
+    context.arrived = data
+    context.rest = splitter.remainder
+
+
+@then(
+    'each event is complete when the first piece after its blank line has'
+    ' arrived'
+)
+def check_progress(context):
+    assert [x.event_id for x in context.events] == [1, 2, 3, 4, 5]
+    ends = list(itertools.accumulate(len(x) for x in context.sent))
+    for arrived, complete in context.progress:
+        assert complete >= sum(end <= arrived for end in ends), arrived
+
+
+@then('its pieces add up to what arrived')
+def check_pieces(context):
+    split = b''.join(event.data for event in context.events)
+    assert split + context.rest == context.arrived, context.rest
--- a/mountridge/routing/events.py
+++ b/mountridge/net/events.py
@@ -2,11 +2,13 @@
 
 """Numbered server-sent events of a streamed answer (text/event-stream)."""
 
+import re
 import typing
 
 __all__ = ['Event', 'Splitter']
 
-_SEPARATOR = b'\n\n'
+#: A blank line ends an event; a line ends with LF, CRLF or CR.
+_BLANK_LINE = re.compile(rb'\n(?:\n|\r\n?)|\r\r\n?')
 
 
 class Event(typing.NamedTuple):
@@ -17,7 +19,7 @@
 
 
 def _event_id(data: bytes) -> int | None:
-    for line in data.split(b'\n'):
+    for line in data.splitlines():
         if line.startswith(b'id:'):
             try:
                 return int(line[3:])
@@ -35,6 +37,11 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
-        parts = (self.remainder + data).split(_SEPARATOR)
-        self.remainder = parts.pop()
-        return [Event(part + _SEPARATOR, _event_id(part)) for part in parts]
+        received = self.remainder + data
+        found, start = [], 0
+        for blank_line in _BLANK_LINE.finditer(received):
+            data = received[start : blank_line.end()]
+            found.append(Event(data, _event_id(data)))
+            start = blank_line.end()
+        self.remainder = received[start:]
+        return found
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -10,8 +10,8 @@
 
 from mountridge.documents import routes
 from mountridge import errors
-from mountridge.net import dialects, lasthop
-from mountridge.routing import events, routedexchanges
+from mountridge.net import dialects, events, lasthop
+from mountridge.routing import routedexchanges
 
 __all__ = ['forward', 'send_answer']
 
