Streams that end within an event have been broken off

Seen by callers: streams with some of their events, bytes of the next one, and the last chunk of a complete answer. Cause: an answer of a runner may have neither a length nor chunks and end with its connection. The parser reports such an end as the end of the message; the forwarder passed on what was left of an event, and ended its own chunked answer. What it took as evidence of completeness was the framing alone. Change: whatever the framing, a stream is complete only after a whole event (then come blank lines and comments at most). Otherwise the attempt has failed: it is resumed where the route allows it, or the caller's answer gets no end. The bytes of the unfinished event are not passed on. An answer of another media type on a streaming route has no events, and is passed on when it is whole. Why it works: a runner that stops while it writes an event leaves it without its blank line, and nothing else ends an event.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -56,6 +56,8 @@
       | streaming-once | sends a length that ends within an event      | 200, 2 events, without an end     | 1    |
       | streaming      | closes after its last event, with no length   | 200 and complete                  | 1    |
       | streaming-once | closes after its last event, with no length   | 200 and complete                  | 1    |
+      | streaming-once | ends with a comment, with no length           | 200 and its comment               | 1    |
+      | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
 
   # Guards against retries that are refused although no runner has received
   # the request, and against sends beyond the first that are not counted.
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -15,6 +15,8 @@
 from mountridge.routing import backends, budgets, forwarding
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
+COMMENT = b': end\n'
+JSON = b'{"text": "whole"}'
 HOST = '127.0.0.1'
 #: Streams that may not be resumed.
 ONCE = 'streaming-once'
@@ -56,8 +58,11 @@
     data = b''.join(whole)
     if cut not in (None, int(cut or 0)):
         data += EVENTS[int(cut)][:4]
-    if fault == 'ends each line with CRLF, with no length':
-        data = data.replace(b'\n', b'\r\n')
+    if 'comment' in fault:
+        data += COMMENT
+    if 'JSON' in fault:
+        json_type = b'Content-Type: application/json\r\n\r\n'
+        return _head(200, request, json_type) + JSON
     if 'no length' in fault:
         return _head(200, request, b'\r\n') + data
     if 'length' in fault:
@@ -502,6 +507,12 @@
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('its comment'):
+        sent = [x for x in body.split(b'\r\n') if len(x) > 3]
+        assert b''.join(sent) == b''.join(EVENTS) + COMMENT, body
+        assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('the object'):
+        assert body == JSON, context.data
     elif answer.endswith('events, without an end'):
         count = int(answer.split()[1])
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
--- a/mountridge/net/dialects.py
+++ b/mountridge/net/dialects.py
@@ -15,8 +15,8 @@
 
 __all__ = [
     'Dialect', 'HeaderNames', 'NATIVE', 'ReplyHead', 'RequestHead',
-    'keep_alive_s', 'read_reply_head', 'read_request_head', 'reply_headers',
-    'runner_headers',
+    'keep_alive_s', 'media_type', 'read_reply_head', 'read_request_head',
+    'reply_headers', 'runner_headers',
 ]  # fmt: skip
 
 Headers = list[tuple[bytes, bytes]]
@@ -225,6 +225,14 @@
     return None
 
 
+def media_type(headers: Headers) -> bytes | None:
+    """Return the media type in lower case, None if there is none."""
+    value = _first_values(headers).get(b'content-type')
+    if value is None:
+        return None
+    return value.partition(b';')[0].strip().lower()
+
+
 def _backoff_s(status: int, value: bytes | None) -> float | None:
     """Return the backoff requested by a refusal; NaN if malformed."""
     if value is None or status not in REFUSAL_STATUSES:
--- a/mountridge/net/events.py
+++ b/mountridge/net/events.py
@@ -5,7 +5,11 @@
 import re
 import typing
 
-__all__ = ['Event', 'Splitter']
+from mountridge import errors
+
+__all__ = ['Event', 'MEDIA_TYPE', 'Splitter']
+
+MEDIA_TYPE = b'text/event-stream'
 
 #: A blank line ends an event; a line ends with LF, CRLF or CR.
 _BLANK_LINE = re.compile(rb'\n(?:\n|\r\n?)|\r\r\n?')
@@ -45,3 +49,13 @@
             start = blank_line.end()
         self.remainder = received[start:]
         return found
+
+    def end(self) -> bytes:
+        """Return the bytes after the last event: blank lines and comments.
+
+        :raises BadAnswer: the stream ended within an event.
+        """
+        for line in self.remainder.splitlines():
+            if line and not line.startswith(b':'):
+                raise errors.BadAnswer('the stream ended within an event')
+        return self.remainder
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -3,7 +3,8 @@
 """Forwarding of a runner's answer to the caller: complete, or by events.
 
 A truncated answer never looks complete: a body is sent once all of it has
-been received, and a stream is ended only where the runner ended it.
+been received, and a stream is ended only where the runner ended it, after a
+whole event.
 """
 
 import typing
@@ -33,13 +34,20 @@
     """
     exchange.framing = reply.framing
     exchange.partial_event_bytes = 0
-    is_stream = exchange.route.kind == routes.STREAMING
-    if is_stream and reply.head.status < 300:
+    if _is_stream(exchange, reply):
         await _forward_stream(exchange, reply, now_s, after_events)
     else:
         await _forward_complete(exchange, reply, now_s)
 
 
+def _is_stream(exchange: Exchange, reply: lasthop.Reply) -> bool:
+    """Return whether an answer consists of events, by its route and type."""
+    if exchange.route.kind != routes.STREAMING or reply.head.status >= 300:
+        return False
+    media_type = dialects.media_type(reply.headers)
+    return media_type in (None, events.MEDIA_TYPE)
+
+
 async def _forward_complete(
     exchange: Exchange, reply: lasthop.Reply, now_s: Clock
 ) -> None:
@@ -88,8 +96,9 @@
             await responder.send(b''.join(event.data for event in new))
             after_events()
     exchange.partial_event_bytes = len(splitter.remainder)
-    if splitter.remainder:
-        await responder.send(splitter.remainder)
+    rest = splitter.end()
+    if rest:
+        await responder.send(rest)
     await responder.finish()
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1302,6 +1302,21 @@
         '        except trio', 'as problem:\n            return\n'
         '        except trio', 'forwarding', 'truncates',
     ),
+    Mutant(
+        'events: a stream may end within an event', 'events',
+        'if line and not line.startswith(b\':\'):', 'if False:',
+        'forwarding', 'whose runner.s stream',
+    ),
+    Mutant(
+        'events: comments at the end are an unfinished event', 'events',
+        'if line and not line.startswith(b\':\'):', 'if line:',
+        'forwarding', 'whose runner.s stream',
+    ),
+    Mutant(
+        'answers: all answers on streaming routes have events',
+        'routedanswers', 'return media_type in (None, events.MEDIA_TYPE)',
+        'return True', 'forwarding', 'whose runner.s stream',
+    ),
     Mutant(
         'budgets: the first send counts as a retry', 'forwarding',
         'if not exchange.is_sent or exchange.retry is not None:',
