A connection that ends before the first event ends no stream

Seen by callers: an answer with no event and the last chunk of a complete one. Cause: where a runner's answer has neither a length nor chunks, a close right after its head was taken for the end of an empty stream. Change: such an attempt has failed. Where the route allows it, the request goes to another runner; else the caller's answer gets no end. An empty stream with a length or a last chunk is complete, as before.

--- a/mountridge/net/events.py
+++ b/mountridge/net/events.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         #: Bytes of the last, incomplete event.
         self.remainder = b''
+        self.event_count = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
@@ -48,6 +49,7 @@
             found.append(Event(data, _event_id(data)))
             start = blank_line.end()
         self.remainder = received[start:]
+        self.event_count += len(found)
         return found
 
     def end(self) -> bytes:
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -4,7 +4,7 @@
 
 A truncated answer never looks complete: a body is sent once all of it has
 been received, and a stream is ended only where the runner ended it, after a
-whole event.
+whole event. The end of a connection ends no stream that has had no event.
 """
 
 import typing
@@ -97,6 +97,9 @@
             after_events()
     exchange.partial_event_bytes = len(splitter.remainder)
     rest = splitter.end()
+    if reply.framing == lasthop.CLOSE and not splitter.event_count:
+        # Nothing but the close distinguishes it from a whole stream.
+        raise errors.BadAnswer('the stream ended before its first event')
     if rest:
         await responder.send(rest)
     await responder.finish()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1312,6 +1312,11 @@
         'if line and not line.startswith(b\':\'):', 'if line:',
         'forwarding', 'whose runner.s stream',
     ),
+    Mutant(
+        'answers: a close ends a stream without events', 'routedanswers',
+        'reply.framing == lasthop.CLOSE and not splitter.event_count',
+        'False', 'forwarding', 'before its first event, with no length',
+    ),
     Mutant(
         'answers: all answers on streaming routes have events',
         'routedanswers', 'return media_type in (None, events.MEDIA_TYPE)',
