--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -18,7 +18,7 @@
 from mountridge.control import hallmanager
 from mountridge.documents import halls, instances, routes
 from mountridge import errors, messages, metrics
-from mountridge.net import dialects, httpserver
+from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import entryapi, hallorders
 from mountridge.state import commands, statemachine
 
@@ -54,7 +54,10 @@
         await trio.sleep(0.01)
         head = dialects.ReplyHead(200, None, False, None, None, None)
         yield types.SimpleNamespace(
-            head=head, headers=[], read_body=answers.read_body
+            head=head,
+            headers=[],
+            read_body=answers.read_body,
+            framing=lasthop.LENGTH,
         )
 
     async def evict(self, address):
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -17,7 +17,7 @@
 from features.worlds import answers, system
 from mountridge.documents import instances, routes
 from mountridge import errors, messages
-from mountridge.net import dialects, httpserver
+from mountridge.net import dialects, httpserver, lasthop
 
 __all__ = ['Play', 'play']
 
@@ -87,7 +87,10 @@
             raise errors.OutcomeUnknown('no answer: reset')
         head = dialects.ReplyHead(200, None, False, None, None, None)
         yield types.SimpleNamespace(
-            head=head, headers=[], read_body=answers.read_body
+            head=head,
+            headers=[],
+            read_body=answers.read_body,
+            framing=lasthop.LENGTH,
         )
 
     async def refuses_connections(self, address):
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -16,7 +16,7 @@
 from features.worlds import answers
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
-from mountridge.net import dialects, httpserver
+from mountridge.net import dialects, httpserver, lasthop
 from mountridge.routing import backends, budgets, forwarding
 
 __all__ = ['Answer', 'Arrival', 'Runner', 'World']
@@ -113,7 +113,10 @@
         headers = [(NAMES.request_id, request_id.encode()), *answer.headers]
         head = dialects.read_reply_head(answer.status, headers, NAMES)
         yield types.SimpleNamespace(
-            head=head, headers=headers, read_body=answers.read_body
+            head=head,
+            headers=headers,
+            read_body=answers.read_body,
+            framing=lasthop.LENGTH,
         )
 
 
