An answer that ends with its connection is checked for a crash of its runner

Seen by callers: a stream that lacks its last events, or a short body, complete by its framing. Cause: the kernel closes the connections of a process that crashes, and an answer with neither a length nor chunks ends with its connection. Where the crash comes between two events, or in a plain body, what was received does not show it. Change: before such an answer is ended, the gateway opens a connection to its runner. If that is refused and the runner is neither draining nor leaving, the attempt has failed. An accepted one is kept and serves the next request, so it is one new connection for each answer that ended one, as before. Who does not answer in time counts as running. Why it works: listening sockets of a process are closed with its connections, and a connection that is opened after the close was received arrives later.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -30,6 +30,8 @@
       | unsafe    | first answers an earlier request    | 200 and complete        | 1    |
       | unsafe    | sends more data after its answer    | 200 and complete        | 1    |
       | unsafe    | sends no length and closes          | 200 and complete        | 1    |
+      | safe      | sends no length and crashes         | 200 and complete        | 2    |
+      | unsafe    | sends no length and crashes         | 502                     | 1    |
       | unsafe    | cannot be reached                   | 200 and complete        | 1    |
       | safe      | never answers                       | 504 and outcome unknown | 1    |
       | unsafe    | never answers                       | 504 and outcome unknown | 1    |
@@ -59,6 +61,21 @@
       | streaming-once | ends with a comment, with no length           | 200 and its comment               | 1    |
       | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
 
+  # Guards against whole answers that are lost because their runner's process
+  # ends right after them, as planned.
+  Scenario: A runner that drains and ends with its answer has not crashed
+    Given two runners of which the first sends all with no length and crashes
+    When a unsafe request is sent and that runner starts to drain
+    Then its answer is 200 and complete
+    And the runners ran it 1 times
+
+  # Guards against two new connections for each answer without a length.
+  Scenario: A connection that shows that a runner still runs serves its next request
+    Given two runners of which the first sends no length and closes
+    When a unsafe request is sent twice
+    Then the first runner has received 2 of them
+    And the first runner has accepted 3 connections
+
   # Guards against retries that are refused although no runner has received
   # the request, and against sends beyond the first that are not counted.
   Scenario Outline: With no retries left, a request whose first runner <fault>
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -32,6 +32,12 @@
     'sends a length that ends within an event': 2.5,
     PAUSES: 2,
 }
+#: Faults of runners whose process ends with the answer.
+CRASHES = (
+    'ends between two events, with no length',
+    'sends no length and crashes',
+    'sends all with no length and crashes',
+)
 #: The fault of a rank that refuses requests while its group is closed.
 CLOSED = 'refuses while its group is closed'
 #: Time for the gateway to read the first events before the next are sent.
@@ -97,6 +103,7 @@
         #: Called when a request is received, before the answer.
         self.on_request = lambda: None
         self.listening = trio.CancelScope()
+        self.connections = 0
 
     async def listen(self, listener, nursery):
         """Accept connections until ``listening`` is cancelled."""
@@ -106,6 +113,7 @@
             )
 
     async def serve(self, stream):
+        self.connections += 1
         request = await self._read(stream)
         while request is not None:
             self.received.append(request)
@@ -116,7 +124,7 @@
                 self.closed.set()
                 return
             await stream.send_all(data)
-            if self.fault == 'ends between two events, with no length':
+            if self.fault in CRASHES:
                 self.listening.cancel()
                 await trio.testing.wait_all_tasks_blocked()
             if self.fault == PAUSES:
@@ -176,8 +184,13 @@
                 _answer_bytes(200, request, b'whole') + b'HTTP/1.1 200',
                 True,
             )
-        if fault == 'sends no length and closes':
+        if fault in (
+            'sends no length and closes',
+            'sends all with no length and crashes',
+        ):
             return _head(200, request, b'\r\n') + b'whole', False
+        if fault == 'sends no length and crashes':
+            return _head(200, request, b'\r\n') + b'who', False
         return _answer_bytes(200, request, b'whole'), True
 
 
@@ -443,6 +456,25 @@
     assert b' 200 ' in context.data.split(b'\r\n')[0], context.data
 
 
+@then('the first runner has accepted {count:d} connections')
+def check_connections(context, count):
+    assert context.world.runners[0].connections == count
+
+
+@when('a {kind} request is sent and that runner starts to drain')
+def send_to_draining(context, kind):
+    async def script(world):
+        def drain():
+            first = world.registered[0]._replace(state=instances.DRAINING)
+            world.known.update_runners([first, *world.registered[1:]])
+
+        world.runners[0].on_request = drain
+        await _ask(context, world, kind)
+
+    context.kind = kind
+    _run(context, script)
+
+
 @when('a {kind} request is sent')
 def send_request(context, kind):
     async def script(world):
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -57,6 +57,9 @@
     """One connection to a runner, used by one request at a time."""
 
     def __init__(self, stream: trio.SocketStream, opened_s: float):
+        stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
         self.stream = stream
         self.opened_s = opened_s
         self.http = h11.Connection(h11.CLIENT)
@@ -176,9 +179,6 @@
                 stream = await trio.open_tcp_stream(host, int(port))
         except (OSError, trio.TooSlowError) as problem:
             raise errors.NoRunner(f'could not connect to {address}: {problem}')
-        stream.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-        )
         return _Connection(stream, opened_s)
 
     @contextlib.asynccontextmanager
@@ -265,39 +265,45 @@
         is_complete = (
             http.our_state is h11.DONE and http.their_state is h11.DONE
         )
-        idle = self._idle.setdefault(address, [])
-        evicted_s = self._evicted_s.get(address, float('-inf'))
-        is_current = connection.opened_s > evicted_s
-        if (
-            is_complete
-            and is_current
-            and not http.trailing_data[0]
-            and len(idle) < MAX_IDLE
-        ):
-            http.start_next_cycle()
-            connection.idle_since_s = self._now_s()
-            idle.append(connection)
-            return
+        if is_complete and not http.trailing_data[0]:
+            if self._keep(address, connection):
+                http.start_next_cycle()
+                return
         if not is_complete:
             connection.reset_on_close()
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(connection.stream)
 
+    def _keep(self, address: str, connection: _Connection) -> bool:
+        """Keep an idle connection for reuse, unless it may not be reused."""
+        idle = self._idle.setdefault(address, [])
+        evicted_s = self._evicted_s.get(address, float('-inf'))
+        if connection.opened_s <= evicted_s or len(idle) >= MAX_IDLE:
+            return False
+        connection.idle_since_s = self._now_s()
+        idle.append(connection)
+        return True
+
     async def refuses_connections(self, address: str) -> bool:
         """Return whether an address refuses a connection.
 
-        False if it accepts one, and if nothing answers in time: its box may
-        be partitioned or suspended.
+        False if it accepts one, which is kept for the next request, and if
+        nothing answers in time: its box may be partitioned or suspended.
         """
         host, _, port = address.rpartition(':')
-        with trio.move_on_after(self._connect_s):
-            with trio.socket.socket() as probe:
-                try:
+        opened_s = self._now_s()
+        with contextlib.ExitStack() as opened:
+            probe = opened.enter_context(trio.socket.socket())
+            try:
+                with trio.fail_after(self._connect_s):
                     await probe.connect((host, int(port)))
-                except ConnectionRefusedError:
-                    return True
-                except OSError:
-                    return False
+            except ConnectionRefusedError:
+                return True
+            except (OSError, trio.TooSlowError):
+                return False
+            connection = _Connection(trio.SocketStream(probe), opened_s)
+            if self._keep(address, connection):
+                opened.pop_all()
         return False
 
     async def evict(self, address: str) -> None:
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -58,11 +58,7 @@
         """Mark a request as suspect if its runner has crashed."""
         if not isinstance(problem, CONNECTION_ERRORS):
             return
-        if runner.state != instances.READY:
-            return  # a planned stop
-        if self._backoffs.is_leaving(runner):
-            return
-        if not await pool.refuses_connections(runner.address):
+        if not await self.has_crashed(runner, pool):
             return
         now_s = self._app.now_s()
         digest = routefilters.request_digest(self._quarantine, exchange)
@@ -79,6 +75,16 @@
         )
         await self.on_crash()
 
+    async def has_crashed(
+        self, runner: instances.Instance, pool: lasthop.Pool
+    ) -> bool:
+        """Return whether the process of a runner has ended unexpectedly."""
+        if runner.state != instances.READY or self._backoffs.is_leaving(
+            runner
+        ):
+            return False  # a planned stop
+        return await pool.refuses_connections(runner.address)
+
     def record_success(self, exchange: Exchange) -> None:
         """Record that a request has succeeded, which clears it everywhere."""
         digest = routefilters.request_digest(self._quarantine, exchange)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -433,10 +433,25 @@
             reply,
             self.app.now_s,
             lambda: self._after_events(exchange, backend),
+            lambda: self._confirm_end(reply, backend),
         )
         backend.record_success()
         self.crashes.record_success(exchange)
 
+    async def _confirm_end(
+        self, reply: lasthop.Reply, backend: backends.Backend
+    ) -> None:
+        """Check that an answer did not end because its runner crashed.
+
+        An answer that ends with its connection looks the same in both cases.
+
+        :raises BadAnswer: the runner has crashed.
+        """
+        if reply.framing != lasthop.CLOSE:
+            return
+        if await self.crashes.has_crashed(backend.instance, self.pool):
+            raise errors.BadAnswer('the runner crashed as its answer ended')
+
     def _log_announced(
         self,
         exchange: Exchange,
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -18,6 +18,7 @@
 
 Answer, Exchange = routedexchanges.Answer, routedexchanges.Exchange
 Clock = typing.Callable[[], float]
+Confirm = typing.Callable[[], typing.Awaitable[None]]
 
 
 async def forward(
@@ -25,9 +26,12 @@
     reply: lasthop.Reply,
     now_s: Clock,
     after_events: typing.Callable[[], None],
+    confirm_end: Confirm,
 ) -> None:
     """Forward an answer; ``after_events`` may end a stream by raising.
 
+    ``confirm_end`` raises if what has been received may not be all of it.
+
     :raises RunnerFailed: the runner failed; its answer is kept in the
         exchange unless a stream has been started.
     :raises BadAnswer: it was truncated, or an event is missing.
@@ -35,9 +39,11 @@
     exchange.framing = reply.framing
     exchange.partial_event_bytes = 0
     if _is_stream(exchange, reply):
-        await _forward_stream(exchange, reply, now_s, after_events)
+        await _forward_stream(
+            exchange, reply, now_s, after_events, confirm_end
+        )
     else:
-        await _forward_complete(exchange, reply, now_s)
+        await _forward_complete(exchange, reply, now_s, confirm_end)
 
 
 def _is_stream(exchange: Exchange, reply: lasthop.Reply) -> bool:
@@ -49,9 +55,13 @@
 
 
 async def _forward_complete(
-    exchange: Exchange, reply: lasthop.Reply, now_s: Clock
+    exchange: Exchange,
+    reply: lasthop.Reply,
+    now_s: Clock,
+    confirm_end: Confirm,
 ) -> None:
     body = await reply.read_body()
+    await confirm_end()
     status = reply.head.status
     if exchange.responder.started:
         raise errors.RunnerFailed(
@@ -79,6 +89,7 @@
     reply: lasthop.Reply,
     now_s: Clock,
     after_events: typing.Callable[[], None],
+    confirm_end: Confirm,
 ) -> None:
     """Forward complete events as they arrive, each numbered one once."""
     responder = exchange.responder
@@ -100,6 +111,7 @@
     if reply.framing == lasthop.CLOSE and not splitter.event_count:
         # Nothing but the close distinguishes it from a whole stream.
         raise errors.BadAnswer('the stream ended before its first event')
+    await confirm_end()
     if rest:
         await responder.send(rest)
     await responder.finish()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -779,7 +779,7 @@
     ),
     Mutant(
         'quarantine: no check that a runner has crashed', 'crashwatch',
-        'if not await pool.refuses_connections(runner.address):', 'if False:',
+        'if not await self.has_crashed(runner, pool):', 'if False:',
         'quarantine',
     ),
     Mutant(
@@ -1029,8 +1029,7 @@
     ),
     Mutant(
         'incarnations: no eviction of connections in use', 'lasthop',
-        'is_current = connection.opened_s > evicted_s',
-        'is_current = True', 'lives',
+        'connection.opened_s <= evicted_s or', '', 'lives',
     ),
     Mutant(
         'incarnations: no handling of deeply nested bodies', 'instances',
@@ -1317,6 +1316,23 @@
         'reply.framing == lasthop.CLOSE and not splitter.event_count',
         'False', 'forwarding', 'before its first event, with no length',
     ),
+    Mutant(
+        'answers: a crash ends an answer without a length', 'forwarding',
+        'if await self.crashes.has_crashed(backend.instance, self.pool):',
+        'if False:', 'forwarding', 'crashes|ends between',
+    ),
+    Mutant(
+        'answers: a planned stop is a crash', 'crashwatch',
+        'if runner.state != instances.READY or self._backoffs.is_leaving('
+        '\n            runner\n        ):', 'if False:',
+        'forwarding', 'drains and ends',
+    ),
+    Mutant(
+        'last hop: the connection to a running runner is not kept', 'lasthop',
+        'if self._keep(address, connection):\n                opened',
+        'if False:\n                opened', 'forwarding',
+        'shows that a runner still runs',
+    ),
     Mutant(
         'answers: all answers on streaming routes have events',
         'routedanswers', 'return media_type in (None, events.MEDIA_TYPE)',
