A close after a failed send is a reset

Cause: the system reports a reset once, by whichever call comes next, and a close from then on. Where a runner answers before it has read a long request and resets the connection, the send of the request gets that report, and the read of the answer gets its bytes and then a close. With neither a length nor chunks that ended the answer. Change: an answer that ends with its connection is broken off if a send on that connection has failed. Early answers with a length or chunks are returned as before.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -199,3 +199,15 @@
       | CRLF     | 7    |
       | CR       | 1    |
       | CR       | 7    |
+
+  # Guards against a short body that passes as complete: the system reports a
+  # reset once, to the send that it ends, and a close from then on.
+  Scenario Outline: An answer with <framing> that begins while its request is sent, then a reset
+    When a runner answers a request of 16000000 bytes early, with <framing>, and resets the connection
+    Then reading the answer <result>
+
+    Examples:
+      | framing                 | result                 |
+      | no length               | fails with 1301        |
+      | a length, cut short     | fails with 1301        |
+      | a length, whole         | returns all of it      |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -3,6 +3,8 @@
 """Steps for the forwarder, with raw callers and runners on loopback."""
 
 import itertools
+import socket
+import struct
 import types
 
 from behave import given, then, when
@@ -10,8 +12,8 @@
 import trio.testing
 
 from mountridge.documents import instances, routes
-from mountridge import messages, metrics
-from mountridge.net import dialects, events, httpserver
+from mountridge import errors, messages, metrics
+from mountridge.net import dialects, events, httpserver, lasthop
 from mountridge.routing import backends, budgets, forwarding
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
@@ -666,3 +668,55 @@
 def check_pieces(context):
     split = b''.join(event.data for event in context.events)
     assert split + context.rest == context.arrived, context.rest
+
+
+@when(
+    'a runner answers a request of {count:d} bytes early, with {framing}, and'
+    ' resets the connection'
+)
+def answer_early(context, count, framing):
+    request = {b'x-request-id': b'mine'}
+    data = _answer_bytes(200, request, b'whole')
+    if framing == 'no length':
+        data = _head(200, request, b'\r\n') + b'who'
+    elif framing == 'a length, cut short':
+        data = data[:-2]
+
+    async def serve(stream):
+        await stream.receive_some(4096)
+        await stream.send_all(data)
+        # The caller's send waits for room by then.
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        linger = struct.pack('ii', 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await trio.aclose_forcefully(stream)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            (listener,) = await trio.open_tcp_listeners(0, host=HOST)
+            nursery.start_soon(trio.serve_listeners, serve, [listener])
+            port = listener.socket.getsockname()[1]
+            pool = lasthop.Pool(dialects.NATIVE.headers, trio.current_time)
+            body = b'x' * count
+            fields = [(b'Host', b'a'), (b'Content-Length', b'%d' % count)]
+            with trio.fail_after(10):
+                async with pool.request(
+                    f'{HOST}:{port}', b'POST', b'/', fields, body, 'mine'
+                ) as reply:
+                    context.result = await _read_body(reply)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def _read_body(reply):
+    try:
+        return await reply.read_body()
+    except errors.MountridgeError as problem:
+        return problem.code
+
+
+@then('reading the answer {result}')
+def check_result(context, result):
+    expected = 1301 if result == 'fails with 1301' else b'whole'
+    assert context.result == expected, context.result
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -63,6 +63,9 @@
         self.stream = stream
         self.opened_s = opened_s
         self.http = h11.Connection(h11.CLIENT)
+        #: Whether a send has failed; a reset is reported to it alone, and is
+        #: read as a close from then on.
+        self.send_failed = False
         self.idle_since_s = 0.0
         #: For how long it may stay idle.
         self.idle_s = IDLE_TIMEOUT_S
@@ -130,6 +133,8 @@
                 if isinstance(event, h11.Data):
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
+                    if self.framing == CLOSE and self._connection.send_failed:
+                        raise errors.BadAnswer('the connection was reset')
                     return
                 else:
                     raise errors.BadAnswer(
@@ -220,6 +225,7 @@
             # The runner may have answered before it stopped reading.
             if not connection.http.trailing_data[0] and not body:
                 raise errors.OutcomeUnknown(f'request not sent: {problem}')
+            connection.send_failed = True
 
     async def _read_reply(
         self,
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1333,6 +1333,11 @@
         'if False:\n                opened', 'forwarding',
         'shows that a runner still runs',
     ),
+    Mutant(
+        'last hop: a close after a failed send ends an answer', 'lasthop',
+        'connection.send_failed = True', 'pass', 'forwarding',
+        'then a reset',
+    ),
     Mutant(
         'answers: all answers on streaming routes have events',
         'routedanswers', 'return media_type in (None, events.MEDIA_TYPE)',
