Comments are no events of a stream that ends with its connection

Seen by callers: a stream of a comment alone, with the last chunk of a complete one. Cause: a block of comments, which a runner sends to keep a connection open, counted as the first event, so a close right after it ended the stream. Change: only events with a field count. Comments are passed on as before.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -60,6 +60,7 @@
       | streaming-once | closes after its last event, with no length   | 200 and complete                  | 1    |
       | streaming-once | ends with a comment, with no length           | 200 and its comment               | 1    |
       | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
+      | streaming      | closes after a comment, with no length        | 200, a comment and all events     | 2    |
 
   # Guards against whole answers that are lost because their runner's process
   # ends right after them, as planned.
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -66,6 +66,8 @@
     data = b''.join(whole)
     if cut not in (None, int(cut or 0)):
         data += EVENTS[int(cut)][:4]
+    if fault == 'closes after a comment, with no length':
+        return _head(200, request, b'\r\n') + COMMENT + b'\n'
     if 'comment' in fault:
         data += COMMENT
     if 'JSON' in fault:
@@ -541,6 +543,10 @@
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('a comment and all events'):
+        sent = [x for x in body.split(b'\r\n') if len(x) > 3]
+        assert b''.join(sent) == COMMENT + b'\n' + b''.join(EVENTS), body
+        assert body.endswith(b'0\r\n\r\n'), body
     elif answer.endswith('its comment'):
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS) + COMMENT, body
--- a/mountridge/net/events.py
+++ b/mountridge/net/events.py
@@ -16,10 +16,15 @@
 
 
 class Event(typing.NamedTuple):
-    """A complete event, with its number or None."""
+    """A complete event, with its number or None.
+
+    A block of comments, as sent to keep a connection open, is no event to its
+    reader, and is passed on like one.
+    """
 
     data: bytes
     event_id: int | None
+    is_comment: bool = False
 
 
 def _event_id(data: bytes) -> int | None:
@@ -32,6 +37,13 @@
     return None
 
 
+def _has_only_comments(data: bytes) -> bool:
+    if data[:1] not in (b':', b'\r', b'\n'):
+        return False
+    lines = data.splitlines()
+    return all(not line or line.startswith(b':') for line in lines)
+
+
 class Splitter:
     """Splits a stream of bytes into complete events."""
 
@@ -46,10 +58,11 @@
         found, start = [], 0
         for blank_line in _BLANK_LINE.finditer(received):
             data = received[start : blank_line.end()]
-            found.append(Event(data, _event_id(data)))
+            event = Event(data, _event_id(data), _has_only_comments(data))
+            found.append(event)
             start = blank_line.end()
         self.remainder = received[start:]
-        self.event_count += len(found)
+        self.event_count += sum(not event.is_comment for event in found)
         return found
 
     def end(self) -> bytes:
@@ -57,7 +70,6 @@
 
         :raises BadAnswer: the stream ended within an event.
         """
-        for line in self.remainder.splitlines():
-            if line and not line.startswith(b':'):
-                raise errors.BadAnswer('the stream ended within an event')
+        if self.remainder and not _has_only_comments(self.remainder):
+            raise errors.BadAnswer('the stream ended within an event')
         return self.remainder
