A stream with events that have no number is not resumed

Seen in a test: a caller gets events of two runs, some of them twice. Cause: a route that allows streams to be resumed was enough for it. A run that is to go on after the last number, or from the start if there was none, repeats all events after it that have none. Change: once an event without a number has been passed on, the stream is not resumed, and its caller's answer gets no end. Blocks of comments do not count. Seen: both rows failed before and pass now; the mutant is caught.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -62,6 +62,19 @@
       | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
       | streaming      | closes after a comment, with no length        | 200, a comment and all events     | 2    |
 
+  # Guards against events that a caller gets twice: a run that goes on after the
+  # last number repeats the events that have none.
+  Scenario Outline: A stream that breaks off after events <numbered>
+    Given two runners of which the first truncates a stream of events <numbered>
+    When a streaming request is sent
+    Then its answer is <answer>
+    And the runners ran it <runs> times
+
+    Examples:
+      | numbered                      | answer                           | runs |
+      | without numbers               | 200, and no event after the cut  | 1    |
+      | of which the last has none    | 200, and no event after the cut  | 1    |
+
   # Guards against whole answers that are lost because their runner's process
   # ends right after them, as planned.
   Scenario: A runner that drains and ends with its answer has not crashed
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -18,6 +18,7 @@
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 COMMENT = b': end\n'
+UNNUMBERED = b'data: no number\n\n'
 JSON = b'{"text": "whole"}'
 HOST = '127.0.0.1'
 #: Streams that may not be resumed.
@@ -66,6 +67,10 @@
     data = b''.join(whole)
     if cut not in (None, int(cut or 0)):
         data += EVENTS[int(cut)][:4]
+    if fault.startswith('truncates a stream of events'):
+        kept = [] if 'without' in fault else EVENTS[:1]
+        data = b''.join([*kept, UNNUMBERED])
+        return _head(200, request, b'\r\n') + data + b'da'
     if fault == 'closes after a comment, with no length':
         return _head(200, request, b'\r\n') + COMMENT + b'\n'
     if 'comment' in fault:
@@ -169,9 +174,10 @@
             return None, False
         if fault == 'closes without an answer':
             return b'', False
-        framed = ('no length', 'last chunk', 'a length')
+        framed = ('no length', 'last chunk', 'a length', 'of events')
         if request[b'streams'] and any(x in fault for x in framed):
-            return _stream_bytes(request, fault), 'no length' not in fault
+            keep = 'no length' not in fault and 'of events' not in fault
+            return _stream_bytes(request, fault), keep
         if request[b'streams']:
             cut = TRUNCATIONS.get(fault)
             return _stream(request, cut), cut is None or fault == PAUSES
@@ -551,6 +557,10 @@
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS) + COMMENT, body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('no event after the cut'):
+        assert UNNUMBERED in body, body
+        after = body.partition(UNNUMBERED)[2]
+        assert after == b'\r\n', body
     elif answer.endswith('the object'):
         assert body == JSON, context.data
     elif answer.endswith('events, without an end'):
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -288,10 +288,16 @@
             return False
         if problem.outcome != errors.NOT_RUN and not route.repeatable:
             return False
-        if exchange.events_sent and not route.resumable:
+        if not self._may_go_on(exchange):
             return False
         return self._acquire_retry(exchange, now_s)
 
+    def _may_go_on(self, exchange: Exchange) -> bool:
+        """Return whether another run may follow the events sent so far."""
+        if not exchange.events_sent:
+            return True
+        return exchange.route.resumable and exchange.is_numbered
+
     def _acquire_retry(self, exchange: Exchange, now_s: float) -> bool:
         """Return whether the budget allows a retry, and count it.
 
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -124,6 +124,7 @@
     """
     last = exchange.last_event_id
     if event.event_id is None:
+        exchange.is_numbered &= event.is_comment
         return True
     if last is not None and event.event_id <= last:
         return False
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -58,6 +58,9 @@
         self.is_in_flight = False
         self.last_event_id: int | None = None
         self.events_sent = 0
+        #: Whether all events sent had numbers, so that another run can go on
+        #: after the last one.
+        self.is_numbered = True
         self.first_data_s: float | None = None
         self.last_data_s = now_s
         #: Longest gap between two sends of events.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1344,6 +1344,12 @@
         'connection.send_failed = True', 'pass', 'forwarding',
         'then a reset',
     ),
+    Mutant(
+        'forwarding: streams without numbers are resumed', 'forwarding',
+        'return exchange.route.resumable and exchange.is_numbered',
+        'return exchange.route.resumable', 'forwarding',
+        'breaks off after events',
+    ),
     Mutant(
         'answers: all answers on streaming routes have events',
         'routedanswers', 'return media_type in (None, events.MEDIA_TYPE)',
