A response that was sent only in part no longer keeps its connection

Callers saw: where the deadline cancelled the send of a response, or of the end of a stream, the connection was used again, and the head of the next response filled up the body of the broken one, which its caller then took as complete. Cause: the responder counted a response as finished before its bytes were sent; the parser counts it as complete once it is encoded. Change: it is finished once all of its bytes have been sent, so that the connection of any other is closed.

--- /dev/null
+++ b/features/steps/endings_steps.py
@@ -0,0 +1,112 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on the evidence by which answers and streams count as complete."""
+
+from behave import then, when
+import h11
+import trio
+import trio.testing
+
+from mountridge.documents import routes
+from mountridge.net import httpserver
+
+EVENTS = [b'data: e%d\n\n' % n for n in range(1, 4)]
+BODY = b''.join(EVENTS)
+DEADLINE_S = 1.0
+REQUEST = b'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n'
+
+
+class _SlowCaller:
+    """A server's end of a connection to a caller that can stop reading."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.receive_some, self.aclose = stream.receive_some, stream.aclose
+        #: Bytes that still arrive; any number while it reads.
+        self.room_bytes = None
+
+    async def send_all(self, data):
+        await self._stream.send_all(data[: self.room_bytes])
+        if self.room_bytes is not None:
+            await trio.sleep_forever()
+
+
+async def _serve(handler, requests):
+    """Return what a caller receives that sends all ``requests`` at once.
+
+    ``handler`` is called with the connection first.
+    """
+    caller, served = trio.testing.memory_stream_pair()
+    stream = _SlowCaller(served)
+
+    async def handle(_, responder):
+        await handler(stream, responder)
+
+    server = httpserver.Server(handle, routes.Limits, lambda: False)
+    received = b''
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve_connection, stream)
+        await caller.send_all(requests)
+        with trio.move_on_after(2 * DEADLINE_S):
+            while data := await caller.receive_some(65536):
+                received += data
+        nursery.cancel_scope.cancel()
+    return received
+
+
+def _play(script, *args):
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(script, *args, clock=clock)
+
+
+def _parse(received):
+    """Return the first response as a caller reads it, and what follows it.
+
+    The response is (head, body, whether it is complete), None if there is
+    none.
+    """
+    http = h11.Connection(h11.CLIENT)
+    http.send(h11.Request(method='GET', target='/', headers=[('Host', 'a')]))
+    http.send(h11.EndOfMessage())
+    http.receive_data(received)
+    http.receive_data(b'')
+    head, body = None, b''
+    try:
+        while True:
+            event = http.next_event()
+            if isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            else:
+                break
+    except h11.RemoteProtocolError:
+        return head and (head, body, False), b''
+    if not isinstance(event, h11.EndOfMessage):
+        return None, b''
+    return (head, body, True), http.trailing_data[0]
+
+
+@when('the deadline passes while a caller does not read {part}')
+def cancel_send(context, part):
+    async def handle(stream, responder):
+        with trio.move_on_after(DEADLINE_S):
+            if part == 'a complete response':
+                stream.room_bytes = 90
+                await responder.send_response(200, [], BODY)
+            await responder.start(200, [])
+            await responder.send(EVENTS[0])
+            stream.room_bytes = 2
+            if part == 'an event':
+                await responder.send(EVENTS[1])
+            await responder.finish()
+        stream.room_bytes = None
+
+    context.received = _play(_serve, handle, 2 * REQUEST)
+
+
+@then('the caller finds its response incomplete, and no response behind it')
+def check_incomplete(context):
+    response, rest = _parse(context.received)
+    assert context.received.count(b'HTTP/1.1') < 2, context.received
+    assert not rest and (response is None or not response[2]), response
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -62,6 +62,8 @@
         self._closing = closing
         self._idle_s = idle_s
         self.started = False
+        #: Whether all of it has been sent. A send may be cancelled midway,
+        #: while the parser counts the response as complete.
         self.finished = False
 
     def _persistence(self) -> Headers:
@@ -82,21 +84,21 @@
 
     async def finish(self) -> None:
         """Send the end of the body."""
-        self.finished = True
         await self._stream.send_all(self._http.send(h11.EndOfMessage()))
+        self.finished = True
 
     async def send_response(
         self, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send a complete response in one write."""
         self.started = True
-        self.finished = True
         length = (b'Content-Length', b'%d' % len(body))
         fields = headers + [length] + self._persistence()
         head = h11.Response(status_code=status, headers=fields)
         data = self._http.send(head) + self._http.send(h11.Data(body))
         data += self._http.send(h11.EndOfMessage())
         await self._stream.send_all(data)
+        self.finished = True
 
 
 Handler = typing.Callable[[Request, Responder], typing.Awaitable[None]]
