Callers of HTTP/1.0 get a stream as one body with a length

Callers saw: a stream to a caller of HTTP/1.0 had neither chunks nor a length, so a stream that was aborted, or whose process died, ended as a complete one does. Cause: HTTP/1.0 has no chunks, and the parser then ends the body with the connection. Change: the responder holds such a stream and sends it with a length once it has ended. It takes memory as a complete answer does, for what a runner sends within the deadline of the request. One that is aborted is not answered: nothing has been sent, and the connection closes. Seen: before the fix 5 of the 13 rows failed, all of HTTP/1.0; after it none does. The rows of HTTP/1.1, of Connection: close and of pipelined requests passed before, too.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -14,3 +14,25 @@
       | a complete response |
       | the end of a stream |
       | an event            |
+
+  # Guards against an abort, or the death of this process, that a caller can't
+  # distinguish from the end of its response.
+  Scenario Outline: A <what> over <protocol> is <seen>
+    When a caller requests a <what> over <protocol>
+    Then it finds its response <seen>
+
+    Examples:
+      | what                               | protocol                    | seen             |
+      | stream                             | HTTP/1.1                    | complete         |
+      | stream                             | HTTP/1.1, Connection: close | complete         |
+      | stream                             | HTTP/1.0                    | complete         |
+      | stream                             | HTTP/1.0, keep-alive        | complete         |
+      | stream that is aborted             | HTTP/1.1                    | incomplete       |
+      | stream that is aborted             | HTTP/1.1, Connection: close | incomplete       |
+      | stream that is aborted             | HTTP/1.0                    | missing          |
+      | stream that is aborted             | HTTP/1.0, keep-alive        | missing          |
+      | stream that is aborted             | pipelined HTTP/1.1          | incomplete       |
+      | stream that is aborted at its head | HTTP/1.1                    | incomplete       |
+      | stream that is aborted at its head | HTTP/1.0                    | missing          |
+      | response that is aborted           | HTTP/1.1                    | missing          |
+      | response that is aborted           | HTTP/1.0                    | missing          |
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -14,6 +14,15 @@
 BODY = b''.join(EVENTS)
 DEADLINE_S = 1.0
 REQUEST = b'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n'
+OLD_REQUEST = REQUEST.replace(b'1.1', b'1.0')
+REQUESTS = {
+    'HTTP/1.1': REQUEST,
+    'HTTP/1.1, Connection: close': REQUEST[:-2] + b'Connection: close\r\n\r\n',
+    'HTTP/1.0': OLD_REQUEST,
+    'HTTP/1.0, keep-alive': OLD_REQUEST[:-2]
+    + b'Connection: keep-alive\r\n\r\n',
+    'pipelined HTTP/1.1': 2 * REQUEST,
+}
 
 
 class _SlowCaller:
@@ -110,3 +119,33 @@
     response, rest = _parse(context.received)
     assert context.received.count(b'HTTP/1.1') < 2, context.received
     assert not rest and (response is None or not response[2]), response
+
+
+@when('a caller requests a {what} over {protocol}')
+def request_over(context, what, protocol):
+    async def handle(_, responder):
+        if what == 'response that is aborted':
+            return
+        await responder.start(200, [])
+        if what == 'stream that is aborted at its head':
+            return
+        for event in EVENTS:
+            await responder.send(event)
+        if what == 'stream':
+            await responder.finish()
+
+    context.received = _play(_serve, handle, REQUESTS[protocol])
+
+
+@then('it finds its response {seen}')
+def check_seen(context, seen):
+    response, rest = _parse(context.received)
+    assert not rest, rest
+    if seen == 'missing':
+        assert response is None, response
+        return
+    head, body, is_complete = response
+    assert is_complete == (seen == 'complete'), response
+    assert not is_complete or body == BODY, response
+    framings = {b'content-length', b'transfer-encoding'}
+    assert framings & {name for name, _ in head.headers}, head
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -53,8 +53,23 @@
         return self.target.partition(b'?')[0]
 
 
+class _HeldStream(typing.NamedTuple):
+    """A stream that is sent once it has ended."""
+
+    status: int
+    headers: Headers
+    parts: list[bytes]
+
+
 class Responder:
-    """Sends the response to one request, complete or as a stream."""
+    """Sends the response to one request, complete or as a stream.
+
+    A caller of HTTP/1.0 gets a stream as one body with a length once the
+    stream has ended. HTTP/1.0 has no chunks, so it could not distinguish the
+    end of a stream from a connection that broke. Such a stream takes memory
+    as any other complete answer does: for what a runner sends within the
+    deadline of the request.
+    """
 
     def __init__(self, http: h11.Connection, stream, closing: bool, idle_s):
         self._http = http
@@ -65,6 +80,7 @@
         #: Whether all of it has been sent. A send may be cancelled midway,
         #: while the parser counts the response as complete.
         self.finished = False
+        self._held: _HeldStream | None = None
 
     def _persistence(self) -> Headers:
         if self._closing:
@@ -74,16 +90,26 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head; ``headers`` determine the framing of the body."""
         self.started = True
+        if self._http.their_http_version < b'1.1':
+            self._held = _HeldStream(status, headers, [])
+            return
         fields = headers + self._persistence()
         head = h11.Response(status_code=status, headers=fields)
         await self._stream.send_all(self._http.send(head))
 
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body."""
+        if self._held is not None:
+            self._held.parts.append(data)
+            return
         await self._stream.send_all(self._http.send(h11.Data(data)))
 
     async def finish(self) -> None:
         """Send the end of the body."""
+        if self._held is not None:
+            status, headers, parts = self._held
+            await self.send_response(status, headers, b''.join(parts))
+            return
         await self._stream.send_all(self._http.send(h11.EndOfMessage()))
         self.finished = True
 
