An agent no longer passes on a stream that ends within an event as complete

Callers saw: where a runner behind an agent ended its stream within an event, by its close, its last chunk or its length, the gateway ended its own answer as a complete one, and a claimed answer was stored as complete. Cause: the agent took the end of the framing for the end of the stream. Change: at the end of a stream of events the agent checks that its last event is complete, with line ends of LF, CR or CRLF; if not, the attempt fails with BadAnswer, and the gateway aborts or retries as after any truncated answer. An agent passes bytes on without splitting them into events, so only the last bytes are kept.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -36,3 +36,23 @@
       | stream that is aborted at its head | HTTP/1.0                    | missing          |
       | response that is aborted           | HTTP/1.1                    | missing          |
       | response that is aborted           | HTTP/1.0                    | missing          |
+
+  # Guards against streams that a runner broke off within an event, and that an
+  # agent passes on as complete.
+  Scenario Outline: An agent's runner that ends a stream <where>, framed by <framing>
+    When an agent reads a chat stream that ends <where>, framed by <framing>
+    Then the agent takes it for <seen>
+
+    Examples:
+      | where                        | framing    | seen       |
+      | after its last event         | its length | complete   |
+      | after its last event         | chunks     | complete   |
+      | after its last event         | its close  | complete   |
+      | after its last event in CRLF | its close  | complete   |
+      | within an event              | its length | broken off |
+      | within an event              | chunks     | broken off |
+      | within an event              | its close  | broken off |
+      | within an event in CRLF      | its close  | broken off |
+      | by a reset                   | its length | broken off |
+      | by a reset                   | chunks     | broken off |
+      | by a reset                   | its close  | broken off |
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -2,16 +2,31 @@
 
 """Steps on the evidence by which answers and streams count as complete."""
 
+import contextlib
+import socket
+import struct
+
 from behave import then, when
 import h11
 import trio
 import trio.testing
 
+from mountridge.dispatch import upstreams
 from mountridge.documents import routes
+from mountridge import errors
 from mountridge.net import httpserver
 
 EVENTS = [b'data: e%d\n\n' % n for n in range(1, 4)]
 BODY = b''.join(EVENTS)
+CHAT = '/v1/chat/completions'
+CHAT_EVENTS = EVENTS + [b'data: [DONE]\n\n']
+#: The bytes of a stream, by where it ends.
+STREAMS = {
+    'after its last event': b''.join(CHAT_EVENTS),
+    'within an event': BODY[:-1],
+    'between two events': BODY,
+    'before its first event': b'',
+}
 DEADLINE_S = 1.0
 REQUEST = b'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n'
 OLD_REQUEST = REQUEST.replace(b'1.1', b'1.0')
@@ -149,3 +164,70 @@
     assert not is_complete or body == BODY, response
     framings = {b'content-length', b'transfer-encoding'}
     assert framings & {name for name, _ in head.headers}, head
+
+
+def _framed(where, framing):
+    """Return the bytes of a runner's answer, and whether a reset ends it."""
+    data = STREAMS.get(where.removesuffix(' in CRLF'), BODY)
+    if where.endswith(' in CRLF'):
+        data = data.replace(b'\n', b'\r\n')
+    is_reset = where == 'by a reset'
+    head = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    if framing == 'its length':
+        length = len(data) + is_reset
+        return head + b'Content-Length: %d\r\n\r\n' % length + data, is_reset
+    if framing == 'chunks':
+        end = b'' if is_reset else b'0\r\n\r\n'
+        chunk = b'%x\r\n%s\r\n' % (len(data), data)
+        head += b'Transfer-Encoding: chunked\r\n\r\n'
+        return head + chunk + end, is_reset
+    return head + b'\r\n' + data, is_reset
+
+
+@contextlib.asynccontextmanager
+async def _answering(data, is_reset):
+    """Run a server that answers one request with ``data``; yield its address.
+
+    It closes the connection then, or resets it once ``data`` has arrived.
+    """
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        await stream.send_all(data)
+        if is_reset:
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            linger = struct.pack('ii', 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        yield '127.0.0.1:%d' % listener.socket.getsockname()[1]
+        nursery.cancel_scope.cancel()
+
+
+@when('an agent reads a chat stream that ends {where}, framed by {framing}')
+def read_chat_stream(context, where, framing):
+    _read_stream(context, CHAT, where, framing)
+
+
+def _read_stream(context, path, where, framing):
+    context.received, context.problem = b'', None
+
+    async def read():
+        async with _answering(*_framed(where, framing)) as address:
+            upstream = upstreams.Upstream(f'http://{address}')
+            async with upstream.request(path, [], b'{}') as response:
+                try:
+                    async for data in response.pieces():
+                        context.received += data
+                except errors.BadAnswer as problem:
+                    context.problem = problem
+
+    trio.run(read)
+
+
+@then('the agent takes it for {seen}')
+def check_taken_for(context, seen):
+    is_broken = context.problem is not None
+    assert is_broken == (seen == 'broken off'), context.problem
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -10,6 +10,7 @@
 import typing
 
 from mountridge import clocks
+from mountridge.dispatch import streamends
 from mountridge.net import dialects, lasthop
 
 __all__ = ['Response', 'Upstream']
@@ -25,12 +26,26 @@
         self._reply = reply
         self.head = reply.head
 
-    def pieces(self) -> typing.AsyncIterator[bytes]:
+    async def pieces(self) -> typing.AsyncIterator[bytes]:
         """Yield the body in pieces, up to its explicit end.
 
-        :raises BadAnswer: the body was truncated.
+        :raises BadAnswer: the body was truncated, or is a stream that ends
+            within an event.
         """
-        return self._reply.chunks()
+        end = streamends.StreamEnd()
+        async for data in self._reply.chunks():
+            end.feed(data)
+            yield data
+        if _is_event_stream(self._reply.headers):
+            end.check()
+
+
+def _is_event_stream(headers: lasthop.Headers) -> bool:
+    return any(
+        name.lower() == b'content-type'
+        and value.strip().lower().startswith(b'text/event-stream')
+        for name, value in headers
+    )
 
 
 class Upstream:
