An agent needs evidence for the end of a stream that ends with its connection

Callers saw: a chat stream with neither a length nor chunks, whose runner died before or between two events, reached them as complete. Cause: the close of the connection was taken for the end of the stream, although the close of a runner that dies looks the same. Change: where the close is the only framing, the last event of a chat stream must be "data: [DONE]", which ends every stream of that API; a stream of another service, which has no such event, needs at least one event of any kind. Streams with chunks or a length are taken as before. What remains: such a stream of another service that breaks off between two events.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -56,3 +56,18 @@
       | by a reset                   | its length | broken off |
       | by a reset                   | chunks     | broken off |
       | by a reset                   | its close  | broken off |
+
+  # Guards against streams whose runner ends with its connection between two
+  # events, and that an agent passes on as complete.
+  Scenario Outline: A stream of <path> that ends <where>, framed by <framing>
+    When an agent reads a stream of <path> that ends <where>, framed by <framing>
+    Then the agent takes it for <seen>
+
+    Examples:
+      | path                 | where                  | framing   | seen       |
+      | /v1/chat/completions | between two events     | its close | broken off |
+      | /v1/chat/completions | before its first event | its close | broken off |
+      | /v1/chat/completions | between two events     | chunks    | complete   |
+      | /v1/services/plain   | between two events     | its close | complete   |
+      | /v1/services/plain   | before its first event | its close | broken off |
+      | /v1/services/plain   | before its first event | chunks    | complete   |
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -11,14 +11,13 @@
 import trio
 import trio.testing
 
-from mountridge.dispatch import upstreams
+from mountridge.dispatch import streamends, upstreams
 from mountridge.documents import routes
 from mountridge import errors
 from mountridge.net import httpserver
 
 EVENTS = [b'data: e%d\n\n' % n for n in range(1, 4)]
 BODY = b''.join(EVENTS)
-CHAT = '/v1/chat/completions'
 CHAT_EVENTS = EVENTS + [b'data: [DONE]\n\n']
 #: The bytes of a stream, by where it ends.
 STREAMS = {
@@ -208,10 +207,13 @@
 
 @when('an agent reads a chat stream that ends {where}, framed by {framing}')
 def read_chat_stream(context, where, framing):
-    _read_stream(context, CHAT, where, framing)
+    read_stream(context, streamends.CHAT_PATH, where, framing)
 
 
-def _read_stream(context, path, where, framing):
+@when(
+    'an agent reads a stream of {path} that ends {where}, framed by {framing}'
+)
+def read_stream(context, path, where, framing):
     context.received, context.problem = b'', None
 
     async def read():
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -22,7 +22,8 @@
 class Response:
     """The runner's response: its head, and its body as a stream."""
 
-    def __init__(self, reply: lasthop.Reply):
+    def __init__(self, path: str, reply: lasthop.Reply):
+        self._path = path
         self._reply = reply
         self.head = reply.head
 
@@ -30,14 +31,14 @@
         """Yield the body in pieces, up to its explicit end.
 
         :raises BadAnswer: the body was truncated, or is a stream that ends
-            within an event.
+            within or before its last event.
         """
         end = streamends.StreamEnd()
         async for data in self._reply.chunks():
             end.feed(data)
             yield data
         if _is_event_stream(self._reply.headers):
-            end.check()
+            end.check(self._path, self._reply.framing)
 
 
 def _is_event_stream(headers: lasthop.Headers) -> bool:
@@ -74,4 +75,4 @@
         async with self._pool.request(
             self._address, b'POST', path.encode(), encoded, body, None
         ) as reply:
-            yield Response(reply)
+            yield Response(path, reply)
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -14,7 +14,7 @@
 
 from mountridge import application, errors, messages, signals, utils
 from mountridge.dispatch import attempts, decisions, dispatching, exchanges
-from mountridge.dispatch import filters
+from mountridge.dispatch import filters, streamends
 from mountridge.documents import tables
 from mountridge.logs import logger
 from mountridge.state import leases, limits, members, views
@@ -22,7 +22,7 @@
 __all__ = ['Gateway', 'build', 'end_request', 'run']
 
 DRAIN_POLL_S = 0.05
-CHAT_PATH = '/v1/chat/completions'
+CHAT_PATH = streamends.CHAT_PATH
 SERVICE_PATH = '/v1/services/'
 
 
