A gateway answers HTTP/1.0 chat streams with one body and a length

Callers saw: over HTTP/1.0 a chat stream came with neither chunks nor a length. Where the runner broke it off, or the agent or the gateway died, the caller took what had arrived as complete; a complete one never ended, since hypercorn leaves the connection open. Cause: HTTP/1.0 has no chunks, so only the close of the connection could end a stream. Change: such a caller gets the stream in one body once it is complete, or a coded error, as for a request that does not ask for a stream. Its size is bounded as there, by what the runner sends within the deadline of its row. Seen: one scenario on real processes, a runner that sends raw bytes, and callers of both versions of HTTP.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -71,3 +71,24 @@
       | /v1/services/plain   | between two events     | its close | complete   |
       | /v1/services/plain   | before its first event | its close | broken off |
       | /v1/services/plain   | before its first event | chunks    | complete   |
+
+  # Guards against answers of the gateway that look complete to a caller after
+  # its runner, its agent or the gateway itself has died.
+  Scenario: What callers of a gateway get when a process or a connection ends
+    Given a system with 1 controller(s), 1 gateway(s) and 0 agent(s)
+    And an agent whose runner ends its answers as requests name it
+    Then callers get these chat streams
+      | ends                   | protocol | seen               |
+      | after its last event   | HTTP/1.1 | complete           |
+      | after its last event   | HTTP/1.0 | complete           |
+      | within an event        | HTTP/1.1 | incomplete         |
+      | within an event        | HTTP/1.0 | refused as ran     |
+      | between two events     | HTTP/1.1 | incomplete         |
+      | before its first event | HTTP/1.1 | refused as ran     |
+      | before its head        | HTTP/1.1 | refused as unknown |
+      | by a reset             | HTTP/1.1 | incomplete         |
+      | by a reset             | HTTP/1.0 | refused as ran     |
+      | as the agent dies      | HTTP/1.1 | incomplete         |
+      | as the agent dies      | HTTP/1.0 | refused as unknown |
+      | as the gateway dies    | HTTP/1.1 | incomplete         |
+      | as the gateway dies    | HTTP/1.0 | missing            |
--- /dev/null
+++ b/features/steps/native_endings_steps.py
@@ -0,0 +1,156 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps on how answers end for callers of a gateway, with real processes."""
+
+import contextlib
+import json
+import socket
+import socketserver
+import struct
+import threading
+import time
+
+from behave import given, then
+import h11
+
+from features.steps import processes
+from standins import cluster
+
+EVENTS = [b'data: e%d\n\n' % n for n in range(1, 4)] + [b'data: [DONE]\n\n']
+#: Events that a runner sends, by where it ends; a half is within the next.
+SENT = {
+    'after its last event': 4,
+    'within an event': 2.5,
+    'between two events': 2,
+    'before its first event': 0,
+}
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
+#: Time for an event to reach the caller before what follows it.
+PAUSE_S = 0.3
+TIMEOUT_S = 10.0
+
+
+class _Runner(socketserver.ThreadingTCPServer):
+    """A runner that ends its answers as the body of a request names it."""
+
+    daemon_threads = True
+
+    def __init__(self):
+        super().__init__(('127.0.0.1', 0), _Answering)
+        #: Set once a request has got its first events.
+        self.reached = threading.Event()
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class _Answering(socketserver.StreamRequestHandler):
+    def handle(self):
+        length = 0
+        while line := self.rfile.readline().strip():
+            name, _, value = line.partition(b':')
+            if name.lower() == b'content-length':
+                length = int(value)
+        ends = json.loads(self.rfile.read(length) or b'{}').get('ends', '')
+        if ends == 'before its head':
+            return
+        count = SENT.get(ends, 2)
+        self.wfile.write(HEAD + b''.join(EVENTS[: int(count)]))
+        time.sleep(PAUSE_S)
+        self.server.reached.set()
+        if count != int(count):
+            self.wfile.write(EVENTS[int(count)][:4])
+        if ends.endswith('dies'):
+            with contextlib.suppress(ConnectionResetError):
+                self.rfile.read(1)
+        if ends == 'by a reset':
+            linger = struct.pack('ii', 1, 0)
+            self.request.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+            self.request.close()
+
+
+@given('an agent whose runner ends its answers as requests name it')
+def start_agent(context):
+    context.runner = _Runner()
+    system = context.cluster
+    url = 'http://127.0.0.1:%d' % context.runner.server_address[1]
+    system.add('agent', 'a1', runner=url, services=processes.SERVICES)
+    system.start('a1')
+    context.agents = 1
+    processes.put_sample(context)
+
+
+def _ask(context, ends, protocol):
+    """Return a caller's response as (status, body, whether complete)."""
+    system, reached = context.cluster, context.runner.reached
+    reached.clear()
+    body = {'model': 'drafts', 'stream': True, 'messages': [], 'ends': ends}
+    data = json.dumps(body).encode()
+    head = (
+        f'POST /v1/chat/completions {protocol}\r\nHost: a.example\r\n'
+        f'Authorization: Bearer dispatch\r\nContent-Length: {len(data)}\r\n'
+        'Connection: close\r\n\r\n'
+    )
+    host, port = system.http['g1'].split(':')
+    address = host, int(port)
+    with socket.create_connection(address, timeout=TIMEOUT_S) as caller:
+        caller.sendall(head.encode() + data)
+        if ends.endswith('dies'):
+            assert reached.wait(TIMEOUT_S)
+            system.kill('a1' if 'agent' in ends else 'g1')
+        return _read_response(caller)
+
+
+def _read_response(caller):
+    """Return a response as (status, body, whether it is complete)."""
+    http = h11.Connection(h11.CLIENT)
+    http.send(h11.Request(method='GET', target='/', headers=[('Host', 'a')]))
+    http.send(h11.EndOfMessage())
+    status, body = 0, b''
+    try:
+        while not isinstance(event := http.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                http.receive_data(caller.recv(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            else:
+                return status, body, False
+    except (h11.RemoteProtocolError, ConnectionResetError, TimeoutError):
+        return status, body, False
+    return status, body, True
+
+
+def _name(status, body, is_complete):
+    if not status:
+        return 'missing'
+    if not is_complete:
+        return 'incomplete'
+    if status == 200:
+        return 'complete' if body == b''.join(EVENTS) else f'cut: {body}'
+    return f'refused as {json.loads(body)["error"]["outcome"]}'
+
+
+@then('callers get these chat streams')
+def check_streams(context):
+    wrong = []
+    for ends, protocol, seen in context.table:
+        found = _name(*_ask(context, ends, protocol))
+        if found != seen:
+            wrong.append(f'{ends}, {protocol}: {found}, not {seen}')
+        _restart(context, ends)
+    assert not wrong, '\n'.join(wrong)
+
+
+def _restart(context, ends):
+    """Start what has died again, and wait until it serves."""
+    if not ends.endswith('dies'):
+        return
+    context.cluster.start('a1' if 'agent' in ends else 'g1')
+
+    def serves():
+        with contextlib.suppress(OSError):
+            return _ask(context, 'after its last event', 'HTTP/1.1')[2]
+
+    cluster.wait_for(serves)
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -277,6 +277,15 @@
     return 'text/event-stream' if status == 200 else 'application/json'
 
 
+def _has_chunks(http_version: str) -> bool:
+    """Return whether a caller can tell a whole stream from a broken one.
+
+    HTTP/1.0 has no chunks, so the close of its connection would be the end of
+    a stream, an aborted one too.
+    """
+    return http_version != '1.0'
+
+
 def _service_in_path(path: str) -> str:
     return path.removeprefix(SERVICE_PATH).partition('/')[0]
 
@@ -296,21 +305,23 @@
         exchange.body = await request.get_data()
         exchange.team = _team(request.headers)
         exchange.key = request.headers.get('idempotency-key', '')
-        streamed = False
+        is_stream = False
         if path == CHAT_PATH:
-            exchange.service, streamed = _chat_model(exchange.body)
+            exchange.service, is_stream = _chat_model(exchange.body)
         else:
             exchange.service = _service_in_path(path)
+        streamed = is_stream and _has_chunks(request.http_version)
         attempt, first = await gateway.begin(exchange, buffered=not streamed)
         headers = {'x-request-id': request_id}
+        content_type = 'application/json'
+        if is_stream:
+            content_type = _stream_content_type(attempt.status)
         if streamed:
             streaming = True
             body: typing.Any = _stream(gateway, exchange, attempt, first)
-            content_type = _stream_content_type(attempt.status)
         else:
             body = first
             gateway.dispatcher.record_decision(exchange, 'end', errors.RAN)
-            content_type = 'application/json'
         response = quart.Response(
             body,
             status=attempt.status,
