An order whose answer is broken off has an unknown outcome

Operators saw: an order whose answer was cut off or reset was logged as "not given", although the engine may have carried it out. Cause: a body that breaks off raises BadAnswer, which the caller of the engine took for an error before the order was sent. Change: it is OutcomeUnknown, also where the head refuses the order, as for an answer that never comes. What follows stays: the next report is made at once, and the leader decides whether to repeat the order.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -92,3 +92,23 @@
       | as the agent dies      | HTTP/1.0 | refused as unknown |
       | as the gateway dies    | HTTP/1.1 | incomplete         |
       | as the gateway dies    | HTTP/1.0 | missing            |
+
+  # Guards against an order that is logged as not given although the engine may
+  # have carried it out.
+  Scenario Outline: An order whose answer <answer> is <outcome>
+    When an engine's answer to an order <answer>
+    Then the log has the order as <outcome>
+
+    Examples:
+      | answer                           | outcome   |
+      | is 202                           | taken     |
+      | is 202 and closes without length | taken     |
+      | is 202 and breaks off            | unknown   |
+      | is 202 and is reset              | unknown   |
+      | is 409                           | refused   |
+      | is 409 and breaks off            | unknown   |
+      | is 409 and is reset              | unknown   |
+      | is 500                           | unknown   |
+      | ends within its head             | unknown   |
+      | never comes                      | unknown   |
+      | finds no engine                  | not given |
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -14,7 +14,10 @@
 from mountridge.dispatch import streamends, upstreams
 from mountridge.documents import routes
 from mountridge import errors
-from mountridge.net import httpserver
+from mountridge.experts import ranks
+from mountridge.groups import engines
+from mountridge.net import dialects, httpserver, lasthop
+from mountridge import sidecar
 
 EVENTS = [b'data: e%d\n\n' % n for n in range(1, 4)]
 BODY = b''.join(EVENTS)
@@ -187,11 +190,14 @@
 async def _answering(data, is_reset):
     """Run a server that answers one request with ``data``; yield its address.
 
-    It closes the connection then, or resets it once ``data`` has arrived.
+    It closes the connection then, or resets it once ``data`` has arrived. If
+    ``data`` is None, it never answers.
     """
 
     async def serve(stream):
         await stream.receive_some(65536)
+        if data is None:
+            await trio.sleep_forever()
         await stream.send_all(data)
         if is_reset:
             await trio.testing.wait_all_tasks_blocked(0.05)
@@ -233,3 +239,41 @@
 def check_taken_for(context, seen):
     is_broken = context.problem is not None
     assert is_broken == (seen == 'broken off'), context.problem
+
+
+def _order_answer(answer):
+    """Return the bytes of an engine's answer, and whether a reset ends it."""
+    head = b'HTTP/1.1 ' + answer[len('is ') :][:3].encode() + b' X\r\n'
+    if answer == 'never comes':
+        return None, False
+    if answer == 'ends within its head':
+        return b'HTTP/1.1 202 X\r\nContent-', False
+    if answer == 'is 202 and closes without length':
+        return head + b'\r\n{}', False
+    is_cut = 'breaks' in answer or 'reset' in answer
+    length = b'Content-Length: %d\r\n\r\n' % (2 + is_cut)
+    return head + length + b'{}', 'reset' in answer
+
+
+@when("an engine's answer to an order {answer}")
+def order(context, answer):
+    sent = ranks.RankOrder(ranks.HOLD, 1, 2, 3, [])
+
+    async def execute(address):
+        pool = lasthop.Pool(dialects.NATIVE.headers, trio.current_time)
+        engine = engines.NativeEngine(engines.EngineCalls(pool, address))
+        context.fields = await sidecar.execute_order(engine, sent)
+
+    async def play():
+        if answer == 'finds no engine':
+            await execute('127.0.0.1:1')
+            return
+        async with _answering(*_order_answer(answer)) as address:
+            await execute(address)
+
+    trio.run(play)
+
+
+@then('the log has the order as {outcome}')
+def check_order(context, outcome):
+    assert context.fields['outcome'].startswith(outcome), context.fields
--- a/mountridge/groups/engines.py
+++ b/mountridge/groups/engines.py
@@ -89,7 +89,12 @@
         :raises RefusedChange: the order does not fit the engine's state.
         :raises OutcomeUnknown: the order may be carried out, now or later.
         """
-        head, answer = await self.call(b'POST', target, body, ORDER_TIMEOUT_S)
+        try:
+            head, answer = await self.call(
+                b'POST', target, body, ORDER_TIMEOUT_S
+            )
+        except errors.BadAnswer as problem:
+            raise errors.OutcomeUnknown(str(problem))
         if head.status >= 500:
             raise errors.OutcomeUnknown(
                 f'engine returned status {head.status}'
