"Not run" is no longer said of a request whose earlier attempt may have run

Callers saw: where a runner broke off the answer to a repeatable request and another one refused the retry, the gateway answered 429 or 503 with the outcome "not run". Cause: the error of the last attempt was returned as that of the request. Change: if an earlier attempt may have run, it is OutcomeUnknown, as routed requests have it. Which attempts are made stays as it was.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -112,3 +112,10 @@
       | ends within its head             | unknown   |
       | never comes                      | unknown   |
       | finds no engine                  | not given |
+
+  # Guards against "not run" said of a request that a runner ran and broke off,
+  # because another one refused the retry.
+  Scenario: A retry that is refused does not hide the attempt before it
+    Given a system of 1 gateways, 2 agents and 3 controllers
+    When one runner breaks off its answers, and the other refuses all requests
+    Then no request that ran is reported as not run
--- a/features/steps/native_endings_steps.py
+++ b/features/steps/native_endings_steps.py
@@ -10,10 +10,12 @@
 import threading
 import time
 
-from behave import given, then
+from behave import given, then, when
 import h11
 
 from features.steps import processes
+from features.worlds import system
+from mountridge import errors
 from standins import cluster
 
 EVENTS = [b'data: e%d\n\n' % n for n in range(1, 4)] + [b'data: [DONE]\n\n']
@@ -72,17 +74,17 @@
 @given('an agent whose runner ends its answers as requests name it')
 def start_agent(context):
     context.runner = _Runner()
-    system = context.cluster
+    daemons = context.cluster
     url = 'http://127.0.0.1:%d' % context.runner.server_address[1]
-    system.add('agent', 'a1', runner=url, services=processes.SERVICES)
-    system.start('a1')
+    daemons.add('agent', 'a1', runner=url, services=processes.SERVICES)
+    daemons.start('a1')
     context.agents = 1
     processes.put_sample(context)
 
 
 def _ask(context, ends, protocol):
     """Return a caller's response as (status, body, whether complete)."""
-    system, reached = context.cluster, context.runner.reached
+    daemons, reached = context.cluster, context.runner.reached
     reached.clear()
     body = {'model': 'drafts', 'stream': True, 'messages': [], 'ends': ends}
     data = json.dumps(body).encode()
@@ -91,13 +93,13 @@
         f'Authorization: Bearer dispatch\r\nContent-Length: {len(data)}\r\n'
         'Connection: close\r\n\r\n'
     )
-    host, port = system.http['g1'].split(':')
+    host, port = daemons.http['g1'].split(':')
     address = host, int(port)
     with socket.create_connection(address, timeout=TIMEOUT_S) as caller:
         caller.sendall(head.encode() + data)
         if ends.endswith('dies'):
             assert reached.wait(TIMEOUT_S)
-            system.kill('a1' if 'agent' in ends else 'g1')
+            daemons.kill('a1' if 'agent' in ends else 'g1')
         return _read_response(caller)
 
 
@@ -154,3 +156,28 @@
             return _ask(context, 'after its last event', 'HTTP/1.1')[2]
 
     cluster.wait_for(serves)
+
+
+@when('one runner breaks off its answers, and the other refuses all requests')
+def break_off_and_refuse(context):
+    async def script(world):
+        await world.begin()
+        breaking, refusing = world.runners.values()
+        breaking.truncates = True
+        refusing.head = system.REPLY_HEAD._replace(status=503, not_run=True)
+        for number in range(20):
+            mark = f'k{number}'
+            await world.request('g1', 'crews', 'drafts', mark, whole=True)
+        return [(r, world.runs(mark)) for mark, r in world.results]
+
+    context.results = system.play_for(context, script)
+
+
+@then('no request that ran is reported as not run')
+def check_reported(context):
+    ran = [result for result, runs in context.results if runs]
+    assert ran and all(result.problem for result in ran), ran
+    wrong = [r.problem for r in ran if r.outcome == errors.NOT_RUN]
+    assert not wrong, wrong
+    # A status of 429 or 503 is a promise as well.
+    assert all(r.problem.status not in (429, 503) for r in ran), ran
--- a/mountridge/dispatch/dispatching.py
+++ b/mountridge/dispatch/dispatching.py
@@ -310,9 +310,12 @@
         caller.
 
         :raises MountridgeError: the error of the last attempt.
+        :raises OutcomeUnknown: the last attempt did not run, but an earlier
+            one may have.
         """
         exchange.streamed = not buffered
         self.budget.add_request(exchange.team)
+        may_have_run = False
         while True:
             exchange.attempts += 1
             try:
@@ -321,7 +324,12 @@
                     data += await self._read_remaining(attempt)
                 return attempt, data
             except errors.MountridgeError as problem:
-                self._check_retry(exchange, problem)
+                may_have_run |= problem.outcome != errors.NOT_RUN
+                if self._try_retry(exchange, problem):
+                    continue
+                if may_have_run and problem.outcome == errors.NOT_RUN:
+                    raise errors.OutcomeUnknown(str(problem))
+                raise
 
     async def read_more(self, attempt: attempts.Attempt) -> bytes:
         """Return the next data of a streamed answer, b'' at its end.
@@ -348,10 +356,10 @@
             raise
         return b''.join(parts)
 
-    def _check_retry(
+    def _try_retry(
         self, exchange: exchanges.Exchange, problem: errors.MountridgeError
-    ) -> None:
-        """Return if the request is to be retried; else raise the problem."""
+    ) -> bool:
+        """Return whether to retry the request, and count the retry."""
         allowed = retries.may_retry(
             problem,
             exchange.row.repeatable,
@@ -360,14 +368,15 @@
             exchange.time_left_s(self.app.now_s()),
         )
         if not allowed:
-            raise problem
+            return False
         uncharged = retries.is_redirect(problem)
         if not uncharged and not self.budget.spend(exchange.team):
-            raise problem
+            return False
         self.app.metrics.incr('retry')
         self.record_decision(
             exchange, 'retry', f'after {problem}', problem.code
         )
+        return True
 
     # Claims of calls that may not be repeated.
 
