A command that gets a cut or foreign answer ends with a coded error

Operators saw: `routes get` printed a document that was broken off and exited with 0, where the answer had neither a length nor chunks; halls and quarantine commands, and a refusal that was cut, ended with a traceback. Cause: the end of the connection was taken for the end of the answer, and its JSON was decoded without a check. Change: an answer must be whole JSON, and a refusal must be that of an entry; otherwise the command exits with 3 and error 1400, as if there were no answer.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -119,3 +119,22 @@
     Given a system of 1 gateways, 2 agents and 3 controllers
     When one runner breaks off its answers, and the other refuses all requests
     Then no request that ran is reported as not run
+
+  # Guards against a document that is printed as whole although its answer was
+  # broken off, and against commands that end without a coded error.
+  Scenario Outline: mountridge <command>, with an answer that <answer>
+    When an operator runs <command> and the answer <answer>
+    Then the command exits with code <code>
+
+    Examples:
+      | command           | answer                        | code |
+      | routes get        | is whole                      | 0    |
+      | routes get        | closes as it should           | 0    |
+      | routes get        | closes too early              | 3    |
+      | routes get        | is shorter than its length    | 3    |
+      | routes get        | is reset                      | 3    |
+      | routes get        | is an error that is cut       | 3    |
+      | routes get        | is an error of another server | 3    |
+      | halls list        | closes too early              | 3    |
+      | halls drain north | closes too early              | 3    |
+      | halls drain north | is reset                      | 3    |
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -7,10 +7,12 @@
 import struct
 
 from behave import then, when
+from click import testing
 import h11
 import trio
 import trio.testing
 
+from mountridge import clihalls, cliroutes
 from mountridge.dispatch import streamends, upstreams
 from mountridge.documents import routes
 from mountridge import errors
@@ -29,6 +31,9 @@
     'between two events': BODY,
     'before its first event': b'',
 }
+#: Bodies of an entry's answers to operators.
+DOCUMENT = b'{"version": 3, "halls": []}'
+ERROR = b'{"error": {"code": 1404, "message": "changed"}}'
 DEADLINE_S = 1.0
 REQUEST = b'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n'
 OLD_REQUEST = REQUEST.replace(b'1.1', b'1.0')
@@ -277,3 +282,40 @@
 @then('the log has the order as {outcome}')
 def check_order(context, outcome):
     assert context.fields['outcome'].startswith(outcome), context.fields
+
+
+def _control_answer(answer):
+    """Return the bytes of an entry's answer, and whether a reset ends it."""
+    ok, failed = b'HTTP/1.1 200 OK\r\n', b'HTTP/1.1 503 X\r\n'
+    length = b'Content-Length: %d\r\n\r\n' % len(DOCUMENT)
+    return {
+        'is whole': (ok + length + DOCUMENT, False),
+        'closes as it should': (ok + b'\r\n' + DOCUMENT, False),
+        'closes too early': (ok + b'\r\n' + DOCUMENT[:-3], False),
+        'is shorter than its length': (ok + length + DOCUMENT[:-3], False),
+        'is reset': (ok + length + DOCUMENT[:-3], True),
+        'is an error that is cut': (failed + b'\r\n' + ERROR[:-3], False),
+        'is an error of another server': (failed + b'\r\nno', False),
+    }[answer]
+
+
+@when('an operator runs {command} and the answer {answer}')
+def run_command(context, command, answer):
+    group, *args = command.split()
+    groups = {'routes': cliroutes.group, 'halls': clihalls.group}
+
+    async def play():
+        async with _answering(*_control_answer(answer)) as address:
+            context.shown = await trio.to_thread.run_sync(
+                testing.CliRunner().invoke,
+                groups[group],
+                [*args, '--entry', address],
+            )
+
+    trio.run(play)
+
+
+@then('the command exits with code {code:d}')
+def check_code(context, code):
+    shown = context.shown
+    assert shown.exit_code == code, (shown.output, shown.exception)
--- a/mountridge/clitools.py
+++ b/mountridge/clitools.py
@@ -67,7 +67,10 @@
 def call_entry(
     address: str, method: bytes, target: bytes, body: bytes
 ) -> bytes:
-    """Return the body of an entry's response, or exit with its error."""
+    """Return the JSON body of an entry's response, or exit with its error.
+
+    A body with neither a length nor chunks that was cut off is no JSON.
+    """
 
     async def work() -> tuple[int, bytes]:
         pool = lasthop.Pool(dialects.NATIVE.headers, clocks.now_s)
@@ -87,10 +90,18 @@
         fail(errors.NoController(str(problem)))
     except trio.TooSlowError:
         fail(errors.NoController(f'{address} did not answer in time'))
-    if status != 200:
-        refusal = json.loads(answer)['error']
-        fail(errors.by_code(refusal['code'])(refusal['message']))
-    return answer
+    try:
+        decoded = json.loads(answer)
+        if status == 200:
+            return answer
+        refusal = decoded['error']
+        problem = errors.by_code(refusal['code'])(refusal['message'])
+    except (ValueError, KeyError, TypeError):
+        problem = errors.NoController(
+            f'the answer of {address}, status {status}, is incomplete or not'
+            ' that of an entry'
+        )
+    fail(problem)
 
 
 def load_settings(path: str) -> dict:
