--- a/features/endings.feature
+++ b/features/endings.feature
@@ -138,3 +138,9 @@
       | halls list        | closes too early              | 3    |
       | halls drain north | closes too early              | 3    |
       | halls drain north | is reset                      | 3    |
+
+  # Guards against a snapshot that is put together from those of two leaders,
+  # whose bytes may differ.
+  Scenario: A snapshot that a new leader sends is received from its start
+    When a leader fails after half of a snapshot, and the next one sends its own
+    Then the controller has installed the snapshot of the second leader
--- a/mountridge/consensus/consensustypes.py
+++ b/mountridge/consensus/consensustypes.py
@@ -319,7 +319,8 @@
         self.transfer_target = ''
         self.transfer_deadline_s = 0.0
         self.snapshot: Snapshot | None = None
-        self.incoming_snapshot: tuple[int, int, bytearray] | None = None
+        #: Term of its sender, index and term of its last entry, its bytes.
+        self.incoming_snapshot: tuple[int, int, int, bytearray] | None = None
 
     def quorum(self) -> int:
         """Return the number of voters that make a majority."""
--- a/mountridge/consensus/replication.py
+++ b/mountridge/consensus/replication.py
@@ -474,10 +474,11 @@
 def _collect_chunk(node: Node, message: InstallSnapshot) -> tuple[int, bool]:
     if message.index <= node.commit_index:
         return message.size, True
-    key = (message.index, message.index_term)
-    if node.incoming_snapshot is None or node.incoming_snapshot[:2] != key:
+    # Two leaders may write the same state in different bytes.
+    key = (message.term, message.index, message.index_term)
+    if node.incoming_snapshot is None or node.incoming_snapshot[:3] != key:
         node.incoming_snapshot = (*key, bytearray())
-    data = node.incoming_snapshot[2]
+    data = node.incoming_snapshot[3]
     if message.offset == len(data):
         data += message.data
     return len(data), len(data) == message.size
@@ -488,7 +489,7 @@
         message.index,
         message.index_term,
         message.config,
-        bytes(node.incoming_snapshot[2]),
+        bytes(node.incoming_snapshot[3]),
     )
     node.incoming_snapshot = None
     node.snapshot = snapshot
