--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -10,6 +10,7 @@
 import typing
 
 from mountridge import clocks
+from mountridge.dispatch import streamends
 from mountridge.net import dialects, lasthop
 
 __all__ = ['Response', 'Upstream']
@@ -21,16 +22,31 @@
 class Response:
     """The runner's response: its head, and its body as a stream."""
 
-    def __init__(self, reply: lasthop.Reply):
+    def __init__(self, path: str, reply: lasthop.Reply):
+        self._path = path
         self._reply = reply
         self.head = reply.head
 
-    def pieces(self) -> typing.AsyncIterator[bytes]:
+    async def pieces(self) -> typing.AsyncIterator[bytes]:
         """Yield the body in pieces, up to its explicit end.
 
-        :raises BadAnswer: the body was truncated.
+        :raises BadAnswer: the body was truncated, or is a stream that ends
+            within or before its last event.
         """
-        return self._reply.chunks()
+        end = streamends.StreamEnd()
+        async for data in self._reply.chunks():
+            end.feed(data)
+            yield data
+        if _is_event_stream(self._reply.headers):
+            end.check(self._path, self._reply.framing)
+
+
+def _is_event_stream(headers: lasthop.Headers) -> bool:
+    return any(
+        name.lower() == b'content-type'
+        and value.strip().lower().startswith(b'text/event-stream')
+        for name, value in headers
+    )
 
 
 class Upstream:
@@ -59,4 +75,4 @@
         async with self._pool.request(
             self._address, b'POST', path.encode(), encoded, body, None
         ) as reply:
-            yield Response(reply)
+            yield Response(path, reply)
