First requests of a row wait for a late renewal instead of being refused

Callers saw: 1200 "0 requests running here, concurrency share 0" for a first request, while nothing of its row ran anywhere. Cause: a gateway without a share waits at most queue_s (0.5 s for the most urgent row of the sample table) for its own renewal. Any delay of the leader's reply beyond that was reported as a limit that is reached. On real processes a controller stopped for up to 0.48 s gave no refusal, for 0.55 and 0.7 s this one; a stopped gateway none. Change: until a renewal that carries the demand has been granted, the request waits for it, up to its deadline or the end of the lease (then 1203). For shares that other gateways hold it waits as before. Seen: three of four new rows fail before (replies 0.7 and 2 s late, gateway cut off); the fourth, a limit that is in use elsewhere, passes before and after.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -63,6 +63,20 @@
       | the leader is killed                      |
       | the leader is cut off from all others     |
 
+  # Guards against refusals by an unused limit while a renewal is late, and
+  # against waits for a limit that other gateways use.
+  Scenario Outline: The first request of a row is <result> when <fault>
+    Given a system of 2 gateways, 2 agents and 3 controllers
+    When the first request of a row arrives while <fault>
+    Then the first request is <result> within <limit_s> s
+
+    Examples:
+      | fault                                       | result            | limit_s |
+      | the leader's replies are 0.7 s late         | answered          | 1.2     |
+      | the leader's replies are 2 s late           | answered          | 2.5     |
+      | the gateway is cut off from the controllers | refused with 1203 | 3.0     |
+      | another gateway uses the whole limit        | refused with 1200 | 0.6     |
+
   Scenario: A stalled runner is detected and excluded, then probed and used again
     Given a system of 2 gateways, 2 agents and 3 controllers
     When a runner stalls for 20 s while callers send requests
--- a/features/steps/operation_steps.py
+++ b/features/steps/operation_steps.py
@@ -404,6 +404,58 @@
     assert used > 0.5, used
 
 
+async def _delay_leader(world, span_s):
+    world.frozen_until_s[world.leader] = trio.current_time() + span_s
+
+
+async def _cut_gateway(world):
+    for each in world.controllers:
+        world.cut_links |= {('g1', each), (each, 'g1')}
+
+
+async def _use_limit(world):
+    for runner in world.runners.values():
+        runner.gap_s = 5.0
+    world.nursery.start_soon(
+        world.request, 'g2', 'control-room', 'alarms', 'other'
+    )
+    await trio.sleep(1)
+    assert sum(r.running for r in world.runners.values()) == 1
+
+
+LATE_RENEWALS = {
+    "the leader's replies are 0.7 s late": lambda w: _delay_leader(w, 0.7),
+    "the leader's replies are 2 s late": lambda w: _delay_leader(w, 2.0),
+    'the gateway is cut off from the controllers': _cut_gateway,
+    'another gateway uses the whole limit': _use_limit,
+}
+
+
+@when('the first request of a row arrives while {fault}')
+def send_first_request(context, fault):
+    async def script(world):
+        await world.begin(BUSY_SHEET.replace('alarms,8', 'alarms,1'))
+        await LATE_RENEWALS[fault](world)
+        return await world.request('g1', 'control-room', 'alarms', 'first')
+
+    context.result = system.play_for(context, script)
+
+
+@then('the first request is answered within {limit_s:g} s')
+def check_answered_within(context, limit_s):
+    result = context.result
+    assert result.data == system.complete_answer('first'), result.problem
+    assert result.took_s <= limit_s, result.took_s
+
+
+@then('the first request is refused with {code:d} within {limit_s:g} s')
+def check_refused_within(context, code, limit_s):
+    result = context.result
+    assert result.problem is not None and result.outcome == errors.NOT_RUN
+    assert result.problem.code == code, result.problem
+    assert result.took_s <= limit_s, result.took_s
+
+
 @when('a runner stalls for {span_s:d} s while callers send requests')
 def stall_runner(context, span_s):
     async def script(world):
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -118,17 +118,39 @@
         A gateway without recent requests for a row has no share of it. The
         first request therefore waits for a renewal of the lease, and for a
         second one if other gateways must release some of theirs first.
+
+        :raises LimitReached: the leader has granted no share in time.
+        :raises NoLease: the lease ended while the request waited.
         """
         key = tables.row_key(exchange.row)
         timeout_s = min(
             exchange.row.queue_s, 2 * self.app.settings['lease']['renew_s']
         )
+        if not await self._wait_for_share(key, timeout_s, False):
+            # Without a grant it is not known whether the limit is reached.
+            now_s = self.app.now_s()
+            end_s = min(self.lease.until_s, exchange.deadline_at_s)
+            await self._wait_for_share(key, max(0.0, end_s - now_s), True)
+        now_s = self.app.now_s()
+        filters.check_lease(self.lease, exchange, now_s)
+        self.limiter.admit(key, self.lease.shares.get(key), now_s)
+        exchange.cleanups.append(lambda: self.limiter.release(key))
+
+    async def _wait_for_share(
+        self, key: str, timeout_s: float, until_granted: bool
+    ) -> bool:
+        """Wait for a share of a row; return whether the lease was renewed.
+
+        Waits no longer than for one renewal if ``until_granted``.
+        """
+        is_granted = False
         with trio.move_on_after(timeout_s):
             while not self.limiter.has_share(key, self.lease.shares):
+                if is_granted and until_granted:
+                    break
                 self.limiter.record_waiting(key, self.app.now_s())
-                await self.lease_renewer.renew_now()
-        self.limiter.admit(key, self.lease.shares.get(key), self.app.now_s())
-        exchange.cleanups.append(lambda: self.limiter.release(key))
+                is_granted |= await self.lease_renewer.renew_now()
+        return is_granted
 
     def refuse(
         self, exchange: exchanges.Exchange, problem: errors.MountridgeError
--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -279,6 +279,9 @@
         self._settings = app.settings['lease']
         self._wake_event = trio.Event()
         self._renewed = trio.Event()
+        #: Numbers of the newest renewal and of the newest one with a grant.
+        self._begun = 0
+        self._granted = 0
         self._was_valid = False
         # After a suspension the view may be outdated; renew at once.
         app.on_suspension.append(lambda gap_s: self.wake())
@@ -299,19 +302,26 @@
         """Request a renewal soon, which acknowledges pushed changes."""
         self._wake_event.set()
 
-    async def renew_now(self) -> None:
-        """Renew as soon as possible; return after the renewal."""
+    async def renew_now(self) -> bool:
+        """Renew as soon as possible; return after the next renewal ends.
+
+        Returns whether it began after this call and was granted.
+        """
+        begun = self._begun
         self._wake_event.set()
         await self._renewed.wait()
+        return self._granted > begun
 
     async def _renew(self) -> None:
         sent_s = self._app.now_s()
+        self._begun += 1
         try:
             grant = await self._leader.call(
                 self._renewal(), self._settings['lease_s']
             )
             self._leader.update_controllers(grant.controllers)
             if self._lease.apply_grant(grant, sent_s):
+                self._granted = self._begun
                 if grant.changes or grant.snapshot:
                     signals.view_changed.send(
                         self._lease, changes=grant.changes
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -338,6 +338,22 @@
         'no deduction of shares of lapsed gateways', 'limits',
         'free -= self._still_running(key, now_s)', 'pass', 'rules',
     ),
+    Mutant(
+        'requests refused by limits while a renewal is late', 'gateway',
+        'if not await self._wait_for_share(key, timeout_s, False):',
+        'if False:', 'operations', 'first request',
+    ),
+    Mutant(
+        'long waits for limits that others use', 'gateway',
+        'self._wait_for_share(key, timeout_s, False)',
+        'self._wait_for_share(key, 10.0, False)', 'operations',
+        'first request',
+    ),
+    Mutant(
+        'no lease check after the wait for a share', 'gateway',
+        'filters.check_lease(self.lease, exchange, now_s)', 'pass',
+        'operations', 'first request',
+    ),
     Mutant(
         'no retry budget', 'retries',
         'if any(self._balances.get(key, INITIAL_BALANCE) < 1 '
