Retry budget: trim the bucket once for each request, read the share once

Cause: record_first trimmed the bucket before and after the addition, and the capacity was computed with two reads of the share. Change: one trim after the addition, which gives the same tokens; the share is read once. No change of what is allowed.

--- a/mountridge/routing/budgets.py
+++ b/mountridge/routing/budgets.py
@@ -106,11 +106,13 @@
         self._window_s = window_s
         self.started_s = started_s
         self._slack_share = slack_share
-        self._counts: dict[str, _Counts] = {}
+        self._counts: collections.defaultdict[str, _Counts] = (
+            collections.defaultdict(_Counts)
+        )
 
     def record_first(self, service: str, now_s: float) -> None:
         """Count a request, whose first send is no retry."""
-        counts = self._current(service, now_s)
+        counts = self._counts[service]
         counts.tokens += USED_SHARE * self._ratio
         self._limit_tokens(counts, now_s)
 
@@ -135,21 +137,21 @@
 
     def _current(self, service: str, now_s: float) -> _Counts:
         """Return the counts of a service as of now."""
-        counts = self._counts.setdefault(service, _Counts())
+        counts = self._counts[service]
         while counts.sent_s and counts.sent_s[0] <= now_s - self._window_s:
             counts.sent_s.popleft()
         self._limit_tokens(counts, now_s)
         return counts
 
-    def _slack_of(self, part: float, now_s: float) -> float:
+    def _slack_of(self, part: float, slack_share: float) -> float:
         """Return a part of this gateway's slack for a window."""
-        return USED_SHARE * part * self._slack * self._slack_share(now_s)
+        return USED_SHARE * part * self._slack * slack_share
 
     def _window_quota(self, now_s: float) -> float:
         """Return the retries that the sliding window permits."""
         if now_s < self.started_s + self._window_s:
             return 0.0
-        return self._slack_of(1 - BUCKET_SHARE, now_s)
+        return self._slack_of(1 - BUCKET_SHARE, self._slack_share(now_s))
 
     def _limit_tokens(self, counts: _Counts, now_s: float) -> None:
         """Drop the tokens that the bucket does not hold.
@@ -162,6 +164,7 @@
 
     def _capacity(self, now_s: float) -> float:
         """Return the tokens that a bucket holds."""
-        if not self._slack_share(now_s):
+        slack_share = self._slack_share(now_s)
+        if not slack_share:
             return UNSHARED_CAPACITY
-        return max(MIN_CAPACITY, self._slack_of(BUCKET_SHARE, now_s))
+        return max(MIN_CAPACITY, self._slack_of(BUCKET_SHARE, slack_share))
