First requests of a row wait while a new leader lets no share grow

Callers saw: 1200 "0 requests running here, concurrency share 0" for first requests of a row, for 3 s after each election, while nothing of the row ran anywhere. Cause: a new leader grants no more than what is held until the leases of the earlier one have ended. The gateway took this for a limit that is reached. Change: for a lease duration from the first grant of a term on, a request without a share sleeps until the end of that time and renews once more, up to its deadline or the end of the lease. Both waits are in one loop. What is granted stays as it was. Seen: two new rows fail before (another controller just elected, the leader lost) and are answered within 3.2 and 4.2 s now.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -63,8 +63,8 @@
       | the leader is killed                      |
       | the leader is cut off from all others     |
 
-  # Guards against refusals by an unused limit while a renewal is late, and
-  # against waits for a limit that other gateways use.
+  # Guards against refusals by an unused limit while a renewal is late or the
+  # leader is new, and against waits for a limit that other gateways use.
   Scenario Outline: The first request of a row is <result> when <fault>
     Given a system of 2 gateways, 2 agents and 3 controllers
     When the first request of a row arrives while <fault>
@@ -76,6 +76,8 @@
       | the leader's replies are 2 s late           | answered          | 2.5     |
       | the gateway is cut off from the controllers | refused with 1203 | 3.0     |
       | another gateway uses the whole limit        | refused with 1200 | 0.6     |
+      | another controller has just been elected    | answered          | 3.2     |
+      | the leader is lost                          | answered          | 4.2     |
 
   Scenario: A stalled runner is detected and excluded, then probed and used again
     Given a system of 2 gateways, 2 agents and 3 controllers
--- a/features/steps/operation_steps.py
+++ b/features/steps/operation_steps.py
@@ -413,6 +413,16 @@
         world.cut_links |= {('g1', each), (each, 'g1')}
 
 
+async def _elect_another(world):
+    world.elect(without=world.leader)
+    # Until the gateway has the new leader's first grant.
+    await trio.sleep(1)
+
+
+async def _lose_leader(world):
+    world.kill(world.leader)
+
+
 async def _use_limit(world):
     for runner in world.runners.values():
         runner.gap_s = 5.0
@@ -428,6 +438,8 @@
     "the leader's replies are 2 s late": lambda w: _delay_leader(w, 2.0),
     'the gateway is cut off from the controllers': _cut_gateway,
     'another gateway uses the whole limit': _use_limit,
+    'another controller has just been elected': _elect_another,
+    'the leader is lost': _lose_leader,
 }
 
 
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -123,34 +123,38 @@
         :raises NoLease: the lease ended while the request waited.
         """
         key = tables.row_key(exchange.row)
-        timeout_s = min(
-            exchange.row.queue_s, 2 * self.app.settings['lease']['renew_s']
-        )
-        if not await self._wait_for_share(key, timeout_s, False):
-            # Without a grant it is not known whether the limit is reached.
-            now_s = self.app.now_s()
-            end_s = min(self.lease.until_s, exchange.deadline_at_s)
-            await self._wait_for_share(key, max(0.0, end_s - now_s), True)
+        await self._wait_for_share(exchange, key)
         now_s = self.app.now_s()
         filters.check_lease(self.lease, exchange, now_s)
         self.limiter.admit(key, self.lease.shares.get(key), now_s)
         exchange.cleanups.append(lambda: self.limiter.release(key))
 
     async def _wait_for_share(
-        self, key: str, timeout_s: float, until_granted: bool
-    ) -> bool:
-        """Wait for a share of a row; return whether the lease was renewed.
+        self, exchange: exchanges.Exchange, key: str
+    ) -> None:
+        """Wait for a share of a row, or until it is known to be used up.
 
-        Waits no longer than for one renewal if ``until_granted``.
+        That is not known before a renewal is granted, nor while a new leader
+        grants no more than what is held. Such waits end with the lease.
         """
+        renew_s = self.app.settings['lease']['renew_s']
+        until_s = self.app.now_s() + min(exchange.row.queue_s, 2 * renew_s)
         is_granted = False
-        with trio.move_on_after(timeout_s):
-            while not self.limiter.has_share(key, self.lease.shares):
-                if is_granted and until_granted:
-                    break
-                self.limiter.record_waiting(key, self.app.now_s())
+        while not self.limiter.has_share(key, self.lease.shares):
+            now_s = self.app.now_s()
+            quiet_s = self.lease_renewer.quiet_until_s - now_s
+            end_s = min(self.lease.until_s, exchange.deadline_at_s)
+            if is_granted and quiet_s <= 0:
+                end_s = until_s
+            if now_s >= end_s:
+                return
+            if is_granted and quiet_s > 0:
+                await trio.sleep(min(quiet_s, end_s - now_s))
+                is_granted = False
+                continue
+            self.limiter.record_waiting(key, now_s)
+            with trio.move_on_after(end_s - now_s):
                 is_granted |= await self.lease_renewer.renew_now()
-        return is_granted
 
     def refuse(
         self, exchange: exchanges.Exchange, problem: errors.MountridgeError
--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -282,6 +282,8 @@
         #: Numbers of the newest renewal and of the newest one with a grant.
         self._begun = 0
         self._granted = 0
+        #: Until then the leader may be new, and let no share of limits grow.
+        self.quiet_until_s = 0.0
         self._was_valid = False
         # After a suspension the view may be outdated; renew at once.
         app.on_suspension.append(lambda gap_s: self.wake())
@@ -314,6 +316,7 @@
 
     async def _renew(self) -> None:
         sent_s = self._app.now_s()
+        term = self._lease.fence.term
         self._begun += 1
         try:
             grant = await self._leader.call(
@@ -322,6 +325,8 @@
             self._leader.update_controllers(grant.controllers)
             if self._lease.apply_grant(grant, sent_s):
                 self._granted = self._begun
+                if grant.fence.term != term:
+                    self.quiet_until_s = self._app.now_s() + grant.lease_s
                 if grant.changes or grant.snapshot:
                     signals.view_changed.send(
                         self._lease, changes=grant.changes
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -340,13 +340,17 @@
     ),
     Mutant(
         'requests refused by limits while a renewal is late', 'gateway',
-        'if not await self._wait_for_share(key, timeout_s, False):',
-        'if False:', 'operations', 'first request',
+        'if is_granted and quiet_s <= 0:', 'if True:', 'operations',
+        'first request',
     ),
     Mutant(
         'long waits for limits that others use', 'gateway',
-        'self._wait_for_share(key, timeout_s, False)',
-        'self._wait_for_share(key, 10.0, False)', 'operations',
+        'min(exchange.row.queue_s, 2 * renew_s)', '10.0', 'operations',
+        'first request',
+    ),
+    Mutant(
+        'requests refused by limits while the leader is new', 'members',
+        'if grant.fence.term != term:', 'if False:', 'operations',
         'first request',
     ),
     Mutant(
