Log renewals of a lease that take longer than 250 ms

Cause: a first request of a row waits for a renewal. Where one came late, neither a line nor a counter told how late, and at which leader, so a refusal seen once beside load could not be traced. Change: line `lease renewal slow` and counter lease.slow. No change of what is decided. Seen: real processes, controller stopped for 0.2 s: no line; for 0.7 s: one, 678 ms.

--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -30,6 +30,8 @@
 #: Pause before a controller is asked again who leads. Controllers that know
 #: no leader delay their replies; this limits the rate of immediate errors.
 ASK_INTERVAL_S = 0.05
+#: Renewals that take longer than this are logged.
+SLOW_RENEWAL_S = 0.25
 #: Least time between two renewals, also if one is requested at once.
 MIN_RENEWAL_S = 0.05
 
@@ -336,8 +338,21 @@
         except errors.MountridgeError as problem:
             self._app.metrics.incr('lease.failed')
             logger.debug('lease renewal failed', reason=str(problem))
+        self._report_slow(self._app.now_s() - sent_s)
         self._report_validity()
 
+    def _report_slow(self, took_s: float) -> None:
+        """Log a renewal whose grant may come too late for what waits."""
+        if took_s <= SLOW_RENEWAL_S:
+            return
+        self._app.metrics.incr('lease.slow')
+        logger.info(
+            'lease renewal slow',
+            took_ms=round(took_s * 1000),
+            granted=self._granted == self._begun,
+            leader=self._leader.current[0],
+        )
+
     def _report_validity(self) -> None:
         """Log and signal that the lease was gained or lost."""
         valid = self._lease.is_valid(self._app.now_s())
