--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -118,18 +118,44 @@
         A gateway without recent requests for a row has no share of it. The
         first request therefore waits for a renewal of the lease, and for a
         second one if other gateways must release some of theirs first.
+
+        :raises LimitReached: the leader has granted no share in time.
+        :raises NoLease: the lease ended while the request waited.
         """
         key = tables.row_key(exchange.row)
-        timeout_s = min(
-            exchange.row.queue_s, 2 * self.app.settings['lease']['renew_s']
-        )
-        with trio.move_on_after(timeout_s):
-            while not self.limiter.has_share(key, self.lease.shares):
-                self.limiter.record_waiting(key, self.app.now_s())
-                await self.lease_renewer.renew_now()
-        self.limiter.admit(key, self.lease.shares.get(key), self.app.now_s())
+        await self._wait_for_share(exchange, key)
+        now_s = self.app.now_s()
+        filters.check_lease(self.lease, exchange, now_s)
+        self.limiter.admit(key, self.lease.shares.get(key), now_s)
         exchange.cleanups.append(lambda: self.limiter.release(key))
 
+    async def _wait_for_share(
+        self, exchange: exchanges.Exchange, key: str
+    ) -> None:
+        """Wait for a share of a row, or until it is known to be used up.
+
+        That is not known before a renewal is granted, nor while a new leader
+        grants no more than what is held. Such waits end with the lease.
+        """
+        renew_s = self.app.settings['lease']['renew_s']
+        until_s = self.app.now_s() + min(exchange.row.queue_s, 2 * renew_s)
+        is_granted = False
+        while not self.limiter.has_share(key, self.lease.shares):
+            now_s = self.app.now_s()
+            quiet_s = self.lease_renewer.quiet_until_s - now_s
+            end_s = min(self.lease.until_s, exchange.deadline_at_s)
+            if is_granted and quiet_s <= 0:
+                end_s = until_s
+            if now_s >= end_s:
+                return
+            if is_granted and quiet_s > 0:
+                await trio.sleep(min(quiet_s, end_s - now_s))
+                is_granted = False
+                continue
+            self.limiter.record_waiting(key, now_s)
+            with trio.move_on_after(end_s - now_s):
+                is_granted |= await self.lease_renewer.renew_now()
+
     def refuse(
         self, exchange: exchanges.Exchange, problem: errors.MountridgeError
     ) -> None:
--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -30,6 +30,8 @@
 #: Pause before a controller is asked again who leads. Controllers that know
 #: no leader delay their replies; this limits the rate of immediate errors.
 ASK_INTERVAL_S = 0.05
+#: Renewals that take longer than this are logged.
+SLOW_RENEWAL_S = 0.25
 #: Least time between two renewals, also if one is requested at once.
 MIN_RENEWAL_S = 0.05
 
@@ -279,6 +281,11 @@
         self._settings = app.settings['lease']
         self._wake_event = trio.Event()
         self._renewed = trio.Event()
+        #: Numbers of the newest renewal and of the newest one with a grant.
+        self._begun = 0
+        self._granted = 0
+        #: Until then the leader may be new, and let no share of limits grow.
+        self.quiet_until_s = 0.0
         self._was_valid = False
         # After a suspension the view may be outdated; renew at once.
         app.on_suspension.append(lambda gap_s: self.wake())
@@ -299,19 +306,29 @@
         """Request a renewal soon, which acknowledges pushed changes."""
         self._wake_event.set()
 
-    async def renew_now(self) -> None:
-        """Renew as soon as possible; return after the renewal."""
+    async def renew_now(self) -> bool:
+        """Renew as soon as possible; return after the next renewal ends.
+
+        Returns whether it began after this call and was granted.
+        """
+        begun = self._begun
         self._wake_event.set()
         await self._renewed.wait()
+        return self._granted > begun
 
     async def _renew(self) -> None:
         sent_s = self._app.now_s()
+        term = self._lease.fence.term
+        self._begun += 1
         try:
             grant = await self._leader.call(
                 self._renewal(), self._settings['lease_s']
             )
             self._leader.update_controllers(grant.controllers)
             if self._lease.apply_grant(grant, sent_s):
+                self._granted = self._begun
+                if grant.fence.term != term:
+                    self.quiet_until_s = self._app.now_s() + grant.lease_s
                 if grant.changes or grant.snapshot:
                     signals.view_changed.send(
                         self._lease, changes=grant.changes
@@ -321,8 +338,21 @@
         except errors.MountridgeError as problem:
             self._app.metrics.incr('lease.failed')
             logger.debug('lease renewal failed', reason=str(problem))
+        self._report_slow(self._app.now_s() - sent_s)
         self._report_validity()
 
+    def _report_slow(self, took_s: float) -> None:
+        """Log a renewal whose grant may come too late for what waits."""
+        if took_s <= SLOW_RENEWAL_S:
+            return
+        self._app.metrics.incr('lease.slow')
+        logger.info(
+            'lease renewal slow',
+            took_ms=round(took_s * 1000),
+            granted=self._granted == self._begun,
+            leader=self._leader.current[0],
+        )
+
     def _report_validity(self) -> None:
         """Log and signal that the lease was gained or lost."""
         valid = self._lease.is_valid(self._app.now_s())
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -338,6 +338,26 @@
         'no deduction of shares of lapsed gateways', 'limits',
         'free -= self._still_running(key, now_s)', 'pass', 'rules',
     ),
+    Mutant(
+        'requests refused by limits while a renewal is late', 'gateway',
+        'if is_granted and quiet_s <= 0:', 'if True:', 'operations',
+        'first request',
+    ),
+    Mutant(
+        'long waits for limits that others use', 'gateway',
+        'min(exchange.row.queue_s, 2 * renew_s)', '10.0', 'operations',
+        'first request',
+    ),
+    Mutant(
+        'requests refused by limits while the leader is new', 'members',
+        'if grant.fence.term != term:', 'if False:', 'operations',
+        'first request',
+    ),
+    Mutant(
+        'no lease check after the wait for a share', 'gateway',
+        'filters.check_lease(self.lease, exchange, now_s)', 'pass',
+        'operations', 'first request',
+    ),
     Mutant(
         'no retry budget', 'retries',
         'if any(self._balances.get(key, INITIAL_BALANCE) < 1 '
