Agents read the media type of an answer as gateways do

Cause: the agent had a second reader of Content-Type beside that of the forwarder. Change: one function for both. Behaviour stays as it was.

--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -11,7 +11,7 @@
 
 from mountridge import clocks
 from mountridge.dispatch import streamends
-from mountridge.net import dialects, lasthop
+from mountridge.net import dialects, events, lasthop
 
 __all__ = ['Response', 'Upstream']
 
@@ -37,18 +37,10 @@
         async for data in self._reply.chunks():
             end.feed(data)
             yield data
-        if _is_event_stream(self._reply.headers):
+        if dialects.media_type(self._reply.headers) == events.MEDIA_TYPE:
             end.check(self._path, self._reply.framing)
 
 
-def _is_event_stream(headers: lasthop.Headers) -> bool:
-    return any(
-        name.lower() == b'content-type'
-        and value.strip().lower().startswith(b'text/event-stream')
-        for name, value in headers
-    )
-
-
 class Upstream:
     """A client of the runner at ``http://HOST:PORT``."""
 
