Retry budget: check that the shares of the slack add up to at most 1 at any time

What the argument in PROMISES needs is the sum of the shares. Change: a check of that sum in all rows of the fleet, a row in which the only gateway in view is cut off as the others register, and a mutant that grants a share one lease sooner.

--- a/features/retrybudget.feature
+++ b/features/retrybudget.feature
@@ -7,6 +7,7 @@
     And all attempts at runners fail
     When <fault>, in <runs> runs
     Then no window has more retries than the budget in any run
+    And the shares of the slack never add up to more than 1
 
     Examples:
       | count | per_s | slack | runs | fault                                          |
@@ -31,6 +32,7 @@
       | 37    | 60    | 120   | 2    | all gateways restart each second               |
       | 37    | 300   | 100   | 6    | one gateway has a lease long before the others |
       | 10    | 400   | 40    | 2    | queued retries are sent at once                |
+      | 37    | 150   | 202   | 2    | the only one in view is cut off as others join |
 
   # Guards against a second quota of a window for a process that has restarted.
   Scenario: The sliding window is used only once its record is complete
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -41,6 +41,13 @@
     assert max(excess) <= 0, excess
 
 
+@then('the shares of the slack never add up to more than 1')
+def check_shares(context):
+    largest = [fleet.largest_share for fleet in context.fleets]
+    # Some are used, and sums of fractions are rounded.
+    assert 0 < max(largest) <= 1 + 1e-9, largest
+
+
 # One budget.
 
 
--- a/features/worlds/retries.py
+++ b/features/worlds/retries.py
@@ -79,6 +79,8 @@
         self.registered_s: dict[str, float] = {}
         self.first_s: list[float] = []
         self.retries_s: list[float] = []
+        #: Largest sum of the shares of the slack at any time.
+        self.largest_share = 0.0
         self.script: list[tuple[float, typing.Callable[[], None]]] = []
 
     def _gateway(self, number: int) -> Gateway:
@@ -151,9 +153,18 @@
                 if gateway.down_until_s <= self.now_s < gateway.down_from_s:
                     self._renew(gateway)
                     self._serve(gateway)
+            self._record_shares()
             self.now_s += STEP_S
         self.retries_s.sort()
 
+    def _record_shares(self) -> None:
+        total = sum(
+            gateway.shares.share(self.now_s)
+            for gateway in self.gateways
+            if gateway.down_until_s <= self.now_s < gateway.down_from_s
+        )
+        self.largest_share = max(self.largest_share, total)
+
     def _renew(self, gateway: Gateway) -> None:
         if self.now_s < gateway.next_renewal_s:
             return
@@ -260,6 +271,16 @@
         gateway.cut_until_s = 30.0
 
 
+def _first_gateway_is_cut(fleet: Fleet) -> None:
+    _one_gateway_returns(fleet)
+
+    def cut_first() -> None:
+        fleet.gateways[0].cut_until_s = END_S
+
+    # Right after it has renewed its lease with a view of itself alone.
+    fleet.at(30.0, cut_first)
+
+
 def _power_losses(fleet: Fleet) -> None:
     for at_s in (20.0, 24.0):
         fleet.at(at_s, fleet.lose_power)
@@ -321,6 +342,7 @@
     'all gateways restart after a burst of failures': _failures_then_restart,
     'all gateways restart each second': _constant_restarts,
     'one gateway has a lease long before the others': _one_gateway_returns,
+    'the only one in view is cut off as others join': _first_gateway_is_cut,
     'all power is lost twice': _power_losses,
     'half of the gateways are cut off': _partition,
     'most gateways drain': _drains,
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -457,6 +457,11 @@
         'if self._held_for_s(now_s) < self._settled_s:',
         'if self._held_for_s(now_s) <= 0:', 'retrybudget',
     ),
+    Mutant(
+        'budgets: a share of the slack before older views have ended',
+        'slackshares', 'leases.MAX_GAP_LEASES + 1', 'leases.MAX_GAP_LEASES',
+        'retrybudget',
+    ),
     Mutant(
         'budgets: gateways that left the view share nothing', 'gatewaysets',
         'RETENTION_S = 30.0', 'RETENTION_S = 0.0', 'retrybudget',
