An order that is answered with a redirect has an unknown outcome

Operators saw: an order to which an engine, or what stood in its place, answered with a status of 300 to 399 was logged as taken. Cause: every status below 400 counted as acceptance. Change: such a status is OutcomeUnknown; only 2xx accepts an order. Seen: the row failed before and passes now; endings.feature and entry.feature pass.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -109,6 +109,7 @@
       | is 409 and breaks off            | unknown   |
       | is 409 and is reset              | unknown   |
       | is 500                           | unknown   |
+      | is 302                           | unknown   |
       | ends within its head             | unknown   |
       | never comes                      | unknown   |
       | finds no engine                  | not given |
--- a/mountridge/groups/engines.py
+++ b/mountridge/groups/engines.py
@@ -95,7 +95,7 @@
             )
         except errors.BadAnswer as problem:
             raise errors.OutcomeUnknown(str(problem))
-        if head.status >= 500:
+        if head.status >= 500 or 300 <= head.status < 400:
             raise errors.OutcomeUnknown(
                 f'engine returned status {head.status}'
             )
