Agents check for a crash of their runner where an answer ended with its connection

Seen by callers in a test: a stream or a body of a service that lacks its end, complete. Cause: as at gateways, the kernel closes the connections of a runner that crashes, and an answer with neither a length nor chunks then looks complete. A chat stream has its last event to tell; answers of other services have nothing. Change: the agent opens a connection to its runner before it ends such an answer; refused means broken off, unless the answer said that the runner is leaving. An accepted one serves the next request.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -71,6 +71,7 @@
       | /v1/services/plain   | between two events     | its close | complete   |
       | /v1/services/plain   | before its first event | its close | broken off |
       | /v1/services/plain   | before its first event | chunks    | complete   |
+      | /v1/services/plain   | as its runner crashes  | its close | broken off |
 
   # Guards against answers of the gateway that look complete to a caller after
   # its runner, its agent or the gateway itself has died.
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -30,6 +30,7 @@
     'within an event': BODY[:-1],
     'between two events': BODY,
     'before its first event': b'',
+    'as its runner crashes': BODY,
 }
 #: Bodies of an entry's answers to operators.
 DOCUMENT = b'{"version": 3, "halls": []}'
@@ -192,26 +193,36 @@
 
 
 @contextlib.asynccontextmanager
-async def _answering(data, is_reset):
+async def _answering(data, is_reset, crashes=False):
     """Run a server that answers one request with ``data``; yield its address.
 
     It closes the connection then, or resets it once ``data`` has arrived. If
-    ``data`` is None, it never answers.
+    ``data`` is None, it never answers. If it crashes, it stops listening.
     """
+    listening = trio.CancelScope()
 
     async def serve(stream):
         await stream.receive_some(65536)
         if data is None:
             await trio.sleep_forever()
         await stream.send_all(data)
+        if crashes:
+            listening.cancel()
+            await trio.testing.wait_all_tasks_blocked()
         if is_reset:
             await trio.testing.wait_all_tasks_blocked(0.05)
             linger = struct.pack('ii', 1, 0)
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
+    async def listen(listener, nursery):
+        with listening:
+            await trio.serve_listeners(
+                serve, [listener], handler_nursery=nursery
+            )
+
     async with trio.open_nursery() as nursery:
         (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        nursery.start_soon(listen, listener, nursery)
         yield '127.0.0.1:%d' % listener.socket.getsockname()[1]
         nursery.cancel_scope.cancel()
 
@@ -228,7 +239,9 @@
     context.received, context.problem = b'', None
 
     async def read():
-        async with _answering(*_framed(where, framing)) as address:
+        crashes = where == 'as its runner crashes'
+        answer = _framed(where, framing)
+        async with _answering(*answer, crashes) as address:
             upstream = upstreams.Upstream(f'http://{address}')
             async with upstream.request(path, [], b'{}') as response:
                 try:
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -9,7 +9,7 @@
 import contextlib
 import typing
 
-from mountridge import clocks
+from mountridge import clocks, errors
 from mountridge.dispatch import streamends
 from mountridge.net import dialects, events, lasthop
 
@@ -22,16 +22,23 @@
 class Response:
     """The runner's response: its head, and its body as a stream."""
 
-    def __init__(self, path: str, reply: lasthop.Reply):
+    def __init__(
+        self,
+        path: str,
+        reply: lasthop.Reply,
+        has_crashed: typing.Callable[[], typing.Awaitable[bool]],
+    ):
         self._path = path
         self._reply = reply
+        self._has_crashed = has_crashed
         self.head = reply.head
 
     async def pieces(self) -> typing.AsyncIterator[bytes]:
         """Yield the body in pieces, up to its explicit end.
 
         :raises BadAnswer: the body was truncated, or is a stream that ends
-            within or before its last event.
+            within or before its last event, or has ended with the process of
+            the runner.
         """
         end = streamends.StreamEnd()
         async for data in self._reply.chunks():
@@ -39,6 +46,10 @@
             yield data
         if dialects.media_type(self._reply.headers) == events.MEDIA_TYPE:
             end.check(self._path, self._reply.framing)
+        if self._reply.framing != lasthop.CLOSE or self.head.is_leaving:
+            return
+        if await self._has_crashed():
+            raise errors.BadAnswer('the runner crashed as its answer ended')
 
 
 class Upstream:
@@ -67,4 +78,7 @@
         async with self._pool.request(
             self._address, b'POST', path.encode(), encoded, body, None
         ) as reply:
-            yield Response(path, reply)
+            yield Response(path, reply, self._has_crashed)
+
+    async def _has_crashed(self) -> bool:
+        return await self._pool.refuses_connections(self._address)
