Rows for answers that are whole by a length, and for media types with parameters

Cause: four mutants survived forwarding.feature: the check for a crash made for answers of each framing, empty streams with a length taken for broken off, the parameters of a media type not cut off, its case not folded. Change: three rows, which pass without a change of logic. The stand-in of a runner that crashes stops listening before it sends its answer, so that the caller can't be faster than it: with the order before, a row of a whole answer with a length could not fail. Seen: 77 scenarios of forwarding pass; each of the four mutants makes a row fail.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -32,6 +32,7 @@
       | unsafe    | sends no length and closes          | 200 and complete        | 1    |
       | safe      | sends no length and crashes         | 200 and complete        | 2    |
       | unsafe    | sends no length and crashes         | 502                     | 1    |
+      | unsafe    | sends a length and crashes          | 200 and complete        | 1    |
       | unsafe    | cannot be reached                   | 200 and complete        | 1    |
       | safe      | never answers                       | 504 and outcome unknown | 1    |
       | unsafe    | never answers                       | 504 and outcome unknown | 1    |
@@ -61,6 +62,19 @@
       | streaming-once | ends with a comment, with no length           | 200 and its comment               | 1    |
       | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
 
+  # Guards against streams of a media type with parameters that are not read
+  # as events, and against empty streams that are taken for broken off.
+  Scenario Outline: A stream that <does>
+    Given two runners of which the first <does>
+    When a streaming request is sent
+    Then its answer is <answer>
+    And the runners ran it <runs> times
+
+    Examples:
+      | does                                                           | answer           | runs |
+      | names its media type and ends within an event, with no length | 200 and complete | 2    |
+      | sends a length of no event                                     | 200 and empty    | 1    |
+
   # Guards against whole answers that are lost because their runner's process
   # ends right after them, as planned.
   Scenario: A runner that drains and ends with its answer has not crashed
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -30,13 +30,16 @@
     'closes within an event, with no length': 2.5,
     'closes before its first event, with no length': 0,
     'ends between two events, with no length': 2,
+    'names its media type and ends within an event, with no length': 2.5,
     'sends its last chunk within an event': 2.5,
     'sends a length that ends within an event': 2.5,
+    'sends a length of no event': 0,
     PAUSES: 2,
 }
 #: Faults of runners whose process ends with the answer.
 CRASHES = (
     'ends between two events, with no length',
+    'sends a length and crashes',
     'sends no length and crashes',
     'sends all with no length and crashes',
 )
@@ -71,6 +74,9 @@
     if 'JSON' in fault:
         json_type = b'Content-Type: application/json\r\n\r\n'
         return _head(200, request, json_type) + JSON
+    if 'media type' in fault:
+        media_type = b'Content-Type: Text/Event-Stream; charset=utf-8\r\n'
+        return _head(200, request, media_type + b'\r\n') + data
     if 'no length' in fault:
         return _head(200, request, b'\r\n') + data
     if 'length' in fault:
@@ -125,10 +131,10 @@
                 self.was_reset = await _read_to_end(stream)
                 self.closed.set()
                 return
-            await stream.send_all(data)
             if self.fault in CRASHES:
                 self.listening.cancel()
                 await trio.testing.wait_all_tasks_blocked()
+            await stream.send_all(data)
             if self.fault == PAUSES:
                 await trio.sleep(PAUSE_S)
                 await stream.send_all(_stream(request)[len(data) :])
@@ -541,6 +547,8 @@
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('empty'):
+        assert body == b'0\r\n\r\n', body
     elif answer.endswith('its comment'):
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS) + COMMENT, body
