Known red: a crash whose process closes its listening socket last

Seen by callers: a stream that lacks its last events, or a short body, complete by its framing. Cause: the sockets of a process that is killed are not closed at once or in a fixed order. With a listening socket opened before the connection, a new connection may still be accepted just after the close was read, and is reset when the listening socket is closed.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -75,6 +75,13 @@
       | names its media type and ends within an event, with no length | 200 and complete | 2    |
       | sends a length of no event                                     | 200 and empty    | 1    |
 
+  # Guards against a crash that is missed because the process closes its
+  # connections before its listening socket, which accepts one more.
+  Scenario: A stream whose runner crashes and accepts one more connection
+    Given two runners of which the first ends between two events, its listening socket last, with no length
+    When a streaming-once request is sent
+    Then its answer is 200, 2 events, without an end
+
   # Guards against whole answers that are lost because their runner's process
   # ends right after them, as planned.
   Scenario: A runner that drains and ends with its answer has not crashed
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -23,6 +23,10 @@
 #: Streams that may not be resumed.
 ONCE = 'streaming-once'
 PAUSES = 'pauses after 2 events'
+#: A crash whose listening socket is closed after the connections.
+LATE_REFUSAL = (
+    'ends between two events, its listening socket last, with no length'
+)
 #: Events after which a stream is truncated; a half is within the next one.
 TRUNCATIONS = {
     'truncates its answer': 2,
@@ -34,6 +38,7 @@
     'sends its last chunk within an event': 2.5,
     'sends a length that ends within an event': 2.5,
     'sends a length of no event': 0,
+    LATE_REFUSAL: 2,
     PAUSES: 2,
 }
 #: Faults of runners whose process ends with the answer.
@@ -122,6 +127,11 @@
 
     async def serve(self, stream):
         self.connections += 1
+        if self.fault == LATE_REFUSAL and self.connections > 1:
+            self.listening.cancel()
+            await trio.testing.wait_all_tasks_blocked()
+            await _reset(stream)
+            return
         request = await self._read(stream)
         while request is not None:
             self.received.append(request)
@@ -202,6 +212,12 @@
         return _answer_bytes(200, request, b'whole'), True
 
 
+async def _reset(stream):
+    linger = struct.pack('ii', 1, 0)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    await trio.aclose_forcefully(stream)
+
+
 async def _read_to_end(stream):
     """Return whether the connection is ended by a reset."""
     try:
@@ -695,9 +711,7 @@
         await stream.send_all(data)
         # The caller's send waits for room by then.
         await trio.testing.wait_all_tasks_blocked(0.05)
-        linger = struct.pack('ii', 1, 0)
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        await trio.aclose_forcefully(stream)
+        await _reset(stream)
 
     async def main():
         async with trio.open_nursery() as nursery:
