--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -24,6 +24,10 @@
 #: Streams that may not be resumed.
 ONCE = 'streaming-once'
 PAUSES = 'pauses after 2 events'
+#: A crash whose listening socket is closed after the connections.
+LATE_REFUSAL = (
+    'ends between two events, its listening socket last, with no length'
+)
 #: Events after which a stream is truncated; a half is within the next one.
 TRUNCATIONS = {
     'truncates its answer': 2,
@@ -31,13 +35,17 @@
     'closes within an event, with no length': 2.5,
     'closes before its first event, with no length': 0,
     'ends between two events, with no length': 2,
+    'names its media type and ends within an event, with no length': 2.5,
     'sends its last chunk within an event': 2.5,
     'sends a length that ends within an event': 2.5,
+    'sends a length of no event': 0,
+    LATE_REFUSAL: 2,
     PAUSES: 2,
 }
 #: Faults of runners whose process ends with the answer.
 CRASHES = (
     'ends between two events, with no length',
+    'sends a length and crashes',
     'sends no length and crashes',
     'sends all with no length and crashes',
 )
@@ -78,6 +86,9 @@
     if 'JSON' in fault:
         json_type = b'Content-Type: application/json\r\n\r\n'
         return _head(200, request, json_type) + JSON
+    if 'media type' in fault:
+        media_type = b'Content-Type: Text/Event-Stream; charset=utf-8\r\n'
+        return _head(200, request, media_type + b'\r\n') + data
     if 'no length' in fault:
         return _head(200, request, b'\r\n') + data
     if 'length' in fault:
@@ -123,6 +134,11 @@
 
     async def serve(self, stream):
         self.connections += 1
+        if self.fault == LATE_REFUSAL and self.connections > 1:
+            self.listening.cancel()
+            await trio.testing.wait_all_tasks_blocked()
+            await _reset(stream)
+            return
         request = await self._read(stream)
         while request is not None:
             self.received.append(request)
@@ -132,10 +148,10 @@
                 self.was_reset = await _read_to_end(stream)
                 self.closed.set()
                 return
-            await stream.send_all(data)
             if self.fault in CRASHES:
                 self.listening.cancel()
                 await trio.testing.wait_all_tasks_blocked()
+            await stream.send_all(data)
             if self.fault == PAUSES:
                 await trio.sleep(PAUSE_S)
                 await stream.send_all(_stream(request)[len(data) :])
@@ -204,6 +220,12 @@
         return _answer_bytes(200, request, b'whole'), True
 
 
+async def _reset(stream):
+    linger = struct.pack('ii', 1, 0)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    await trio.aclose_forcefully(stream)
+
+
 async def _read_to_end(stream):
     """Return whether the connection is ended by a reset."""
     try:
@@ -553,6 +575,8 @@
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
         assert b''.join(sent) == COMMENT + b'\n' + b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('empty'):
+        assert body == b'0\r\n\r\n', body
     elif answer.endswith('its comment'):
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS) + COMMENT, body
@@ -703,9 +727,7 @@
         await stream.send_all(data)
         # The caller's send waits for room by then.
         await trio.testing.wait_all_tasks_blocked(0.05)
-        linger = struct.pack('ii', 1, 0)
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        await trio.aclose_forcefully(stream)
+        await _reset(stream)
 
     async def main():
         async with trio.open_nursery() as nursery:
