A connection shows a running process only if it stays open

Cause: the sockets of a process that is killed are closed one after the other. Its listening socket may accept one more connection after a connection of it was closed, and resets it. Change: a new connection has to stay open for 3 ms; if it does not, the next one tells. A runner at its limit of connections resets both and counts as running. A descriptor that cannot be had counts as not known, where it ended the request before.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -335,7 +335,7 @@
     exchange.events_sent = count
     runner = instances.Instance('i', 's', '', '', '', 1, instances.READY)
 
-    async def refuses_connections(address):
+    async def refuses_connections(address, timeout_s=None):
         return True
 
     pool = types.SimpleNamespace(refuses_connections=refuses_connections)
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -93,7 +93,7 @@
             framing=lasthop.LENGTH,
         )
 
-    async def refuses_connections(self, address):
+    async def refuses_connections(self, address, timeout_s=None):
         await trio.sleep(LATENCY_S)
         return self.play.runners[address].is_down
 
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -48,6 +48,11 @@
 USER_TIMEOUT_MS = 2500
 #: Addresses whose eviction times are kept: several times a whole fleet.
 MAX_EVICTED = 2000
+#: Connections opened to find out whether a process has ended.
+MAX_PROBES = 2
+#: How long a connection has to stay open to show that its process runs: longer
+#: than a process that is killed takes to close its sockets.
+SETTLE_S = 0.003
 #: Most answers read for one request, including those to earlier requests.
 MAX_ANSWERS = 4
 
@@ -291,27 +296,48 @@
         idle.append(connection)
         return True
 
-    async def refuses_connections(self, address: str) -> bool:
+    async def refuses_connections(
+        self, address: str, timeout_s: float | None = None
+    ) -> bool:
         """Return whether an address refuses a connection.
 
         False if it accepts one, which is kept for the next request, and if
-        nothing answers in time: its box may be partitioned or suspended.
+        nothing answers in time: its box may be partitioned or suspended. A
+        process that ends may accept one more, and resets it; the next one
+        shows whether it still listens.
+        """
+        if timeout_s is None:
+            timeout_s = self._connect_s
+        with trio.move_on_after(timeout_s):
+            for _ in range(MAX_PROBES):
+                try:
+                    if await self._probe(address):
+                        return False
+                except ConnectionRefusedError:
+                    return True
+                except OSError:
+                    return False
+        return False
+
+    async def _probe(self, address: str) -> bool:
+        """Return whether a connection is accepted and stays open; keep it.
+
+        :raises OSError: no connection could be made.
         """
         host, _, port = address.rpartition(':')
         opened_s = self._now_s()
         with contextlib.ExitStack() as opened:
             probe = opened.enter_context(trio.socket.socket())
-            try:
-                with trio.fail_after(self._connect_s):
-                    await probe.connect((host, int(port)))
-            except ConnectionRefusedError:
-                return True
-            except (OSError, trio.TooSlowError):
+            await probe.connect((host, int(port)))
+            with trio.move_on_after(SETTLE_S):
+                # A runner sends nothing before a request.
+                await trio.lowlevel.wait_readable(probe)
                 return False
             connection = _Connection(trio.SocketStream(probe), opened_s)
             if self._keep(address, connection):
+                # It is closed by the pool, no longer here.
                 opened.pop_all()
-        return False
+        return True
 
     async def evict(self, address: str) -> None:
         """Close idle connections to a runner that has ended or been replaced.
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -76,14 +76,20 @@
         await self.on_crash()
 
     async def has_crashed(
-        self, runner: instances.Instance, pool: lasthop.Pool
+        self,
+        runner: instances.Instance,
+        pool: lasthop.Pool,
+        timeout_s: float | None = None,
     ) -> bool:
-        """Return whether the process of a runner has ended unexpectedly."""
+        """Return whether the process of a runner has ended unexpectedly.
+
+        False if that is not known within ``timeout_s``.
+        """
         if runner.state != instances.READY or self._backoffs.is_leaving(
             runner
         ):
             return False  # a planned stop
-        return await pool.refuses_connections(runner.address)
+        return await pool.refuses_connections(runner.address, timeout_s)
 
     def record_success(self, exchange: Exchange) -> None:
         """Record that a request has succeeded, which clears it everywhere."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1360,10 +1360,16 @@
     ),
     Mutant(
         'last hop: the connection to a running runner is not kept', 'lasthop',
-        'if self._keep(address, connection):\n                opened',
-        'if False:\n                opened', 'forwarding',
+        'if self._keep(address, connection):\n                # It',
+        'if False:\n                # It', 'forwarding',
         'shows that a runner still runs',
     ),
+    Mutant(
+        'last hop: a connection that is reset shows a running process',
+        'lasthop', 'await trio.lowlevel.wait_readable(probe)\n'
+        '                return False', 'return True', 'forwarding',
+        'accepts one more',
+    ),
     Mutant(
         'last hop: a close after a failed send ends an answer', 'lasthop',
         'connection.send_failed = True', 'pass', 'forwarding',
