--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,10 @@
     Then seed 1 gives the same rolls twice, each through all processes
     And the leader is replaced first, last and last, in time for the recovery
 
+  # Guards against rolls to an old build that no one asked for.
+  Scenario: A run without an old build replaces no process by another build
+    Then a run of seed 1 has no old build by default
+
   Scenario: A short run with faults on real processes breaks no rule
     When seed 3 is run for half a minute on a few processes
     Then no rule is broken, and these rules were checked
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,6 +14,7 @@
 import yaml
 
 from mountridge import metrics
+from tools.soak import __main__ as soak_command
 from tools.soak import checks, report, rolls, schedule
 
 HERE = pathlib.Path('tools/soak')
@@ -43,6 +44,12 @@
     assert True in kills and False in kills
 
 
+@then('a run of seed 1 has no old build by default')
+def check_no_old_build(context):
+    parsed = soak_command.run.make_context('run', ['--seed', '1'])
+    assert not parsed.params['old'], parsed.params
+
+
 @then('the leader is replaced first, last and last, in time for the recovery')
 def check_roll_times(context):
     rolls = context.rolls
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -36,16 +36,15 @@
 @click.option('--out', help='Keep all logs in this folder.')
 @click.option(
     '--old',
-    default='',
     type=click.Path(exists=True, resolve_path=True),
     help='Checkout of an older build, with its .venv: starts on it, and '
     'rolls through all processes, back, and forward again.',
 )
 def run(
-    seed: int, minutes: float, sizes: str, out: str | None, old: str
+    seed: int, minutes: float, sizes: str, out: str | None, old: str | None
 ) -> None:
     """Run one seed on real processes; exits with 1 if a rule was broken."""
-    sys.exit(0 if _run_seed(seed, minutes, sizes, out, old) else 1)
+    sys.exit(0 if _run_seed(seed, minutes, sizes, out, old or '') else 1)
 
 
 def _run_seed(
