--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -30,6 +30,8 @@
       | unsafe    | first answers an earlier request    | 200 and complete        | 1    |
       | unsafe    | sends more data after its answer    | 200 and complete        | 1    |
       | unsafe    | sends no length and closes          | 200 and complete        | 1    |
+      | safe      | sends no length and crashes         | 200 and complete        | 2    |
+      | unsafe    | sends no length and crashes         | 502                     | 1    |
       | unsafe    | cannot be reached                   | 200 and complete        | 1    |
       | safe      | never answers                       | 504 and outcome unknown | 1    |
       | unsafe    | never answers                       | 504 and outcome unknown | 1    |
@@ -56,6 +58,23 @@
       | streaming-once | sends a length that ends within an event      | 200, 2 events, without an end     | 1    |
       | streaming      | closes after its last event, with no length   | 200 and complete                  | 1    |
       | streaming-once | closes after its last event, with no length   | 200 and complete                  | 1    |
+      | streaming-once | ends with a comment, with no length           | 200 and its comment               | 1    |
+      | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
+
+  # Guards against whole answers that are lost because their runner's process
+  # ends right after them, as planned.
+  Scenario: A runner that drains and ends with its answer has not crashed
+    Given two runners of which the first sends all with no length and crashes
+    When a unsafe request is sent and that runner starts to drain
+    Then its answer is 200 and complete
+    And the runners ran it 1 times
+
+  # Guards against two new connections for each answer without a length.
+  Scenario: A connection that shows that a runner still runs serves its next request
+    Given two runners of which the first sends no length and closes
+    When a unsafe request is sent twice
+    Then the first runner has received 2 of them
+    And the first runner has accepted 3 connections
 
   # Guards against retries that are refused although no runner has received
   # the request, and against sends beyond the first that are not counted.
@@ -165,3 +184,18 @@
       | sends a body of 3000 bytes      | 413    |
       | sends half a head and waits     | 408    |
       | sends an invalid request        | 400    |
+
+  # Guards against events that are passed on only at the end of their stream.
+  Scenario Outline: A stream whose lines end with <line_end> is split into its events
+    When a stream of 5 events whose lines end with <line_end> arrives in pieces of <size> bytes
+    Then each event is complete when the first piece after its blank line has arrived
+    And its pieces add up to what arrived
+
+    Examples:
+      | line_end | size |
+      | LF       | 1    |
+      | LF       | 7    |
+      | CRLF     | 1    |
+      | CRLF     | 7    |
+      | CR       | 1    |
+      | CR       | 7    |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -2,6 +2,7 @@
 
 """Steps for the forwarder, with raw callers and runners on loopback."""
 
+import itertools
 import types
 
 from behave import given, then, when
@@ -10,10 +11,12 @@
 
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
-from mountridge.net import dialects, httpserver
+from mountridge.net import dialects, events, httpserver
 from mountridge.routing import backends, budgets, forwarding
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
+COMMENT = b': end\n'
+JSON = b'{"text": "whole"}'
 HOST = '127.0.0.1'
 #: Streams that may not be resumed.
 ONCE = 'streaming-once'
@@ -29,6 +32,12 @@
     'sends a length that ends within an event': 2.5,
     PAUSES: 2,
 }
+#: Faults of runners whose process ends with the answer.
+CRASHES = (
+    'ends between two events, with no length',
+    'sends no length and crashes',
+    'sends all with no length and crashes',
+)
 #: The fault of a rank that refuses requests while its group is closed.
 CLOSED = 'refuses while its group is closed'
 #: Time for the gateway to read the first events before the next are sent.
@@ -55,8 +64,11 @@
     data = b''.join(whole)
     if cut not in (None, int(cut or 0)):
         data += EVENTS[int(cut)][:4]
-    if fault == 'ends each line with CRLF, with no length':
-        data = data.replace(b'\n', b'\r\n')
+    if 'comment' in fault:
+        data += COMMENT
+    if 'JSON' in fault:
+        json_type = b'Content-Type: application/json\r\n\r\n'
+        return _head(200, request, json_type) + JSON
     if 'no length' in fault:
         return _head(200, request, b'\r\n') + data
     if 'length' in fault:
@@ -91,6 +103,7 @@
         #: Called when a request is received, before the answer.
         self.on_request = lambda: None
         self.listening = trio.CancelScope()
+        self.connections = 0
 
     async def listen(self, listener, nursery):
         """Accept connections until ``listening`` is cancelled."""
@@ -100,6 +113,7 @@
             )
 
     async def serve(self, stream):
+        self.connections += 1
         request = await self._read(stream)
         while request is not None:
             self.received.append(request)
@@ -110,7 +124,7 @@
                 self.closed.set()
                 return
             await stream.send_all(data)
-            if self.fault == 'ends between two events, with no length':
+            if self.fault in CRASHES:
                 self.listening.cancel()
                 await trio.testing.wait_all_tasks_blocked()
             if self.fault == PAUSES:
@@ -170,8 +184,13 @@
                 _answer_bytes(200, request, b'whole') + b'HTTP/1.1 200',
                 True,
             )
-        if fault == 'sends no length and closes':
+        if fault in (
+            'sends no length and closes',
+            'sends all with no length and crashes',
+        ):
             return _head(200, request, b'\r\n') + b'whole', False
+        if fault == 'sends no length and crashes':
+            return _head(200, request, b'\r\n') + b'who', False
         return _answer_bytes(200, request, b'whole'), True
 
 
@@ -437,6 +456,25 @@
     assert b' 200 ' in context.data.split(b'\r\n')[0], context.data
 
 
+@then('the first runner has accepted {count:d} connections')
+def check_connections(context, count):
+    assert context.world.runners[0].connections == count
+
+
+@when('a {kind} request is sent and that runner starts to drain')
+def send_to_draining(context, kind):
+    async def script(world):
+        def drain():
+            first = world.registered[0]._replace(state=instances.DRAINING)
+            world.known.update_runners([first, *world.registered[1:]])
+
+        world.runners[0].on_request = drain
+        await _ask(context, world, kind)
+
+    context.kind = kind
+    _run(context, script)
+
+
 @when('a {kind} request is sent')
 def send_request(context, kind):
     async def script(world):
@@ -501,6 +539,12 @@
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('its comment'):
+        sent = [x for x in body.split(b'\r\n') if len(x) > 3]
+        assert b''.join(sent) == b''.join(EVENTS) + COMMENT, body
+        assert body.endswith(b'0\r\n\r\n'), body
+    elif answer.endswith('the object'):
+        assert body == JSON, context.data
     elif answer.endswith('events, without an end'):
         count = int(answer.split()[1])
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
@@ -585,3 +629,40 @@
 def check_status(context, status):
     assert context.data.startswith(b'HTTP/1.1 %d ' % status), context.data
     assert not any(runner.runs for runner in context.world.runners)
+
+
+@when(
+    'a stream of {count:d} events whose lines end with {line_end} arrives in'
+    ' pieces of {size:d} bytes'
+)
+def split_stream(context, count, line_end, size):
+    line_end = line_end.encode().replace(b'CR', b'\r').replace(b'LF', b'\n')
+    context.sent = [x.replace(b'\n', line_end) for x in EVENTS[:count]]
+    data = b''.join(context.sent)
+    splitter = events.Splitter()
+    #: Bytes that had arrived, and the events that were complete then.
+    context.progress = []
+    context.events = []
+    for start in range(0, len(data), size):
+        context.events += splitter.feed(data[start : start + size])
+        arrived = min(start + size, len(data))
+        context.progress.append((arrived, len(context.events)))
+    context.arrived = data
+    context.rest = splitter.remainder
+
+
+@then(
+    'each event is complete when the first piece after its blank line has'
+    ' arrived'
+)
+def check_progress(context):
+    assert [x.event_id for x in context.events] == [1, 2, 3, 4, 5]
+    ends = list(itertools.accumulate(len(x) for x in context.sent))
+    for arrived, complete in context.progress:
+        assert complete >= sum(end <= arrived for end in ends), arrived
+
+
+@then('its pieces add up to what arrived')
+def check_pieces(context):
+    split = b''.join(event.data for event in context.events)
+    assert split + context.rest == context.arrived, context.rest
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -3,20 +3,22 @@
 """Forwarding of a runner's answer to the caller: complete, or by events.
 
 A truncated answer never looks complete: a body is sent once all of it has
-been received, and a stream is ended only where the runner ended it.
+been received, and a stream is ended only where the runner ended it, after a
+whole event. The end of a connection ends no stream that has had no event.
 """
 
 import typing
 
 from mountridge.documents import routes
 from mountridge import errors
-from mountridge.net import dialects, lasthop
-from mountridge.routing import events, routedexchanges
+from mountridge.net import dialects, events, lasthop
+from mountridge.routing import routedexchanges
 
 __all__ = ['forward', 'send_answer']
 
 Answer, Exchange = routedexchanges.Answer, routedexchanges.Exchange
 Clock = typing.Callable[[], float]
+Confirm = typing.Callable[[], typing.Awaitable[None]]
 
 
 async def forward(
@@ -24,26 +26,42 @@
     reply: lasthop.Reply,
     now_s: Clock,
     after_events: typing.Callable[[], None],
+    confirm_end: Confirm,
 ) -> None:
     """Forward an answer; ``after_events`` may end a stream by raising.
 
+    ``confirm_end`` raises if what has been received may not be all of it.
+
     :raises RunnerFailed: the runner failed; its answer is kept in the
         exchange unless a stream has been started.
     :raises BadAnswer: it was truncated, or an event is missing.
     """
     exchange.framing = reply.framing
     exchange.partial_event_bytes = 0
-    is_stream = exchange.route.kind == routes.STREAMING
-    if is_stream and reply.head.status < 300:
-        await _forward_stream(exchange, reply, now_s, after_events)
+    if _is_stream(exchange, reply):
+        await _forward_stream(
+            exchange, reply, now_s, after_events, confirm_end
+        )
     else:
-        await _forward_complete(exchange, reply, now_s)
+        await _forward_complete(exchange, reply, now_s, confirm_end)
+
+
+def _is_stream(exchange: Exchange, reply: lasthop.Reply) -> bool:
+    """Return whether an answer consists of events, by its route and type."""
+    if exchange.route.kind != routes.STREAMING or reply.head.status >= 300:
+        return False
+    media_type = dialects.media_type(reply.headers)
+    return media_type in (None, events.MEDIA_TYPE)
 
 
 async def _forward_complete(
-    exchange: Exchange, reply: lasthop.Reply, now_s: Clock
+    exchange: Exchange,
+    reply: lasthop.Reply,
+    now_s: Clock,
+    confirm_end: Confirm,
 ) -> None:
     body = await reply.read_body()
+    await confirm_end()
     status = reply.head.status
     if exchange.responder.started:
         raise errors.RunnerFailed(
@@ -71,6 +89,7 @@
     reply: lasthop.Reply,
     now_s: Clock,
     after_events: typing.Callable[[], None],
+    confirm_end: Confirm,
 ) -> None:
     """Forward complete events as they arrive, each numbered one once."""
     responder = exchange.responder
@@ -88,8 +107,13 @@
             await responder.send(b''.join(event.data for event in new))
             after_events()
     exchange.partial_event_bytes = len(splitter.remainder)
-    if splitter.remainder:
-        await responder.send(splitter.remainder)
+    rest = splitter.end()
+    if reply.framing == lasthop.CLOSE and not splitter.event_count:
+        # Nothing but the close distinguishes it from a whole stream.
+        raise errors.BadAnswer('the stream ended before its first event')
+    await confirm_end()
+    if rest:
+        await responder.send(rest)
     await responder.finish()
 
 
