Soak: answers of each framing, some of them broken off

Cause: emulated runners framed all answers alike and broke streams off only between two events, in chunks, so the soak could not see a broken-off answer that looks complete. Its check of streams counted the number of an unfinished event as an event. Change: with framings.yaml, answers have a length, chunks or neither as the seed draws, and runners with a fault break some off before, within and after the head, within and between events, and before the end, by close, reset, silence, the end of the framing or the end of their process. Streams are compared byte for byte; a new rule: answers that a runner sent whole are delivered. Streams that may not be resumed run at most once. The link of a runner whose process ends closes its port before its connections.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -25,6 +25,23 @@
       | good service is back         |
     And no process of the run remains
 
+  # Guards against answers that a runner broke off and that look complete.
+  Scenario: A short run with answers of each framing, some broken off, breaks no rule
+    When seed 5 is run for 18 s with answers of each framing, some broken off
+    Then no rule is broken, and these rules were checked
+      | rule                        |
+      | whole and right answers     |
+      | whole answers are delivered |
+      | at most one run             |
+      | good service is back        |
+    And no process of the run remains
+
+  # Guards against draws that lack a break, or that no caller could notice.
+  Scenario: Each framing is drawn with each break that can be noticed
+    When the framings of 5000 streams and 5000 bodies are drawn
+    Then each framing is drawn whole, and broken off at each place by close, reset and silence
+    And what has no length closes within a body, or between two events, only as its process ends
+
   Scenario Outline: The checker detects <violation>
     Given a checker that knows of a request to "entry-1"
     When <observation>
@@ -32,6 +49,10 @@
 
     Examples:
       | violation                               | observation                                                     | rule                                      |
+      | a stream that lacks its last event      | it is answered with a stream that ends after 11 of 12 events    | whole and right answers                   |
+      | a stream that ends within an event      | it is answered with a stream that ends after 11.5 of 12 events  | whole and right answers                   |
+      | a stream with an event twice            | it is answered with a stream with one of its events twice       | whole and right answers                   |
+      | a whole answer that is not delivered    | its runner sends a whole answer and it is answered with 502     | whole answers are delivered               |
       | a run reported as not run               | it has run and is answered with 503                             | not run is true                           |
       | a second run                            | it has run twice                                                | at most one run                           |
       | the answer to another request           | it is answered with 200 and the path of another request         | whole and right answers                   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,12 +15,14 @@
 
 from mountridge import metrics
 from tools.soak import __main__ as soak_command
-from tools.soak import checks, report, rolls, schedule
+from tools.soak import checks, framings, report, rolls, schedule
 
 HERE = pathlib.Path('tools/soak')
 SIZES = yaml.safe_load((HERE / 'sizes.yaml').read_text())
 READ = next(k for k in SIZES['kinds'] if k['name'] == 'read')
+CHAT = next(k for k in SIZES['kinds'] if k['name'] == 'chat')
 ORDER = next(k for k in SIZES['kinds'] if k['name'] == 'order')
+ENDED = framings.ENDS_PROCESS
 #: Time of the scenarios of the checker.
 NOW_S = 1000.0
 
@@ -62,10 +64,22 @@
 
 
 @when('seed {seed:d} is run for half a minute on a few processes')
-def run_soak(context, seed):
+def run_short_soak(context, seed):
+    _run_soak(context, seed, '0.5', 'short.yaml')
+
+
+@when(
+    'seed {seed:d} is run for 18 s with answers of each framing, some broken'
+    ' off'
+)
+def run_framings_soak(context, seed):
+    _run_soak(context, seed, '0.3', 'framings.yaml')
+
+
+def _run_soak(context, seed, minutes, sizes):
     context.folder = tempfile.mkdtemp()
     command = [sys.executable, '-m', 'tools.soak', 'run', '--seed', str(seed)]
-    command += ['--minutes', '0.5', '--sizes', str(HERE / 'short.yaml')]
+    command += ['--minutes', minutes, '--sizes', str(HERE / sizes)]
     command += ['--out', context.folder]
     context.completed = subprocess.run(
         command, capture_output=True, text=True, timeout=120
@@ -92,6 +106,47 @@
     assert not remaining, remaining
 
 
+@when('the framings of {count:d} streams and {others:d} bodies are drawn')
+def draw_framings(context, count, others):
+    drawn = [framings.draw(context.rng, 0.8, True) for _ in range(count)]
+    context.streams = set(drawn)
+    drawn = [framings.draw(context.rng, 0.8, False) for _ in range(others)]
+    context.bodies = set(drawn)
+
+
+@then(
+    'each framing is drawn whole, and broken off at each place by close, reset'
+    ' and silence'
+)
+def check_framings(context):
+    for framing in framings.FRAMINGS[1:]:
+        of_framing = [x for x in context.streams if x.framing == framing]
+        assert framings.Drawn(framing, None) in of_framing, framing
+        breaks = {x.broken[:2] for x in of_framing if x.broken is not None}
+        for place in framings.PLACES:
+            for manner in framings.MANNERS[:3]:
+                found = {(place, manner), (place, ENDED)} & breaks
+                assert found, (framing, place, manner)
+        if framing != framings.CLOSE:
+            assert (framings.WITHIN, framings.ENDS_FRAMING) in breaks, framing
+
+
+@then(
+    'what has no length closes within a body, or between two events, only as'
+    ' its process ends'
+)
+def check_unframed(context):
+    for drawn, places in (
+        (context.streams, [framings.BETWEEN]),
+        (context.bodies, [framings.AFTER_HEAD, framings.WITHIN]),
+    ):
+        breaks = [x.broken for x in drawn if x.framing == framings.CLOSE]
+        closed = [x.place for x in breaks if x and x.manner == framings.CLOSES]
+        assert closed and not set(closed) & set(places), closed
+        ended = {x.place for x in breaks if x and x.manner == ENDED}
+        assert ended == set(places), ended
+
+
 @given('a checker that knows of a request to "entry-1"')
 def make_checker(context):
     folder = pathlib.Path(tempfile.mkdtemp())
@@ -129,6 +184,38 @@
     context.checker.record_arrival(request_id, context.runner, NOW_S)
 
 
+def _answer_stream(context, body):
+    request = _record_sent(context, CHAT, 'order-1')
+    headers = {b'x-request-id': b'order-1'}
+    answer = checks.Answer(200, headers, body, True, False)
+    context.checker.record_answer(request, answer, NOW_S)
+
+
+def _events(first, last):
+    return b''.join(checks.EVENT % n for n in range(first, last + 1))
+
+
+@when(
+    'it is answered with a stream that ends after {sent:g} of {count:d} events'
+)
+def answer_short_stream(context, sent, count):
+    whole, half = int(sent), sent % 1
+    cut = (checks.EVENT % (whole + 1))[:9] if half else b''
+    _answer_stream(context, _events(1, whole) + cut)
+
+
+@when('it is answered with a stream with one of its events twice')
+def answer_repeated_event(context):
+    _answer_stream(context, _events(1, 5) + _events(5, 12))
+
+
+@when('its runner sends a whole answer and it is answered with 502')
+def lose_answer(context):
+    _arrive(context)
+    context.checker.record_whole(b'order-1', context.runner)
+    _answer(context, 502)
+
+
 @when('it has run and is answered with 503')
 def answer_503_after_run(context):
     context.checker.run_counts[0][b'order-1'] = 1
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,7 +8,6 @@
 
 import json
 import math
-import re
 import typing
 
 from tools.soak import announcements, report
@@ -36,7 +35,7 @@
 CRASH_LIMIT, MAX_FURTHER_CRASHES = 3, 3
 #: Tokens per event of the emulated engine.
 TOKENS_PER_EVENT = 5
-_EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
+EVENT = b'id: %d\ndata: tokens\n\n'
 
 
 class SentRequest(typing.NamedTuple):
@@ -63,13 +62,15 @@
 
     def __init__(self, sizes: dict, run_report: report.Report):
         self.sizes = sizes
-        self.check = run_report.check
+        self.check, self.note = run_report.check, run_report.note
         self.sent_requests: dict[str, SentRequest] = {}
         #: Run count by request id, one table per runner or group.
         self.run_counts: list[dict[bytes, int]] = []
         #: Ids of requests whose answers say that they have not run.
         self.reported_not_run: set[str] = set()
         self.arrived_ids: set[str] = set()
+        #: Runner by id of the requests whose newest answer it sent whole.
+        self.sent_whole: dict[str, str] = {}
         #: Start time by hall or runner that is out of service.
         self.out_of_service_s: dict[str, float] = {}
         #: End of the last fault of each process or link; `inf` during one.
@@ -121,15 +122,16 @@
             self._check_refusal(request, answer)
         if not answer.is_abandoned:
             self._check_stop(request, answer, now_s)
+            self._check_delivery(request, answer, now_s)
 
     def _check_answer(self, request: SentRequest, answer: Answer) -> None:
         answered_id = answer.headers.get(b'x-request-id', b'').decode()
         is_correct = answered_id == request.request_id
         if request.kind['kind'] == 'streaming':
-            ids = [int(n) for n in _EVENT_ID.findall(answer.body)]
-            limit = math.ceil(request.kind['output'] / TOKENS_PER_EVENT)
-            is_correct &= ids == list(range(1, len(ids) + 1))
-            is_correct &= len(ids) == limit or not answer.is_whole
+            count = math.ceil(request.kind['output'] / TOKENS_PER_EVENT)
+            whole = b''.join(EVENT % n for n in range(1, count + 1))
+            is_correct &= whole.startswith(answer.body)
+            is_correct &= answer.body == whole or not answer.is_whole
         elif answer.is_whole:
             path = f'/{request.kind["name"]}/{request.request_id}'
             is_correct &= _field(answer.body, 'path') == path
@@ -181,8 +183,31 @@
         is_cut = not answer.is_whole and request.request_id in self.arrived_ids
         self.check('planned stops cut nothing', not is_cut, asked=request)
 
+    def _check_delivery(
+        self, request: SentRequest, answer: Answer, now_s: float
+    ) -> None:
+        """Check that an answer that a runner sent whole is delivered.
+
+        Not checked after faults on its way, a stop or its deadline.
+        """
+        runner = self.sent_whole.get(request.request_id)
+        stopped_s = self.stop_requested_s.get(request.entry, -math.inf)
+        took_ms = (now_s - request.at_s) * 1000
+        if runner is None or stopped_s > request.at_s - STOP_GRACE_S:
+            return
+        names = [request.entry, f'front-{request.entry[6:]}', f'link-{runner}']
+        is_calm = self.had_no_faults(names, request.at_s)
+        if is_calm and took_ms < request.kind['deadline_ms']:
+            is_delivered = answer.is_whole and answer.status == 200
+            rule = 'whole answers are delivered'
+            self.check(rule, is_delivered, asked=request, sent_by=runner)
+
     # Runners.
 
+    def record_whole(self, request_id: bytes, runner) -> None:
+        """Record that a runner has sent a whole answer with status 200."""
+        self.sent_whole[request_id.decode('latin-1')] = runner.name
+
     def record_arrival(self, request_id: bytes, runner, now_s: float) -> None:
         """Record and check the arrival of a request at a runner."""
         key = request_id.decode('latin-1')
@@ -195,6 +220,7 @@
         )
         sends.setdefault(runner.service, []).append(now_s)
         self.arrived_ids.add(key)
+        self.sent_whole.pop(key, None)
         if request is not None:
             self._check_announcements(request, runner, now_s)
             self._check_limit(request, runner, now_s)
@@ -368,7 +394,7 @@
 
     def _unsafe(self) -> list[str]:
         rows = self.sent_requests.items()
-        return [key for key, sent in rows if sent.kind['kind'] == 'unsafe']
+        return [key for key, sent in rows if _is_unsafe(sent.kind)]
 
     def _check_budget(self, service: str, now_s: float) -> None:
         sizes = self.sizes['bounds']
@@ -398,6 +424,10 @@
             )
 
 
+def _is_unsafe(kind: dict) -> bool:
+    return kind['kind'] == 'unsafe' or not kind.get('resumable', True)
+
+
 def _count_between(times_s: list[float], from_s: float, to_s: float) -> int:
     return sum(from_s < at_s <= to_s for at_s in times_s)
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -30,7 +30,9 @@
 MIN_BACKOFF_S, EXTRA_BACKOFF_S = 0.8, 3.0
 #: The highest limit that a runner names.
 MAX_LIMIT_PER_S = 2.0
-#: Delay until a runner that has left starts again.
+#: Delay from the break of an answer to the end of all the process's others.
+ENDING_S = 0.3
+#: Delay until a runner that has left or ended starts again.
 RESTART_S = 1.0
 #: Delay from the end of a process to the start of its other build.
 REPLACE_S = 0.5
@@ -205,6 +207,8 @@
             await self._restart_runner(runner, RESTART_S)
         elif fault_name == 'limit':
             await self._limit_runner(runner, fault)
+        elif fault_name == 'broken':
+            await self._break_answers(runner, fault)
         elif fault_name == 'drain':
             runner.state = 'draining'
             await trio.sleep(fault.span_s)
@@ -231,6 +235,21 @@
             runner.limit_per_s = None
             self.checker.announcements.forget_limit(runner.name)
 
+    async def _break_answers(
+        self, runner: runners.Runner, fault: Fault
+    ) -> None:
+        """Let a runner break off answers until it ends or the fault does."""
+        if runner.broken_off:
+            return
+        with self._mark_faulted(f'link-{runner.name}'):
+            runner.broken_off, runner.is_ending = fault.strength, trio.Event()
+            with trio.move_on_after(fault.span_s):
+                await runner.is_ending.wait()
+            runner.broken_off = 0.0
+            if runner.is_ending.is_set():
+                await trio.sleep(ENDING_S)
+                await self._restart_runner(runner, RESTART_S)
+
     async def _restart_runner(
         self, runner: runners.Runner, span_s: float
     ) -> None:
--- a/tools/soak/links.py
+++ b/tools/soak/links.py
@@ -10,7 +10,10 @@
 
 from mountridge.net import listening
 
-__all__ = ['DELAYED', 'Link', 'TO_CLIENT', 'TO_SERVER', 'link_address']
+__all__ = [
+    'DELAYED', 'Link', 'TO_CLIENT', 'TO_SERVER', 'link_address',
+    'reset_stream',
+]  # fmt: skip
 
 #: Faults of a link: either direction blocked, or both delayed.
 TO_SERVER, TO_CLIENT, DELAYED = 'to', 'back', 'late'
@@ -44,19 +47,27 @@
 
     async def run(self) -> None:
         """Forward connections until cancelled."""
-        while True:
-            await self._is_up.wait()
-            listening_socket = trio.socket.from_stdlib_socket(
-                listening.listen(link_address(self.target))
-            )
-            with trio.CancelScope() as self._listening:
-                listener = trio.SocketListener(listening_socket)
-                await trio.serve_listeners(self._connect, [listener])
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._is_up.wait()
+                listening_socket = trio.socket.from_stdlib_socket(
+                    listening.listen(link_address(self.target))
+                )
+                with trio.CancelScope() as self._listening:
+                    listener = trio.SocketListener(listening_socket)
+                    await trio.serve_listeners(
+                        self._connect, [listener], handler_nursery=nursery
+                    )
 
     def refuse(self) -> None:
         """Reset open connections and refuse new ones until `accept`."""
-        self._is_up = trio.Event()
+        self.close_port()
         self.reset()
+
+    def close_port(self) -> None:
+        """Refuse new connections until `accept`; keep the open ones."""
+        if self._is_up.is_set():
+            self._is_up = trio.Event()
         self._listening.cancel()
 
     def accept(self) -> None:
@@ -75,8 +86,8 @@
                 nursery.start_soon(self._pump, server, client, TO_CLIENT)
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             # Once one side has failed, the other is reset as well.
-            _reset(client)
-            _reset(server)
+            reset_stream(client)
+            reset_stream(server)
         finally:
             for stream in self._open & {client, server}:
                 self._open.discard(stream)
@@ -96,10 +107,11 @@
     def reset(self) -> None:
         """Reset all connections and drop the data in flight."""
         for stream in list(self._open):
-            _reset(stream)
+            reset_stream(stream)
 
 
-def _reset(stream: trio.SocketStream | None) -> None:
+def reset_stream(stream: trio.SocketStream | None) -> None:
+    """Reset a connection unless it is closed."""
     if stream is not None and stream.socket.fileno() >= 0:
         linger = struct.pack('ii', 1, 0)
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -19,18 +19,26 @@
 
 
 def _route(
-    name: str, kind: str = 'safe', service: str = 'plain', ms: float = 2500.0
+    name: str,
+    kind: str = 'safe',
+    service: str = 'plain',
+    ms: float = 2500.0,
+    resumable: bool = True,
 ) -> list:
-    is_streaming = kind == 'streaming'
+    is_resumable = kind == 'streaming' and resumable
     place = ['soak.example', f'/{name}/', kind, ms, 500.0, 1]
-    return [name, *place, [[service, 1.0]], 2, True, is_streaming, 0.0]
+    return [name, *place, [[service, 1.0]], 2, True, is_resumable, 0.0]
 
 
 def document(sizes: dict, version: int, variant: str = '') -> bytes:
     """Return a routes document, with a route for each newest version."""
     listed = [
         _route(
-            kind['name'], kind['kind'], kind['service'], kind['deadline_ms']
+            kind['name'],
+            kind['kind'],
+            kind['service'],
+            kind['deadline_ms'],
+            kind.get('resumable', True),
         )
         for kind in sizes['kinds']
     ]
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -10,7 +10,7 @@
 
 from mountridge.net import dialects, httpserver
 from standins import engine, engineserver
-from tools.soak import announcements, checks, fleet, links
+from tools.soak import announcements, checks, fleet, framings, links
 
 __all__ = ['EmulatedRunners', 'Runner', 'build']
 
@@ -47,6 +47,9 @@
         self.backoff_s = 0.0  # if set, refuses requests and asks for it
         self.is_leaving = False  # announced in all its answers
         self.limit_per_s: float | None = None  # named in all its answers
+        self.broken_off = 0.0  # share of answers that are broken off
+        #: Set when the process is about to end in the middle of an answer.
+        self.is_ending = trio.Event()
         self.cold_until_s = 0.0
         self._down_s = 0.0  # until the next incarnation
         self._incarnation = trio.CancelScope()
@@ -54,11 +57,13 @@
     def end(self, down_s: float) -> None:
         """End this incarnation; the next starts after ``down_s``, cold."""
         self._down_s = down_s
+        self.link.close_port()
         self._incarnation.cancel()
 
     async def run(self, system: fleet.Fleet, checker: checks.Checker) -> None:
         """Run, and restart after each end, until cancelled."""
-        handler = self._observed(system.rng, checker)
+        frames = system.sizes.get('frames_answers', False)
+        handler = self._observed(system.rng, checker, frames)
         limits = engineserver.limits
         while True:
             self.link.accept()
@@ -99,7 +104,7 @@
         )
 
     def _observed(
-        self, rng: random.Random, checker: checks.Checker
+        self, rng: random.Random, checker: checks.Checker, frames: bool
     ) -> httpserver.Handler:
         """Return a handler that records requests and injects faults."""
 
@@ -112,6 +117,10 @@
                     checker.crashes_s.append(now_s)
                     self.end(CRASH_DOWN_S)
                     await trio.sleep_forever()
+                if frames:
+                    responder = self._framing(
+                        request_id, responder, rng, checker
+                    )
                 if self.limit_per_s is not None:
                     responder = self._limiting(request_id, responder, checker)
                 if self.backoff_s:
@@ -129,9 +138,41 @@
                     await responder._stream.send_all(GARBLED)
                     return
             await self.handler(request, responder)
+            if frames and responder.started and not responder.finished:
+                # Without a length, a stream that closes would look complete.
+                links.reset_stream(responder._stream)
 
         return handle
 
+    def _framing(
+        self,
+        request_id: bytes,
+        responder: httpserver.Responder,
+        rng: random.Random,
+        checker: checks.Checker,
+    ) -> framings.FramedResponder:
+        """Return a responder that draws the framing of its answer."""
+        drawn = framings.draw(rng, self.broken_off, self.service == 'llm')
+
+        def on_end(status: int, broken: framings.Break | None) -> None:
+            if broken is not None:
+                request = request_id.decode('latin-1')
+                fields = {'framing': drawn.framing, **broken._asdict()}
+                checker.note('broken off', request=request, **fields)
+            elif status == 200:
+                checker.record_whole(request_id, self)
+
+        return framings.FramedResponder(
+            responder, drawn, on_end, self._close_port
+        )
+
+    def _close_port(self) -> bool:
+        """Refuse connections as the process ends, while that is injected."""
+        if self.broken_off:
+            self.link.close_port()
+            self.is_ending.set()
+        return bool(self.broken_off)
+
     def _limiting(
         self,
         request_id: bytes,
