Soak mutant: a stream may end within an event

Change: the mutant of the check for whole events is one that the soak must detect, with framings.yaml.

--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -51,6 +51,9 @@
     'runner limits: no gate at selection': Expectation(
         'named limits are kept', 'tools/soak/limits.yaml'
     ),
+    'events: a stream may end within an event': Expectation(
+        'whole and right answers', 'tools/soak/framings.yaml'
+    ),
     'quarantine: no count of crashes': Expectation(
         'requests that crash runners are held back', ANNOUNCEMENT_SIZES
     ),
