The check for a crash waits no longer than the caller

Seen by callers: 504 for a whole answer without a length that came 50 ms before the deadline, from a runner whose queue of new connections was full; up to 0.3 s more for any such answer (at agents up to 2 s). Cause: the check may take as long as a connection, and runs within the request's deadline. Change: at most 0.1 s, and no longer than the time left; an answer whose check has no result by then is delivered.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -96,6 +96,15 @@
     When a streaming-once request is sent
     Then its answer is 200, 2 events, without an end
 
+  # Guards against whole answers that are lost because the check for a crash of
+  # their runner takes longer than their callers wait.
+  Scenario: A whole answer is delivered though its runner accepts no more in time
+    Given two runners of which the first sends no length and closes
+    And neither accepts a further connection in time
+    When a safe request is sent with a deadline of 300 ms, and answered after 250 ms
+    Then its answer is 200 and complete
+    And the runners ran it 1 times
+
   # Guards against whole answers that are lost because their runner's process
   # ends right after them, as planned.
   Scenario: A runner that drains and ends with its answer has not crashed
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -124,6 +124,8 @@
         self.on_request = lambda: None
         self.listening = trio.CancelScope()
         self.connections = 0
+        #: Time from a request to its answer.
+        self.pause_s = 0.0
 
     async def listen(self, listener, nursery):
         """Accept connections until ``listening`` is cancelled."""
@@ -143,6 +145,7 @@
         while request is not None:
             self.received.append(request)
             self.on_request()
+            await trio.sleep(self.pause_s)
             data, keep = self._answer(request)
             if data is None:
                 self.was_reset = await _read_to_end(stream)
@@ -379,6 +382,36 @@
     context.world = World(replaced, replaced, replaced, 'answers correctly')
 
 
+@given('neither accepts a further connection in time')
+def accept_none(context):
+    pool = context.world.forwarder.pool
+
+    async def refuses_connections(address, timeout_s=lasthop.CONNECT_S):
+        await trio.sleep(timeout_s)
+        return False
+
+    pool.refuses_connections = refuses_connections
+
+
+@when(
+    'a {kind} request is sent with a deadline of {deadline_ms:d} ms, and'
+    ' answered after {pause_ms:d} ms'
+)
+def send_late(context, kind, deadline_ms, pause_ms):
+    async def script(world):
+        world.runners[0].pause_s = pause_ms / 1000
+        stream = await world.open()
+        request = _request(b'/%s/1' % kind.encode())
+        deadline = b'X-Deadline-Ms: %d\r\n' % deadline_ms
+        await stream.send_all(
+            request.replace(b'X-Deadline-Ms: 2500\r\n', deadline)
+        )
+        context.data = await _read_all(stream)
+
+    context.kind = kind
+    _run(context, script)
+
+
 @given('no retries are left in the budget')
 def no_retries_left(context):
     context.world.forwarder.budget = budgets.RetryBudget(
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -17,6 +17,8 @@
 
 #: Short, since the runner is on the agent's own box or next to it.
 CONNECT_TIMEOUT_S = 2.0
+#: How long an answer waits for the check that its runner has not crashed.
+CONFIRM_S = 0.1
 
 
 class Response:
@@ -81,4 +83,4 @@
             yield Response(path, reply, self._has_crashed)
 
     async def _has_crashed(self) -> bool:
-        return await self._pool.refuses_connections(self._address)
+        return await self._pool.refuses_connections(self._address, CONFIRM_S)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -29,6 +29,9 @@
 #: A request is cancelled this long after its deadline, so that an answer that
 #: is arriving already is still returned. Operators allow 500 ms.
 DEADLINE_GRACE_S = 0.05
+#: How long an answer waits for the check that its runner has not crashed:
+#: some round trips to a runner in another hall.
+CONFIRM_S = 0.1
 #: How long a request may wait in a process that has just started and has no
 #: routes yet: longer than an election and a first lease, which take up to
 #: 0.9 s after a loss of all power, since many callers retry only once.
@@ -440,23 +443,30 @@
             reply,
             self.app.now_s,
             lambda: self._after_events(exchange, backend),
-            lambda: self._confirm_end(reply, backend),
+            lambda: self._confirm_end(exchange, reply, backend),
         )
         backend.record_success()
         self.crashes.record_success(exchange)
 
     async def _confirm_end(
-        self, reply: lasthop.Reply, backend: backends.Backend
+        self,
+        exchange: Exchange,
+        reply: lasthop.Reply,
+        backend: backends.Backend,
     ) -> None:
         """Check that an answer did not end because its runner crashed.
 
         An answer that ends with its connection looks the same in both cases.
+        Where the check takes too long, the answer is delivered.
 
         :raises BadAnswer: the runner has crashed.
         """
         if reply.framing != lasthop.CLOSE:
             return
-        if await self.crashes.has_crashed(backend.instance, self.pool):
+        left_s = exchange.deadline_s - self.app.now_s()
+        timeout_s = max(0.0, min(CONFIRM_S, left_s))
+        runner = backend.instance
+        if await self.crashes.has_crashed(runner, self.pool, timeout_s):
             raise errors.BadAnswer('the runner crashed as its answer ended')
 
     def _log_announced(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1349,9 +1349,14 @@
     ),
     Mutant(
         'answers: a crash ends an answer without a length', 'forwarding',
-        'if await self.crashes.has_crashed(backend.instance, self.pool):',
+        'if await self.crashes.has_crashed(runner, self.pool, timeout_s):',
         'if False:', 'forwarding', 'crashes|ends between',
     ),
+    Mutant(
+        'answers: the check for a crash outlasts the deadline', 'forwarding',
+        'max(0.0, min(CONFIRM_S, left_s))', 'CONFIRM_S', 'forwarding',
+        'accepts no more in time',
+    ),
     Mutant(
         'answers: a planned stop is a crash', 'crashwatch',
         'if runner.state != instances.READY or self._backoffs.is_leaving('
