A stream is complete where two runners end after the same event

Seen by callers in a test: a stream of which all events have arrived never ends, in two cases. A runner's process ends right after its last event, and the next runner has no more; or the caller itself goes on after the last event. Cause: a stream without events that ends with its connection counts as broken off, since it ends like one that was. That holds for a resumed stream with nothing left, too. Change: the event after which a runner closed the connection is kept; another runner that closes after the same one confirms it.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -96,6 +96,19 @@
     When a streaming-once request is sent
     Then its answer is 200, 2 events, without an end
 
+  # Guards against streams that never end for a caller that has all events.
+  Scenario Outline: A stream <first> is complete if the next runner has no more events
+    Given two runners of which the first <first>
+    And the second ends all streams with no length
+    When a streaming request is sent, to go on after event <number>
+    Then its answer is <answer>
+    And the runners ran it 2 times
+
+    Examples:
+      | first                                       | number | answer                  |
+      | has all events, its process ends, no length | 0      | 200 and complete        |
+      | has no more events, with no length          | 5      | 200, 0 events, complete |
+
   # Guards against whole answers that are lost because the check for a crash of
   # their runner takes longer than their callers wait.
   Scenario: A whole answer is delivered though its runner accepts no more in time
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -28,6 +28,8 @@
 LATE_REFUSAL = (
     'ends between two events, its listening socket last, with no length'
 )
+#: A stream that is whole, and whose runner's process ends with it.
+ALL_AND_ENDS = 'has all events, its process ends, no length'
 #: Events after which a stream is truncated; a half is within the next one.
 TRUNCATIONS = {
     'truncates its answer': 2,
@@ -48,6 +50,7 @@
     'sends a length and crashes',
     'sends no length and crashes',
     'sends all with no length and crashes',
+    ALL_AND_ENDS,
 )
 #: The fault of a rank that refuses requests while its group is closed.
 CLOSED = 'refuses while its group is closed'
@@ -382,6 +385,23 @@
     context.world = World(replaced, replaced, replaced, 'answers correctly')
 
 
+@given('the second ends all streams with no length')
+def end_without_length(context):
+    context.world.runners[1].fault = 'ends streams with no length'
+
+
+@when('a streaming request is sent, to go on after event {number:d}')
+def send_to_go_on(context, number):
+    async def script(world):
+        stream = await world.open()
+        last = b'Last-Event-Id: %d\r\n' % number
+        await stream.send_all(_request(b'/streaming/1', extra=last))
+        context.data = await _read_all(stream)
+
+    context.kind = 'streaming'
+    _run(context, script)
+
+
 @given('neither accepts a further connection in time')
 def accept_none(context):
     pool = context.world.forwarder.pool
@@ -600,7 +620,9 @@
     head, _, body = context.data.partition(b'\r\n\r\n')
     status = int(head.split(b' ')[1])
     assert status == int(answer[:3]), context.data
-    if answer.endswith('complete') and context.kind.startswith('streaming'):
+    if answer.endswith('0 events, complete'):
+        assert body == b'0\r\n\r\n', body
+    elif answer.endswith('complete') and context.kind.startswith('streaming'):
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -108,15 +108,32 @@
             after_events()
     exchange.partial_event_bytes = len(splitter.remainder)
     rest = splitter.end()
-    if reply.framing == lasthop.CLOSE and not splitter.event_count:
-        # Nothing but the close distinguishes it from a whole stream.
-        raise errors.BadAnswer('the stream ended before its first event')
-    await confirm_end()
+    if reply.framing == lasthop.CLOSE:
+        await _check_closed(exchange, splitter.event_count, confirm_end)
     if rest:
         await responder.send(rest)
     await responder.finish()
 
 
+async def _check_closed(
+    exchange: Exchange, event_count: int, confirm_end: Confirm
+) -> None:
+    """Check that a stream that ended with its connection is complete.
+
+    One without events ends like one that was broken off. Where two runners
+    end after the same numbered event, none is missing.
+
+    :raises BadAnswer: it may be incomplete.
+    """
+    last = exchange.last_event_id
+    if last is not None and last == exchange.closed_after:
+        return
+    exchange.closed_after = last
+    if not event_count:
+        raise errors.BadAnswer('the stream ended before its first event')
+    await confirm_end()
+
+
 def _is_new(exchange: Exchange, event: events.Event) -> bool:
     """Return whether an event is new to the caller; record its number.
 
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -57,6 +57,8 @@
         #: Whether an attempt was started and has not ended; it may be running.
         self.is_in_flight = False
         self.last_event_id: int | None = None
+        #: Last event after which a runner closed the connection.
+        self.closed_after: int | None = None
         self.events_sent = 0
         #: Whether all events sent had numbers, so that another run can go on
         #: after the last one.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1352,6 +1352,11 @@
         'if await self.crashes.has_crashed(runner, self.pool, timeout_s):',
         'if False:', 'forwarding', 'crashes|ends between',
     ),
+    Mutant(
+        'answers: two runners that end alike do not end a stream',
+        'routedanswers', 'last is not None and last == exchange.closed_after',
+        'False', 'forwarding', 'has no more events',
+    ),
     Mutant(
         'answers: the check for a crash outlasts the deadline', 'forwarding',
         'max(0.0, min(CONFIRM_S, left_s))', 'CONFIRM_S', 'forwarding',
