A stream that ends with a stopping runner's process is resumed where it can be

Seen by callers in a test: two of five events, complete, from a runner that drains and whose process ends between two events, as where a box is taken away soon after a notice. Cause: the end of a process that drains or leaves is expected, so it was no reason to doubt an answer. Change: a stream that may be resumed goes on at another runner, which also tells if there are no more events. Other answers of such a runner are delivered, as before. Seen: the row failed before and passes now, the two other rows pass before and after; mutants for both are caught.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -119,12 +119,18 @@
     And the runners ran it 1 times
 
   # Guards against whole answers that are lost because their runner's process
-  # ends right after them, as planned.
-  Scenario: A runner that drains and ends with its answer has not crashed
-    Given two runners of which the first sends all with no length and crashes
-    When a unsafe request is sent and that runner starts to drain
-    Then its answer is 200 and complete
-    And the runners ran it 1 times
+  # ends right after them, as planned, and against streams that it cuts off.
+  Scenario Outline: A runner that drains and ends with its answer: <first>
+    Given two runners of which the first <first>
+    When a <kind> request is sent and that runner starts to drain
+    Then its answer is <answer>
+    And the runners ran it <runs> times
+
+    Examples:
+      | kind           | first                                       | answer           | runs |
+      | unsafe         | sends all with no length and crashes        | 200 and complete | 1    |
+      | streaming-once | has all events, its process ends, no length | 200 and complete | 1    |
+      | streaming      | ends between two events, with no length     | 200 and complete | 2    |
 
   # Guards against two new connections for each answer without a length.
   Scenario: A connection that shows that a runner still runs serves its next request
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -85,12 +85,15 @@
 
         False if that is not known within ``timeout_s``.
         """
-        if runner.state != instances.READY or self._backoffs.is_leaving(
-            runner
-        ):
-            return False  # a planned stop
+        if self.is_stopping(runner):
+            return False
         return await pool.refuses_connections(runner.address, timeout_s)
 
+    def is_stopping(self, runner: instances.Instance) -> bool:
+        """Return whether the end of a runner's process is expected."""
+        is_ready = runner.state == instances.READY
+        return not is_ready or self._backoffs.is_leaving(runner)
+
     def record_success(self, exchange: Exchange) -> None:
         """Record that a request has succeeded, which clears it everywhere."""
         digest = routefilters.request_digest(self._quarantine, exchange)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1344,12 +1344,12 @@
     ),
     Mutant(
         'answers: a close ends a stream without events', 'routedanswers',
-        'reply.framing == lasthop.CLOSE and not splitter.event_count',
-        'False', 'forwarding', 'before its first event, with no length',
+        'if not event_count:', 'if False:', 'forwarding',
+        'before its first event, with no length',
     ),
     Mutant(
         'answers: a crash ends an answer without a length', 'forwarding',
-        'if await self.crashes.has_crashed(runner, self.pool, timeout_s):',
+        'if await self.pool.refuses_connections(runner.address, timeout_s):',
         'if False:', 'forwarding', 'crashes|ends between',
     ),
     Mutant(
@@ -1364,9 +1364,13 @@
     ),
     Mutant(
         'answers: a planned stop is a crash', 'crashwatch',
-        'if runner.state != instances.READY or self._backoffs.is_leaving('
-        '\n            runner\n        ):', 'if False:',
-        'forwarding', 'drains and ends',
+        'return not is_ready or self._backoffs.is_leaving(runner)',
+        'return False', 'forwarding', 'drains and ends',
+    ),
+    Mutant(
+        'answers: streams of stopping runners are not resumed', 'forwarding',
+        'not (\n            exchange.events_sent and self._may_go_on(exchange)'
+        '\n        )', 'True', 'forwarding', 'drains and ends',
     ),
     Mutant(
         'last hop: the connection to a running runner is not kept', 'lasthop',
