Search each byte of a stream for the end of an event once

Cause: each read searched the whole unfinished event again, and blocks the process meanwhile. Change: the search goes on where it ended.

--- a/mountridge/net/events.py
+++ b/mountridge/net/events.py
@@ -13,6 +13,8 @@
 
 #: A blank line ends an event; a line ends with LF, CRLF or CR.
 _BLANK_LINE = re.compile(rb'\n(?:\n|\r\n?)|\r\r\n?')
+#: Most bytes of a match.
+BLANK_LINE_BYTES = 3
 
 
 class Event(typing.NamedTuple):
@@ -54,9 +56,11 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
+        # A blank line may have begun in the bytes that were searched before.
+        search_from = max(0, len(self.remainder) - BLANK_LINE_BYTES)
         received = self.remainder + data
         found, start = [], 0
-        for blank_line in _BLANK_LINE.finditer(received):
+        for blank_line in _BLANK_LINE.finditer(received, search_from):
             data = received[start : blank_line.end()]
             event = Event(data, _event_id(data), _has_only_comments(data))
             found.append(event)
