Blocks without data or a number begin no stream

Seen by callers in a test: a retry time alone, with the last chunk of a complete stream. Cause: each block but comments counted as an event, so a close after one ended the stream; and comments counted among the events sent, so a request whose runner crashed after one was no suspect. Change: only blocks with data or a number count, in both places. All are passed on.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -62,6 +62,7 @@
       | streaming-once | ends with a comment, with no length           | 200 and its comment               | 1    |
       | streaming-once | is one JSON object, with no length            | 200 and the object                | 1    |
       | streaming      | closes after a comment, with no length        | 200, a comment and all events     | 2    |
+      | streaming      | closes after a retry time, with no length     | 200, a retry time and all events  | 2    |
 
   # Guards against events that a caller gets twice: a run that goes on after the
   # last number repeats the events that have none.
@@ -132,6 +133,13 @@
       | streaming-once | has all events, its process ends, no length | 200 and complete | 1    |
       | streaming      | ends between two events, with no length     | 200 and complete | 2    |
 
+  # Guards against requests that crash a runner after it has sent a comment, and
+  # are then taken for streams that have begun.
+  Scenario: A comment does not begin a stream
+    Given two runners of which the first closes after a comment, with no length
+    When a streaming request is sent
+    Then 5 events of it are counted as sent
+
   # Guards against two new connections for each answer without a length.
   Scenario: A connection that shows that a runner still runs serves its next request
     Given two runners of which the first sends no length and closes
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -18,6 +18,7 @@
 
 EVENTS = [b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(1, 6)]
 COMMENT = b': end\n'
+RETRY_TIME = b'retry: 3000\n'
 UNNUMBERED = b'data: no number\n\n'
 JSON = b'{"text": "whole"}'
 HOST = '127.0.0.1'
@@ -84,6 +85,8 @@
         return _head(200, request, b'\r\n') + data + b'da'
     if fault == 'closes after a comment, with no length':
         return _head(200, request, b'\r\n') + COMMENT + b'\n'
+    if fault == 'closes after a retry time, with no length':
+        return _head(200, request, b'\r\n') + RETRY_TIME + b'\n'
     if 'comment' in fault:
         data += COMMENT
     if 'JSON' in fault:
@@ -287,6 +290,11 @@
             self.forwarder.handle, lambda: LIMITS, lambda: False
         )
         self.port = 0
+        #: Events that were counted as sent, by request.
+        self.counted = []
+        self.forwarder.crashes.record_success = lambda exchange: (
+            self.counted.append(exchange.events_sent)
+        )
 
     async def start(self, nursery):
         registered = []
@@ -541,6 +549,11 @@
     assert b' 200 ' in context.data.split(b'\r\n')[0], context.data
 
 
+@then('{count:d} events of it are counted as sent')
+def check_counted(context, count):
+    assert context.world.counted == [count], context.world.counted
+
+
 @then('the first runner has accepted {count:d} connections')
 def check_connections(context, count):
     assert context.world.runners[0].connections == count
@@ -626,9 +639,10 @@
         sent = [x for x in body.split(b'\r\n') if x and len(x) > 3]
         assert b''.join(sent) == b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
-    elif answer.endswith('a comment and all events'):
+    elif answer.endswith('and all events'):
+        first = COMMENT if 'comment' in answer else RETRY_TIME
         sent = [x for x in body.split(b'\r\n') if len(x) > 3]
-        assert b''.join(sent) == COMMENT + b'\n' + b''.join(EVENTS), body
+        assert b''.join(sent) == first + b'\n' + b''.join(EVENTS), body
         assert body.endswith(b'0\r\n\r\n'), body
     elif answer.endswith('empty'):
         assert body == b'0\r\n\r\n', body
--- a/mountridge/net/events.py
+++ b/mountridge/net/events.py
@@ -13,20 +13,21 @@
 
 #: A blank line ends an event; a line ends with LF, CRLF or CR.
 _BLANK_LINE = re.compile(rb'\n(?:\n|\r\n?)|\r\r\n?')
-#: Most bytes of a match.
+_DATA_FIELD = re.compile(rb'(?:^|[\r\n])data')
+#: Most bytes of a blank line.
 BLANK_LINE_BYTES = 3
 
 
 class Event(typing.NamedTuple):
     """A complete event, with its number or None.
 
-    A block of comments, as sent to keep a connection open, is no event to its
-    reader, and is passed on like one.
+    A block with neither data nor a number, as comments that keep a connection
+    open, is empty: no event to its reader, though it is passed on like one.
     """
 
     data: bytes
     event_id: int | None
-    is_comment: bool = False
+    is_empty: bool = False
 
 
 def _event_id(data: bytes) -> int | None:
@@ -40,12 +41,16 @@
 
 
 def _has_only_comments(data: bytes) -> bool:
-    if data[:1] not in (b':', b'\r', b'\n'):
-        return False
     lines = data.splitlines()
     return all(not line or line.startswith(b':') for line in lines)
 
 
+def _event(data: bytes) -> Event:
+    event_id = _event_id(data)
+    is_empty = event_id is None and not _DATA_FIELD.search(data)
+    return Event(data, event_id, is_empty)
+
+
 class Splitter:
     """Splits a stream of bytes into complete events."""
 
@@ -61,12 +66,10 @@
         received = self.remainder + data
         found, start = [], 0
         for blank_line in _BLANK_LINE.finditer(received, search_from):
-            data = received[start : blank_line.end()]
-            event = Event(data, _event_id(data), _has_only_comments(data))
-            found.append(event)
+            found.append(_event(received[start : blank_line.end()]))
             start = blank_line.end()
         self.remainder = received[start:]
-        self.event_count += sum(not event.is_comment for event in found)
+        self.event_count += sum(not event.is_empty for event in found)
         return found
 
     def end(self) -> bytes:
@@ -74,6 +77,6 @@
 
         :raises BadAnswer: the stream ended within an event.
         """
-        if self.remainder and not _has_only_comments(self.remainder):
+        if not _has_only_comments(self.remainder):
             raise errors.BadAnswer('the stream ended within an event')
         return self.remainder
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -102,9 +102,12 @@
         new = [
             event for event in splitter.feed(chunk) if _is_new(exchange, event)
         ]
+        count = sum(not event.is_empty for event in new)
+        if count:
+            exchange.record_events(count, now_s())
         if new:
-            exchange.record_events(len(new), now_s())
             await responder.send(b''.join(event.data for event in new))
+        if count:
             after_events()
     exchange.partial_event_bytes = len(splitter.remainder)
     rest = splitter.end()
@@ -141,7 +144,7 @@
     """
     last = exchange.last_event_id
     if event.event_id is None:
-        exchange.is_numbered &= event.is_comment
+        exchange.is_numbered &= event.is_empty
         return True
     if last is not None and event.event_id <= last:
         return False
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1328,19 +1328,18 @@
     ),
     Mutant(
         'events: a stream may end within an event', 'events',
-        'if self.remainder and not _has_only_comments(self.remainder):',
-        'if False:',
+        'if not _has_only_comments(self.remainder):', 'if False:',
         'forwarding', 'whose runner.s stream',
     ),
     Mutant(
         'events: comments at the end are an unfinished event', 'events',
-        'if self.remainder and not _has_only_comments(self.remainder):',
-        'if self.remainder:', 'forwarding', 'whose runner.s stream',
+        'if not _has_only_comments(self.remainder):', 'if self.remainder:',
+        'forwarding', 'whose runner.s stream',
     ),
     Mutant(
         'events: comments count as events', 'events',
-        'sum(not event.is_comment for event in found)', 'len(found)',
-        'forwarding', 'closes after a comment',
+        'sum(not event.is_empty for event in found)', 'len(found)',
+        'forwarding', 'closes after a',
     ),
     Mutant(
         'answers: a close ends a stream without events', 'routedanswers',
