Log the framing of each attempt that failed

Cause: framing and partial_event_bytes stood in the line at the end of a request alone, for its newest attempt: after a resume nothing told how the broken-off answer had ended. Change: the line of a failed attempt has them, too; each attempt begins without them. Seen: forwarding passes.

--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -262,6 +262,8 @@
             outcome=problem.outcome,
             reason=str(problem),
             **_runner_fields(picked, now_s),
+            framing=exchange.framing,
+            partial_event_bytes=exchange.partial_event_bytes,
             took_ms=_to_ms(now_s - exchange.started_s),
         )
 
@@ -329,6 +331,7 @@
         request = exchange.request
         exchange.attempts += 1
         exchange.events_before = exchange.events_sent
+        exchange.framing, exchange.partial_event_bytes = '', 0
         exchange.is_in_flight = True
         exchange.attempted.add(backend.instance.instance_id)
         sends = self.backends.request_started(
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -37,7 +37,6 @@
     :raises BadAnswer: it was truncated, or an event is missing.
     """
     exchange.framing = reply.framing
-    exchange.partial_event_bytes = 0
     if _is_stream(exchange, reply):
         await _forward_stream(
             exchange, reply, now_s, after_events, confirm_end
