Doc comments on the end of an answer without a length

Cause: one said that a body ends explicitly in each framing, one that an empty stream is told by its close. Change: doc comments only; the code is the same.

--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -129,7 +129,10 @@
         self.framing = framing
 
     async def chunks(self) -> typing.AsyncIterator[bytes]:
-        """Yield the body; return only at its explicit end.
+        """Yield the body; return only at the end that its framing marks.
+
+        With `CLOSE` that is the end of the connection, which does not show
+        that the body is complete.
 
         :raises BadAnswer: the body was truncated.
         """
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -4,7 +4,8 @@
 
 A truncated answer never looks complete: a body is sent once all of it has
 been received, and a stream is ended only where the runner ended it, after a
-whole event. The end of a connection ends no stream that has had no event.
+whole event. Where only the end of the connection marks the end of an answer,
+more evidence is needed (`_check_closed`).
 """
 
 import typing
@@ -122,8 +123,8 @@
 ) -> None:
     """Check that a stream that ended with its connection is complete.
 
-    One without events ends like one that was broken off. Where two runners
-    end after the same numbered event, none is missing.
+    An empty one and a broken-off one end alike. Where two runners end after
+    the same numbered event, none is missing.
 
     :raises BadAnswer: it may be incomplete.
     """
