Log what requests have in common whose runners crash

The line of a crash names a digest of each shared part of the prompt, and how many events the answer had and for how long; the leader logs each crash that it counts.

--- a/mountridge/control/quarantinemanager.py
+++ b/mountridge/control/quarantinemanager.py
@@ -131,6 +131,12 @@
             del self._crashed_s[next(iter(self._crashed_s))]
         if is_new:
             self.app.metrics.incr('quarantine.suspected')
+            logger.debug(
+                'crash counted',
+                digest=crash.digest.hex(),
+                runner=crash.instance_id,
+                crashes=len(seen),
+            )
         # A probed request has crashed several runners before.
         threshold = 1 if is_probing else quarantines.CRASH_THRESHOLD
         is_quarantined = current is not None and current.is_held
--- a/mountridge/documents/quarantines.py
+++ b/mountridge/documents/quarantines.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""Requests that are quarantined because they crash runners.
+"""Requests and parts of prompts that are quarantined as they crash runners.
 
 A request is identified by a keyed digest of its method, target, caller and
-body, none of which is stored or reported.
+body, a part of a prompt by one of its service and its id. None of them is
+stored or reported.
 """
 
 import hashlib
@@ -13,11 +14,13 @@
 
 __all__ = [
     'CRASH_THRESHOLD', 'CRASH_TTL_S', 'Crash', 'DIGEST_BYTES',
-    'QuarantinedRequest', 'digest', 'parse_digest',
+    'QuarantinedRequest', 'digest', 'parse_digest', 'part_digest',
 ]  # fmt: skip
 
 #: 128 bits, so that collisions between requests are negligible.
 DIGEST_BYTES = 16
+#: Separates the digests of parts from those of requests.
+PART_PERSON = b'prompt part'
 #: Incarnations of runners that a request has to crash, without completing in
 #: between, to be quarantined. At 1, a crash of another cause quarantines all
 #: requests that were running; at 3 and above, a harmful request crashes more
@@ -64,6 +67,15 @@
     return hasher.digest()
 
 
+def part_digest(key: bytes, service: str, part_id: bytes) -> bytes:
+    """Return the digest of a part of prompts for the runners of a service."""
+    hasher = hashlib.blake2b(
+        digest_size=DIGEST_BYTES, key=key, person=PART_PERSON
+    )
+    hasher.update(service.encode() + b'\0' + part_id)
+    return hasher.digest()
+
+
 def parse_digest(text: str) -> bytes:
     """Return a digest from its hexadecimal form.
 
--- a/mountridge/net/dialects.py
+++ b/mountridge/net/dialects.py
@@ -21,6 +21,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+#: Parts of a prompt that are considered; a header may name far more.
+MAX_PREFIX_PARTS = 32
 #: Statuses with which a runner rejects a request and may request a backoff.
 REFUSAL_STATUSES = (429, 503)
 #: Hop-by-hop headers, and those that this project sets itself.
@@ -73,6 +75,9 @@
     last_event_id: bytes | None
     prompt_tokens: int
     output_tokens: int
+    #: Ids of the parts of the prompt that it may share with other requests:
+    #: all but the last one.
+    shared_parts: tuple[bytes, ...] = ()
 
 
 class ReplyHead(typing.NamedTuple):
@@ -111,6 +116,7 @@
         _bearer(found.get(b'authorization')),
         found.get(names.last_event_id),
         *_token_counts(found.get(names.token_counts)),
+        _shared_parts(found.get(names.prefix_parts, b'')),
     )
 
 
@@ -152,6 +158,13 @@
         raise errors.BadRequest(f'malformed token counts: {_text(value)!r}')
 
 
+def _shared_parts(value: bytes) -> tuple[bytes, ...]:
+    """Return the ids of all parts of a prompt but the last, each once."""
+    parts = value.split(b',', MAX_PREFIX_PARTS)[:-1]
+    ids = (part.partition(b':')[0].strip().lower() for part in parts)
+    return tuple(dict.fromkeys(each for each in ids if each))
+
+
 def runner_headers(
     request: httpserver.Request,
     names: HeaderNames,
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -64,6 +64,9 @@
         digest = routefilters.request_digest(self._quarantine, exchange)
         self._quarantine.record_crash(digest, runner, now_s)
         # A request that crashes its runner does so before its first event.
+        parts = routefilters.part_digests(self._quarantine, exchange)
+        began_s = exchange.attempt_data_s
+        answer_s = None if began_s is None else now_s - began_s
         exchange.is_suspect = exchange.events_sent == exchange.events_before
         self._app.metrics.incr('quarantine.crashes')
         logger.info(
@@ -72,6 +75,9 @@
             runner=runner.instance_id,
             digest=digest.hex(),
             is_held=self._quarantine.is_quarantined(digest, now_s),
+            parts=[part.hex() for part in parts],
+            answer_events=exchange.events_sent - exchange.events_before,
+            answer_ms=routedexchanges.to_ms(answer_s),
         )
         await self.on_crash()
 
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -331,6 +331,7 @@
         request = exchange.request
         exchange.attempts += 1
         exchange.events_before = exchange.events_sent
+        exchange.attempt_data_s = None
         exchange.framing, exchange.partial_event_bytes = '', 0
         exchange.is_in_flight = True
         exchange.attempted.add(backend.instance.instance_id)
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -66,6 +66,15 @@
             request.body,
         )
 
+    def part_digests(
+        self, service: str, part_ids: typing.Iterable[bytes]
+    ) -> tuple[bytes, ...]:
+        """Return the digests of parts of a prompt, for one service."""
+        return tuple(
+            quarantines.part_digest(self._key, service, part_id)
+            for part_id in part_ids
+        )
+
     def update(
         self, listed: typing.Iterable[quarantines.QuarantinedRequest]
     ) -> None:
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -48,10 +48,15 @@
         #: Digest that identifies the request in the quarantine; empty until
         #: it is needed.
         self.digest = b''
+        #: Digests of the parts of its prompt that others may share; None
+        #: until they are needed.
+        self.part_digests: tuple[bytes, ...] | None = None
         #: Whether the request may have crashed the runner that ran it last.
         self.is_suspect = False
         #: Events sent to the caller when the current attempt started.
         self.events_before = 0
+        #: First event of the current attempt.
+        self.attempt_data_s: float | None = None
         #: Whether any attempt may have run.
         self.may_have_run = False
         #: Whether an attempt was started and has not ended; it may be running.
@@ -97,6 +102,8 @@
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
             if count == 1 and self.events_sent > self.events_before:
                 self.newest_gap_s = gap_s
+        if self.attempt_data_s is None:
+            self.attempt_data_s = now_s
         self.last_data_s = now_s
         self.events_sent += count
 
