--- /dev/null
+++ b/features/harmfulparts.feature
@@ -0,0 +1,32 @@
+Feature: Quarantine of parts of prompts that crash their runners
+
+  Requests that share a part of their prompts, and are otherwise not alike,
+  would take down one runner after the other, and the requests beside them.
+
+  Scenario Outline: Requests with a harmful part of <kind>, the <place> one, while <case>
+    Given 16 runners of <kind>
+    When requests share a harmful <place> part from 5 s on, beside sound ones, for 45 s, while <case>
+    Then at most 3 of them reach runners later than 3 s after the fifth crash
+    And 9 of 10 sound requests are served from 6 s after the last crash on
+    And no sound request is refused for its parts for longer than 15 s
+
+    Examples:
+      | kind            | place  | case                                     |
+      | a plain service | middle | nothing else happens                     |
+      | a plain service | first  | nothing else happens                     |
+      | a plain service | middle | each is sent once more by its caller     |
+      | a plain service | middle | the leader is killed after one crash     |
+      | a plain service | middle | the leader is killed after two crashes   |
+      | a plain service | middle | a gateway is partitioned after one crash |
+      | a plain service | middle | all power is lost after two crashes      |
+      | a plain service | middle | other runners crash every 4 s            |
+      | a plain service | middle | half of the runners crash at once        |
+      | a plain service | middle | a second part is harmful too             |
+      | a plain service | middle | several teams send them                  |
+      | a group         | middle | nothing else happens                     |
+      | a group         | first  | nothing else happens                     |
+      | a group         | middle | each is sent once more by its caller     |
+      | a group         | middle | the leader is killed after two crashes   |
+      | a group         | middle | all power is lost after two crashes      |
+      | a group         | middle | a second part is harmful too             |
+      | a group         | middle | several teams send them                  |
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -4,7 +4,9 @@
 
 The processes are real, on a simulated network and virtual time; connections to
 runners are simulated. A request whose body starts with "kill" crashes each
-runner that starts to run it, and with it all requests that run there.
+runner that starts to run it, and with it all requests that run there. So does
+one that has a harmful part, a moment after it has begun. In a group, the other
+ranks stand still then, and refuse requests until the crashed one is back.
 """
 
 import contextlib
@@ -25,16 +27,24 @@
 LATENCY_S, RUN_S = 0.005, 0.3
 #: Time until a crashed runner is back, as a new incarnation.
 RESTART_S = 3.0
+#: Time for which a request with a harmful part runs until its runner crashes.
+BEGIN_S = 0.1
+#: How long requests at the other ranks of a group stand still, and how long a
+#: group needs to form again.
+STALL_S, FORM_S = 1.5, 0.6
+#: Requests that one runner has at most.
+MAX_OPEN = 8
 
 
-def _document(experts):
+def _document(experts, teams):
     route = routes.Route(
         'r', 'a.example', '/', routes.SAFE, 3000.0, 100.0, 1,
         [routes.Share('s', 1.0)], 2, True, False, 0.0,
     )  # fmt: skip
     engine = routes.Engine(4, 1000, experts=experts) if experts else None
     services = [routes.Service('s', '/h', 8, engine)]
-    table = routes.RouteTable(1, [route], services, routes.Limits(), None)
+    listed = [routes.Team(name, [name], None) for name in teams] or None
+    table = routes.RouteTable(1, [route], services, routes.Limits(), listed)
     return msgspec.json.encode(table)
 
 
@@ -47,6 +57,7 @@
         self.is_down = False
         self.ended = trio.Event()
         self.is_busy = False
+        self.open = 0
 
     def instance(self):
         return instances.Instance(
@@ -70,21 +81,21 @@
         self.play, self.name = play, name
 
     @contextlib.asynccontextmanager
-    async def request(self, address, _, __, ___, body, ____, on_send):
+    async def request(self, address, _, __, headers, body, ____, on_send):
         runner = self.play.runners[address]
         if runner.is_down:
             raise errors.NoRunner('refused')
         on_send()
         await trio.sleep(LATENCY_S)
-        self.play.record_arrival(self.name, runner, body)
-        if body.startswith(b'kill'):
-            runner.crash()
-            self.play.world.nursery.start_soon(self.play.restart, runner)
-        ended, runner.is_busy = runner.ended, True
-        with trio.move_on_after(RUN_S):
-            await ended.wait()
-        if ended.is_set():
-            raise errors.OutcomeUnknown('no answer: reset')
+        parts = _shared_parts(headers)
+        self.play.record_arrival(self.name, runner, body, parts)
+        if self.play.is_closed() or runner.open >= MAX_OPEN:
+            raise errors.RunnerRefused('the runner answered 503')
+        runner.open += 1
+        try:
+            await self._run(runner, body, parts)
+        finally:
+            runner.open -= 1
         head = dialects.ReplyHead(200, None, False, None, None, None)
         yield types.SimpleNamespace(
             head=head,
@@ -93,6 +104,25 @@
             framing=lasthop.LENGTH,
         )
 
+    async def _run(self, runner, body, parts):
+        """Run a request until its end, or that of its runner or group."""
+        play, ended, runner.is_busy = self.play, runner.ended, True
+        is_harmful = not play.harmful.isdisjoint(parts)
+        if body.startswith(b'kill'):
+            runner.crash()
+            play.world.nursery.start_soon(play.restart, runner)
+        with trio.move_on_after(BEGIN_S if is_harmful else RUN_S):
+            await ended.wait()
+        if is_harmful and not ended.is_set():
+            play.crash(runner)
+            (part,) = play.harmful.intersection(parts)
+            play.crashes_s.append((trio.current_time(), part))
+        if not ended.is_set() and play.is_closed():
+            await trio.sleep(STALL_S)
+            raise errors.BadAnswer('cut')
+        if ended.is_set():
+            raise errors.OutcomeUnknown('no answer: reset')
+
     async def refuses_connections(self, address, timeout_s=None):
         await trio.sleep(LATENCY_S)
         return self.play.runners[address].is_down
@@ -101,17 +131,42 @@
         pass
 
 
+def _shared_parts(headers):
+    listed = dict(headers).get(b'x-prefix-parts', b'').split(b',')
+    return tuple(part.partition(b':')[0] for part in listed[:-1])
+
+
 class Play:
     """A system, its runners, and the requests that reached them."""
 
-    def __init__(self, world, count):
-        self.world = world
+    def __init__(self, world, count, is_group=False):
+        self.world, self.is_group = world, is_group
+        #: Ids of parts that crash each runner which begins to answer them.
+        self.harmful = set()
+        self.crashes_s = []  # (time, part) of the crashes that they caused
+        self.harmful_arrivals = []  # (time, entry, parts)
+        self._closed_until_s = 0.0
         listed = [Runner(number) for number in range(count)]
         self.runners = {runner.address: runner for runner in listed}
         self.arrivals = []  # (time, entry, incarnation of the runner, body)
         self.answers = []  # (time, entry, body, status, code, duration)
 
-    def record_arrival(self, name, runner, body):
+    def is_closed(self):
+        """Return whether the group of all runners stands still."""
+        return self.is_group and trio.current_time() < self._closed_until_s
+
+    def crash(self, runner):
+        """Crash a runner, which is back after `RESTART_S`."""
+        if not runner.is_down:
+            runner.crash()
+            self.world.nursery.start_soon(self.restart, runner)
+            closed_s = trio.current_time() + RESTART_S + FORM_S
+            self._closed_until_s = max(self._closed_until_s, closed_s)
+
+    def record_arrival(self, name, runner, body, parts=()):
+        if not self.harmful.isdisjoint(parts):
+            arrival = (trio.current_time(), name, parts)
+            self.harmful_arrivals.append(arrival)
         incarnation = runner.instance().instance_id
         self.arrivals.append((trio.current_time(), name, incarnation, body))
 
@@ -120,13 +175,13 @@
         if name in self.world.entries:
             self.world.daemons[name].forwarder.pool = _Pool(self, name)
 
-    async def begin(self, experts):
+    async def begin(self, experts, teams):
         for name in self.world.controllers + self.world.entries:
             self.start(name)
         await trio.sleep(0.01)
         self.world.elect()
         await trio.sleep(4)
-        await self.world.daemons['e1'].put_routes(_document(experts))
+        await self.world.daemons['e1'].put_routes(_document(experts, teams))
         for runner in self.runners.values():
             await self.send_heartbeat(runner)
         self.world.nursery.start_soon(self._send_heartbeats)
@@ -154,14 +209,15 @@
         runner.start()
         await self.send_heartbeat(runner)
 
-    async def ask(self, name, body, deadline_ms=3000):
+    async def ask(self, name, body, deadline_ms=3000, parts=(), team=''):
         begun_s = trio.current_time()
-        request = httpserver.Request(
-            b'POST',
-            b'/1',
-            [KEY, (b'X-Deadline-Ms', b'%d' % deadline_ms)],
-            body,
-        )
+        headers = [KEY, (b'X-Deadline-Ms', b'%d' % deadline_ms)]
+        if team:
+            headers.append((b'authorization', b'Bearer ' + team.encode()))
+        if parts:
+            listed = b','.join(part + b':100' for part in parts)
+            headers.append((b'x-prefix-parts', listed))
+        request = httpserver.Request(b'POST', b'/1', headers, body)
         responder = answers.Responder()
         await self.world.daemons[name].forwarder.handle(request, responder)
         now_s = trio.current_time()
@@ -191,12 +247,12 @@
         await trio.sleep(4)
 
 
-def play(context, script, count=6, experts=0):
+def play(context, script, count=6, experts=0, teams=()):
     """Run ``script(play)`` on a system; keep the play in the context."""
 
     async def run(world):
-        context.play = Play(world, count)
-        await context.play.begin(experts)
+        context.play = Play(world, count, is_group=bool(experts))
+        await context.play.begin(experts, teams)
         await script(context.play)
 
     name = context.scenario.name
