Quarantine parts of prompts that crash their runners

What callers saw: requests with one part of their prompts in common, and no two alike, crashed one runner after the other; on a group each crash stopped all callers for 4 s, again and again.

Cause: what crashes runners was identified by an exact copy of the request, which new requests never are, so no count reached the threshold.

Now each crash counts for all shared parts (all but the last) of the requests that had only begun; gateways report them, and the successes that clear parts, to the leader. A part is quarantined after two crashes that neither a single request nor another quarantined part explains (four if it has served requests lately), for the teams that all of the crashes have in common. Each send is checked. One request in the whole system probes a part: the grant is committed before it is given. Where the leader does not answer, a gateway's own evidence applies. A gateway reports requests that crash together once.

The log and the view have no new kinds.

--- a/features/harmfulparts.feature
+++ b/features/harmfulparts.feature
@@ -5,7 +5,7 @@
 
   Scenario Outline: Requests with a harmful part of <kind>, the <place> one, while <case>
     Given 16 runners of <kind>
-    When requests share a harmful <place> part from 5 s on, beside sound ones, for 45 s, while <case>
+    When requests share a harmful <place> part from 5 s on, beside sound ones, for 55 s, while <case>
     Then at most 3 of them reach runners later than 3 s after the fifth crash
     And 9 of 10 sound requests are served from 6 s after the last crash on
     And no sound request is refused for its parts for longer than 15 s
@@ -23,6 +23,7 @@
       | a plain service | middle | half of the runners crash at once        |
       | a plain service | middle | a second part is harmful too             |
       | a plain service | middle | several teams send them                  |
+      | a plain service | middle | others use a part that comes with it     |
       | a group         | middle | nothing else happens                     |
       | a group         | first  | nothing else happens                     |
       | a group         | middle | each is sent once more by its caller     |
@@ -30,3 +31,4 @@
       | a group         | middle | all power is lost after two crashes      |
       | a group         | middle | a second part is harmful too             |
       | a group         | middle | several teams send them                  |
+      | a group         | middle | others use a part that comes with it     |
--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -11,7 +11,10 @@
 QUARANTINED = errors.RequestHeldBack.code
 HARMFUL_FROM_S, HARMFUL_PER_S, SOUND_PER_S = 5.0, 4, 30
 TEAMS = ('red', 'green', 'blue')
-HARMFUL, SECOND = b'bad', b'worse'
+HARMFUL, SECOND, RARE = b'bad', b'worse', b'rare'
+#: Sound requests that have the part which comes with the harmful one: none
+#: before the first crashes, and then one in so many.
+RARE_FROM, RARE_EACH = 240, 59
 
 
 class _Load:
@@ -31,6 +34,9 @@
             listed[0] = harmful
         elif harmful:
             listed.insert(1, harmful)
+        is_rare = harmful or (number > RARE_FROM and number % RARE_EACH == 0)
+        if is_rare and self.case == 'others use a part that comes with it':
+            listed.insert(1, RARE)
         return tuple(listed)
 
     def entry(self, number):
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -15,8 +15,8 @@
 from mountridge.documents import instances, quarantines
 from mountridge import errors, metrics
 from mountridge.net import dialects, httpserver, lasthop
-from mountridge.routing import backoffs, crashwatch, entryapi, quarantine
-from mountridge.routing import routedexchanges
+from mountridge.routing import backoffs, crashwatch, entryapi, partrecords
+from mountridge.routing import quarantine, routedexchanges
 from mountridge.state import commands, statemachine
 
 CRASHING = b'kill all'
@@ -325,7 +325,11 @@
     )
     held_backoffs = backoffs.Backoffs()
     context.watch = crashwatch.CrashWatch(
-        app, known, held_backoffs, lambda _: True
+        app,
+        known,
+        partrecords.PartRecords(),
+        held_backoffs,
+        lambda _: True,
     )
     request = httpserver.Request(b'POST', b'/1', [], b'body')
     exchange = routedexchanges.Exchange(request, None, 0.0)
--- a/mountridge/cliquarantine.py
+++ b/mountridge/cliquarantine.py
@@ -1,6 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""Commands on requests that are quarantined because they crash runners."""
+"""Commands on requests and parts of prompts that are quarantined."""
 
 import datetime
 import json
@@ -16,9 +16,9 @@
 
 @click.group('quarantine')
 def group() -> None:
-    """List and release requests that crash runners.
+    """List and release requests, and parts of prompts, that crash runners.
 
-    A request is identified by a digest, which its callers get in the error
+    Each is identified by a digest, which its callers get in the error
     response and which log lines show. A confirmed change is committed by a
     quorum of controllers.
     """
@@ -28,10 +28,10 @@
 @clitools.ENTRY_OPTION
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 def quarantine_list(address: str, as_json: bool) -> None:
-    """Show requests that are or were quarantined.
+    """Show requests and parts of prompts that are or were quarantined.
 
     `held back`: quarantined. `may be tried`: quarantined before, sent to
-    runners again.
+    runners again. `being tried`: a part that one request is sent with.
     """
     prefix = entryapi.NATIVE.quarantine
     _show(clitools.call_entry(address, b'GET', prefix, b''), as_json)
@@ -41,7 +41,7 @@
 @clitools.ENTRY_OPTION
 @click.argument('digest')
 def quarantine_release(address: str, digest: str) -> None:
-    """Send a request to runners again, and forget its crashes.
+    """Send a request or part to runners again, and forget its crashes.
 
     Prints the remaining entries. An unknown digest, also one that was
     released before, is refused.
@@ -60,12 +60,19 @@
     click.echo(tabulate.tabulate(rows, headers='keys'))
 
 
+def _state(entry: dict) -> str:
+    if entry['is_held']:
+        return 'held back'
+    return 'being tried' if entry.get('is_part') else 'may be tried'
+
+
 def _table_row(entry: dict) -> dict[str, str | int]:
     """Return the columns shown for a request."""
     since = datetime.datetime.fromtimestamp(entry['since_s'], datetime.UTC)
     return {
         'digest': entry['digest'],
-        'state': 'held back' if entry['is_held'] else 'may be tried',
+        'of': 'part' if entry.get('is_part') else 'request',
+        'state': _state(entry),
         'crashes': entry['crashes'],
         'holds': entry['holds'],
         'since': since.isoformat(timespec='seconds'),
--- a/mountridge/control/quarantinemanager.py
+++ b/mountridge/control/quarantinemanager.py
@@ -15,7 +15,8 @@
 
 from mountridge import application, errors, messages
 from mountridge.consensus import replicas
-from mountridge.documents import quarantines
+from mountridge.control import partquarantine
+from mountridge.documents import promptparts, quarantines
 from mountridge.logs import logger
 from mountridge.state import commands, statemachine
 
@@ -54,6 +55,7 @@
         self._machine = machine
         self._replica = replica
         self._push = push
+        self.parts = partquarantine.PartQuarantine(app, machine, replica, push)
         #: Time of the crash of each incarnation of a runner, by digest.
         self._crashed_s: dict[bytes, dict[tuple, float]] = {}
         #: Crashes up to this time don't count, by digest. They may still be
@@ -71,6 +73,7 @@
         self._cleared_s.clear()
         self._since.clear()
         self._reported_count = -1
+        self.parts.begin_term()
 
     async def on_report(
         self, peer: application.Peer, report: messages.CrashReport
@@ -178,8 +181,13 @@
 
     async def expire(self) -> None:
         """Probe requests whose quarantine has expired; release probed ones."""
+        await self.parts.expire()
         now_s = self.app.now_s()
-        listed = self._machine.quarantine
+        listed = {
+            digest: entry
+            for digest, entry in self._machine.quarantine.items()
+            if not promptparts.is_part(digest)
+        }
         for digest in self._since.keys() - listed.keys():
             del self._since[digest]
         for digest, each in list(listed.items()):
@@ -192,7 +200,8 @@
             )
             if now_s - since_s >= duration_s:
                 await self._release(digest, each.is_held, 'expired')
-        count = sum(each.is_held for each in listed.values())
+        every = self._machine.quarantine.values()
+        count = sum(each.is_held for each in every)
         if count != self._reported_count:
             self._reported_count = count
             self.app.metrics.gauge('quarantine.now', count)
@@ -216,7 +225,10 @@
         await self._replica.confirm_leadership()
         if order.digest not in self._machine.quarantine:
             raise errors.NotHeldBack(order.digest.hex())
-        await self._release(order.digest, False, 'ordered by an operator')
+        if promptparts.is_part(order.digest):
+            await self.parts.release(order.digest)
+        else:
+            await self._release(order.digest, False, 'ordered by an operator')
         return messages.QuarantineReply(
             list(self._machine.quarantine.values())
         )
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -411,6 +411,9 @@
     app.handlers[messages.CrashReport] = controller.quarantine.on_report
     app.handlers[messages.ReadQuarantine] = controller.quarantine.on_read
     app.handlers[messages.Release] = controller.quarantine.on_release
+    parts = controller.quarantine.parts
+    app.handlers[messages.PartReport] = parts.on_report
+    app.handlers[messages.TakeProbe] = parts.on_take_probe
     app.handlers[messages.Outcome] = controller.outcome
     app.handlers[messages.ReadMembers] = controller.list_members
     app.handlers[messages.Raft] = controller.replica.on_raft
--- a/mountridge/documents/quarantines.py
+++ b/mountridge/documents/quarantines.py
@@ -1,10 +1,10 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""Requests and parts of prompts that are quarantined as they crash runners.
+"""Requests that are quarantined because they crash runners.
 
 A request is identified by a keyed digest of its method, target, caller and
-body, a part of a prompt by one of its service and its id. None of them is
-stored or reported.
+body, none of which is stored or reported. Parts of prompts are quarantined too
+(`promptparts`).
 """
 
 import hashlib
@@ -14,13 +14,11 @@
 
 __all__ = [
     'CRASH_THRESHOLD', 'CRASH_TTL_S', 'Crash', 'DIGEST_BYTES',
-    'QuarantinedRequest', 'digest', 'parse_digest', 'part_digest',
+    'QuarantinedRequest', 'digest', 'parse_digest',
 ]  # fmt: skip
 
 #: 128 bits, so that collisions between requests are negligible.
 DIGEST_BYTES = 16
-#: Separates the digests of parts from those of requests.
-PART_PERSON = b'prompt part'
 #: Incarnations of runners that a request has to crash, without completing in
 #: between, to be quarantined. At 1, a crash of another cause quarantines all
 #: requests that were running; at 3 and above, a harmful request crashes more
@@ -32,10 +30,10 @@
 
 
 class QuarantinedRequest(typing.NamedTuple):
-    """A request that was quarantined, and whether it still is."""
+    """A request or part that was quarantined, and whether it still is."""
 
-    digest: bytes
-    is_held: bool
+    digest: bytes  # of a request, or the key of a part
+    is_held: bool  # of a part: unless one gateway probes it
     crashes: int  # incarnations of runners known to have crashed on it
     holds: int  # how often it was quarantined
     since_s: float  # leader's wall clock at the last change
@@ -67,17 +65,8 @@
     return hasher.digest()
 
 
-def part_digest(key: bytes, service: str, part_id: bytes) -> bytes:
-    """Return the digest of a part of prompts for the runners of a service."""
-    hasher = hashlib.blake2b(
-        digest_size=DIGEST_BYTES, key=key, person=PART_PERSON
-    )
-    hasher.update(service.encode() + b'\0' + part_id)
-    return hasher.digest()
-
-
-def parse_digest(text: str) -> bytes:
-    """Return a digest from its hexadecimal form.
+def parse_digest(text: str, sizes_bytes: tuple[int, ...]) -> bytes:
+    """Return a digest of one of the given sizes from its hexadecimal form.
 
     :raises BadRequest: it is not valid.
     """
@@ -85,6 +74,6 @@
         found = bytes.fromhex(text)
     except ValueError:
         found = b''
-    if len(found) != DIGEST_BYTES:
+    if len(found) not in sizes_bytes:
         raise errors.BadRequest(f'not a digest of a request: {text[:40]!r}')
     return found
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -111,10 +111,15 @@
         )
         self.hall_orders = hallorders.HallOrders(app, self.leader.call)
         self.crash_reporter = crashreports.CrashReporter(
-            app, self.forwarder.quarantine, self.leader.call
+            app,
+            self.forwarder.quarantine,
+            self.forwarder.crashes.parts,
+            self.leader.call,
         )
-        self.forwarder.crashes.on_crash = self.crash_reporter.report_now
-        self.forwarder.crashes.on_success = self.crash_reporter.wake
+        crashes = self.forwarder.crashes
+        crashes.on_crash = self.crash_reporter.report_now
+        crashes.on_success = self.crash_reporter.wake
+        crashes.on_probe = self.crash_reporter.take_probe
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
--- a/mountridge/messages/__init__.py
+++ b/mountridge/messages/__init__.py
@@ -28,9 +28,12 @@
 from mountridge.messages.quarantine import (
     CrashReport,
     CrashReportReply,
+    PartReport,
+    ProbeReply,
     QuarantineReply,
     ReadQuarantine,
     Release,
+    TakeProbe,
 )
 from mountridge.messages.rank import (
     Loads,
@@ -66,6 +69,9 @@
     'QuarantineReply',
     'ReadQuarantine',
     'Release',
+    'PartReport',
+    'TakeProbe',
+    'ProbeReply',
     'ClaimReply',
     'Dump',
     'DumpReply',
@@ -395,6 +401,9 @@
     ReadQuarantine,
     QuarantineReply,
     Release,
+    PartReport,
+    TakeProbe,
+    ProbeReply,
 )
 _NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [records.decoder(kind) for kind in _KINDS]
--- a/mountridge/messages/quarantine.py
+++ b/mountridge/messages/quarantine.py
@@ -4,14 +4,17 @@
 
 import typing
 
-from mountridge.documents import quarantines
+from mountridge.documents import promptparts, quarantines
 
 __all__ = [
     'CrashReport',
     'CrashReportReply',
+    'PartReport',
+    'ProbeReply',
     'QuarantineReply',
     'ReadQuarantine',
     'Release',
+    'TakeProbe',
 ]
 
 
@@ -47,3 +50,28 @@
     """Operator to leader: release a request and discard its crashes."""
 
     digest: bytes
+
+
+class PartReport(typing.NamedTuple):
+    """Recent crashes that a gateway observed, by the parts of prompts.
+
+    Sent repeatedly, so that a new leader receives them too. The reply is
+    `CrashReportReply`.
+    """
+
+    crashes: list[promptparts.PartCrash]
+    #: Digest of a part, and seconds since the last success of a request with
+    #: it: of the parts above, and of those that are quarantined.
+    successes: list[tuple[bytes, float]]
+
+
+class TakeProbe(typing.NamedTuple):
+    """Gateway to leader: may a request with a quarantined part be sent?"""
+
+    key: bytes
+
+
+class ProbeReply(typing.NamedTuple):
+    """Whether it may; at most one gateway is granted a probe at a time."""
+
+    is_granted: bool
--- a/mountridge/records.py
+++ b/mountridge/records.py
@@ -18,7 +18,7 @@
 
 #: Level of all formats that leave a process. A build that adds a field or a
 #: kind has a higher level.
-FORMAT_LEVEL = 1
+FORMAT_LEVEL = 2
 
 _convert = functools.partial(msgspec.convert, builtin_types=(bytes,))
 
--- a/mountridge/routing/crashreports.py
+++ b/mountridge/routing/crashreports.py
@@ -7,9 +7,9 @@
 import trio
 
 from mountridge import application, errors, messages
-from mountridge.documents import quarantines
+from mountridge.documents import promptparts, quarantines
 from mountridge.logs import logger
-from mountridge.routing import quarantine
+from mountridge.routing import partrecords, quarantine
 
 __all__ = ['CrashReporter']
 
@@ -17,6 +17,10 @@
 #: crashed waits for the leader's answer before a retry: a call and a commit.
 #: Past this time, only the gateway's own count is used.
 CRASH_REPORT_TIMEOUT_S = 0.2
+#: A request with a quarantined part waits this long for the grant of a probe.
+PROBE_TIMEOUT_S = 0.3
+#: Interval after which a report that failed is repeated.
+REPEAT_S = 0.3
 #: Timeout of all other calls to the leader: longer than an election.
 CALL_TIMEOUT_S = 3.0
 
@@ -31,51 +35,101 @@
         self,
         app: application.Application,
         records: quarantine.Quarantine,
+        parts: partrecords.PartRecords,
         call: Call,
     ):
         self._app = app
         self._quarantine = records
+        self._parts = parts
         self._call = call
         #: Set when there may be crashes or successes to report.
         self._wake = trio.Event()
+        self._reporting = trio.Lock()
+        #: Crashes up to this time have been reported.
+        self._reported_s = float('-inf')
 
     async def run(self) -> None:
         """Report in a loop; wait while there is nothing to report."""
         while True:
-            report = self._quarantine.make_report(self._app.now_s())
-            if report is None:
-                self._wake = trio.Event()
+            self._wake = trio.Event()
+            is_done = await self._report_all()
+            if is_done is None:
                 await self._wake.wait()
                 continue
-            await self._report(report)
-            self._wake = trio.Event()
-            with trio.move_on_after(quarantine.REPORT_INTERVAL_S):
+            interval_s = quarantine.REPORT_INTERVAL_S if is_done else REPEAT_S
+            with trio.move_on_after(interval_s):
                 await self._wake.wait()
 
-    async def _report(self, report: messages.CrashReport) -> None:
+    async def _report_all(self) -> bool | None:
+        """Report what there is; None if there is nothing.
+
+        Returns whether the leader has acknowledged all of it.
+        """
+        now_s = self._app.now_s()
+        crashes = self._quarantine.make_report(now_s)
+        parts = self._parts.make_report(now_s)
+        reports = [report for report in (crashes, parts) if report]
+        if not reports:
+            return None
+        acknowledged: list[typing.Any] = []
+
+        async def send(report: typing.Any) -> None:
+            if await self._report(report):
+                acknowledged.append(report)
+
+        async with trio.open_nursery() as nursery:
+            for report in reports:
+                nursery.start_soon(send, report)
+        if crashes in acknowledged:
+            self._quarantine.acknowledge(crashes)
+        if parts in acknowledged:
+            self._parts.acknowledge(parts, now_s)
+        if len(acknowledged) < len(reports):
+            return False
+        self._reported_s = max(self._reported_s, now_s)
+        return True
+
+    async def _report(self, report: typing.Any) -> bool:
         try:
             await self._call(report, CALL_TIMEOUT_S)
         except errors.MountridgeError as problem:
             self._app.metrics.incr('quarantine.unreported')
             logger.debug('could not report crashes', reason=str(problem))
-            return
-        self._quarantine.acknowledge(report)
+            return False
+        return True
 
     def wake(self) -> None:
         """Wake the reporting loop."""
         self._wake.set()
 
     async def report_now(self) -> None:
-        """Report a crash, and wait a short time for the leader's answer."""
+        """Report a crash, and wait a short time for the leader's answer.
+
+        Requests that crash together share a report.
+        """
         self._wake.set()
-        report = self._quarantine.make_report(self._app.now_s())
-        if report is not None:
-            with trio.move_on_after(CRASH_REPORT_TIMEOUT_S):
-                await self._report(report)
+        crashed_s = self._app.now_s()
+        with trio.move_on_after(CRASH_REPORT_TIMEOUT_S):
+            async with self._reporting:
+                if self._reported_s < crashed_s:
+                    await self._report_all()
+
+    async def take_probe(self, key: bytes) -> bool:
+        """Return whether the leader lets a request probe a part."""
+        try:
+            reply = await self._call(messages.TakeProbe(key), PROBE_TIMEOUT_S)
+        except errors.MountridgeError as problem:
+            logger.debug('no answer about a probe', reason=str(problem))
+            return False
+        return reply.is_granted
 
     def update(self, listed: list[quarantines.QuarantinedRequest]) -> None:
-        """Apply the list of requests that are or were quarantined."""
-        self._quarantine.update(listed)
+        """Apply the list of requests and parts that are quarantined."""
+        parts = [each for each in listed if promptparts.is_part(each.digest)]
+        self._quarantine.update(
+            [each for each in listed if not promptparts.is_part(each.digest)]
+        )
+        self._parts.update(parts, self._app.now_s())
         if listed:
             self._wake.set()
 
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -14,7 +14,8 @@
 from mountridge.documents import instances
 from mountridge.logs import logger
 from mountridge.net import lasthop
-from mountridge.routing import backoffs, quarantine, routedexchanges
+from mountridge.routing import backoffs, partrecords, quarantine
+from mountridge.routing import routedexchanges
 from mountridge.routing import routefilters
 
 __all__ = ['CrashWatch']
@@ -25,10 +26,20 @@
 CONNECTION_ERRORS = (errors.BadAnswer, errors.OutcomeUnknown)
 
 
+#: An answer that has gone on for so many events, and for so long, has begun
+#: well: its request did not crash the runner.
+BEGUN_EVENTS, BEGUN_S = 3, 0.5
+
+
 async def _no_report() -> None:
     """Report crashes to no leader."""
 
 
+async def _no_probe(key: bytes) -> bool:
+    """Take a probe from no leader."""
+    return False
+
+
 class CrashWatch:
     """Detects crashes, and keeps suspects from crashing more runners."""
 
@@ -36,17 +47,23 @@
         self,
         app: application.Application,
         records: quarantine.Quarantine,
+        parts: partrecords.PartRecords,
         backoffs: backoffs.Backoffs,
         has_ranks: typing.Callable[[str], bool],
     ):
         self._app = app
         self._quarantine = records
+        self.parts = parts
         self._backoffs = backoffs
         self._has_ranks = has_ranks
         #: Called when a suspect or quarantined request has succeeded.
         self.on_success: typing.Callable[[], None] = lambda: None
         #: Called when a runner has crashed while it ran a request.
         self.on_crash: typing.Callable[[], typing.Awaitable[None]] = _no_report
+        #: Asks the leader for a probe of a quarantined part.
+        self.on_probe: typing.Callable[[bytes], typing.Awaitable[bool]] = (
+            _no_probe
+        )
 
     async def check_attempt(
         self,
@@ -63,24 +80,89 @@
         now_s = self._app.now_s()
         digest = routefilters.request_digest(self._quarantine, exchange)
         self._quarantine.record_crash(digest, runner, now_s)
-        # A request that crashes its runner does so before its first event.
-        parts = routefilters.part_digests(self._quarantine, exchange)
-        began_s = exchange.attempt_data_s
-        answer_s = None if began_s is None else now_s - began_s
-        exchange.is_suspect = exchange.events_sent == exchange.events_before
+        parts = self._parts_of(exchange)
+        exchange.is_suspect = _may_have_crashed(exchange, now_s)
+        if exchange.is_suspect:
+            incarnation = quarantine.incarnation(runner)
+            self.parts.record_crash(parts, digest, incarnation, now_s)
+            if exchange.probe:
+                self.parts.drop_probe(exchange.probe)
         self._app.metrics.incr('quarantine.crashes')
+        answer_ms = 0.0
+        if exchange.attempt_data_s is not None:
+            answer_ms = routedexchanges.to_ms(now_s - exchange.attempt_data_s)
         logger.info(
             'runner crashed',
             request=exchange.request_head.request_id,
             runner=runner.instance_id,
             digest=digest.hex(),
             is_held=self._quarantine.is_quarantined(digest, now_s),
-            parts=[part.hex() for part in parts],
+            parts=[part.hex() for part in parts.digests],
+            is_suspect=exchange.is_suspect,
             answer_events=exchange.events_sent - exchange.events_before,
-            answer_ms=routedexchanges.to_ms(answer_s),
+            answer_ms=answer_ms,
         )
         await self.on_crash()
 
+    def _parts_of(self, exchange: Exchange) -> partrecords.Parts:
+        """Return the shared parts of a request's prompt, computed once."""
+        if exchange.parts is None:
+            head = exchange.request_head
+            team = exchange.team.name if exchange.team else ''
+            exchange.parts = partrecords.Parts()
+            if head.shared_parts:
+                exchange.parts = self.parts.parts(
+                    exchange.service, head.shared_parts, team
+                )
+        return exchange.parts
+
+    # Quarantined parts.
+
+    async def admit(self, exchange: Exchange) -> None:
+        """Check that no part of a request's prompt is quarantined.
+
+        A request with one such part may be sent as its probe, one in the
+        whole system at a time.
+
+        :raises RequestHeldBack: there is one.
+        """
+        held = self.parts.held(self._parts_of(exchange), self._app.now_s())
+        if not held:
+            return
+        if len(held) > 1 or not await self._take_probe(held[0]):
+            raise _held_back(held)
+        exchange.probe = held[0]
+        logger.info(
+            'probing a quarantined part',
+            request=exchange.request_head.request_id,
+            part=held[0].hex(),
+        )
+
+    async def _take_probe(self, key: bytes) -> bool:
+        now_s = self._app.now_s()
+        if self.parts.claim_probe(key, now_s):
+            return True
+        if not self.parts.may_ask(key, now_s):
+            return False
+        if not await self.on_probe(key):
+            return False
+        self.parts.add_probe(key, now_s)
+        return self.parts.claim_probe(key, self._app.now_s())
+
+    def check_parts(self, exchange: Exchange) -> None:
+        """Check again that no part is quarantined, right before a send.
+
+        :raises RequestHeldBack: there is one.
+        """
+        held = self.parts.held(self._parts_of(exchange), self._app.now_s())
+        if held and held != [exchange.probe]:
+            raise _held_back(held)
+
+    def end(self, exchange: Exchange) -> None:
+        """Record that a request has ended, in whatever way."""
+        if exchange.probe:
+            self.parts.end_probe(exchange.probe)
+
     async def has_crashed(
         self,
         runner: instances.Instance,
@@ -103,20 +185,46 @@
     def record_success(self, exchange: Exchange) -> None:
         """Record that a request has succeeded, which clears it everywhere."""
         digest = routefilters.request_digest(self._quarantine, exchange)
-        if self._quarantine.record_success(digest, self._app.now_s()):
+        now_s = self._app.now_s()
+        is_wanted = self._quarantine.record_success(digest, now_s)
+        parts = self._parts_of(exchange)
+        if parts.digests:
+            is_wanted |= self.parts.record_success(parts, now_s)
+        if is_wanted:
             self.on_success()
 
     def may_retry(self, exchange: Exchange, now_s: float) -> bool:
         """Return whether a request may be sent to another runner.
 
         A crashed rank stops its whole group, so a suspect is not retried on
-        one while any request is quarantined. While none is, crashes mostly
-        have other causes. A stream that has returned events is no suspect,
+        one while any request is quarantined, unless all parts of its prompt
+        have lately been answered. While none is, crashes mostly have other
+        causes. A stream that has returned events for a while is no suspect,
         and is resumed on another runner.
         """
+        if exchange.is_suspect and exchange.probe:
+            return False
         if self._quarantine.is_quarantined(exchange.digest, now_s):
             return False
         if not exchange.is_suspect:
             return True
+        if self.parts.is_proven(self._parts_of(exchange), now_s):
+            return True
         is_rank = self._has_ranks(exchange.service)
         return not (is_rank and self._quarantine.is_any_quarantined())
+
+
+def _may_have_crashed(exchange: Exchange, now_s: float) -> bool:
+    """Return whether a request may have crashed the runner that ran it.
+
+    It does so as it begins to answer, so not with a long answer.
+    """
+    if exchange.events_sent - exchange.events_before < BEGUN_EVENTS:
+        return True
+    began_s = exchange.attempt_data_s
+    return began_s is not None and now_s - began_s < BEGUN_S
+
+
+def _held_back(held: list[bytes]) -> errors.RequestHeldBack:
+    keys = ', '.join(key.hex() for key in held)
+    return errors.RequestHeldBack(f'with parts that are quarantined as {keys}')
--- a/mountridge/routing/entryapi.py
+++ b/mountridge/routing/entryapi.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from mountridge.documents import halls, instances, quarantines
+from mountridge.documents import halls, instances, promptparts, quarantines
 from mountridge import errors, messages
 from mountridge.net import httpserver
 
@@ -241,11 +241,17 @@
         listed = await entry.read_quarantine()
     elif remainder.endswith(names.release):
         digest = remainder[: -len(names.release)].decode('latin-1')
-        listed = await entry.release(quarantines.parse_digest(digest))
+        sizes = (quarantines.DIGEST_BYTES, promptparts.KEY_BYTES)
+        listed = await entry.release(quarantines.parse_digest(digest, sizes))
     else:
         raise errors.NoRoute(path.decode('latin-1'))
     entries = [
-        each._asdict() | {'digest': each.digest.hex()} for each in listed
+        each._asdict()
+        | {
+            'digest': each.digest.hex(),
+            'is_part': promptparts.is_part(each.digest),
+        }
+        for each in listed
     ]
     return {'quarantine': entries}
 
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -17,9 +17,9 @@
 from mountridge.documents import routes
 from mountridge.logs import logger
 from mountridge.net import dialects, httpserver, lasthop
-from mountridge.routing import backends, budgets, crashwatch, picking
-from mountridge.routing import quarantine, routedanswers, routedexchanges
-from mountridge.routing import routefilters, sendgates
+from mountridge.routing import backends, budgets, crashwatch, partrecords
+from mountridge.routing import picking, quarantine, routedanswers
+from mountridge.routing import routedexchanges, routefilters, sendgates
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -69,6 +69,7 @@
 #: Errors that do not count as failures of the runner.
 NOT_RUNNER_FAILURES = (
     errors.DeadlinePassed,
+    errors.RequestHeldBack,
     errors.RunnerRefused,
     errors.RunnerReplaced,
     errors.RunnerSlow,
@@ -104,9 +105,14 @@
         )
         #: Times at which open requests are cancelled.
         self._cancel_at_s: dict[trio.CancelScope, float] = {}
-        self.quarantine = quarantine.Quarantine(app.settings['digest_key'])
+        digest_key = app.settings['digest_key']
+        self.quarantine = quarantine.Quarantine(digest_key)
         self.crashes = crashwatch.CrashWatch(
-            app, self.quarantine, backends.backoffs, self.picker.has_ranks
+            app,
+            self.quarantine,
+            partrecords.PartRecords(digest_key),
+            backends.backoffs,
+            self.picker.has_ranks,
         )
         self.filters = routefilters.chain(index, dialect.headers, self.rng)
         self.filters.append(routefilters.refuse_quarantined(self.quarantine))
@@ -127,6 +133,7 @@
         finally:
             if exchange.retry is not None:
                 exchange.retry.release()
+            self.crashes.end(exchange)
 
     async def _answer_error(
         self, exchange: Exchange, problem: errors.MountridgeError
@@ -190,6 +197,7 @@
                 await self.routes_known.wait()
         for apply_filter in self.filters:
             apply_filter(exchange, self.app.now_s())
+        await self.crashes.admit(exchange)
         self.budget.record_first(exchange.service, self.app.now_s())
         # trio's clock and the application's have different origins.
         until_s = exchange.deadline_s + DEADLINE_GRACE_S
@@ -288,6 +296,8 @@
         now_s = self.app.now_s()
         if exchange.deadline_s - now_s < MIN_RETRY_TIME_S:
             return False
+        if isinstance(problem, errors.RequestHeldBack):
+            return False
         if is_unsent:
             return True
         if not self.crashes.may_retry(exchange, now_s):
@@ -363,10 +373,13 @@
 
         :raises RunnersResting: a gate holds it back now; nothing is sent.
         :raises DeadlinePassed: the deadline has passed; nothing is sent.
+        :raises RequestHeldBack: a part of its prompt has been quarantined
+            meanwhile; nothing is sent.
         """
         now_s = self.app.now_s()
         if now_s >= exchange.deadline_s:
             raise errors.DeadlinePassed()
+        self.crashes.check_parts(exchange)
         sends.check(now_s)
         sends.mark_sent(now_s)
         exchange.is_sent = True
--- /dev/null
+++ b/mountridge/routing/partrecords.py
@@ -0,0 +1,287 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""One gateway's record of parts of prompts that crash their runners.
+
+It reports crashes and successes by part to the leader, whose quarantines are
+part of the view. Where the leader does not answer, the gateway's own evidence
+applies. A quarantined part is probed by one request in the whole system, which
+the leader grants to one gateway.
+"""
+
+import collections
+import typing
+
+from mountridge.documents import promptparts, quarantines
+from mountridge import messages
+from mountridge.state import partevidence
+
+__all__ = ['Parts', 'PartRecords', 'probe_wait_s', 'PROBE_S']
+
+#: Wait before the first probe of a quarantined part; of one that was
+#: quarantined together with others, of which some are likely innocent; the
+#: factor by which each further wait is longer, and the longest. An innocent
+#: part is served again soon, while a harmful one crashes three runners in half
+#: a day.
+PROBE_WAIT_S, SHARED_PROBE_WAIT_S = 30.0, 10.0
+GROWTH, MAX_PROBE_WAIT_S = 16.0, 43_200.0
+#: Parts were quarantined together if their entries changed within this time.
+TOGETHER_S = 1.0
+#: How long a granted probe may be used: until one of the requests with the
+#: part has succeeded or crashed its runner. Without either it is used up.
+PROBE_S = 30.0
+#: Interval between two requests for a probe of the same part.
+ASK_INTERVAL_S = 2.0
+#: How long a crash is reported, see `routing.quarantine.REPORT_FOR_S`.
+REPORT_FOR_S = 30.0
+#: Most crashes and most successes in one report, the latest ones; about 80 and
+#: 30 bytes each.
+MAX_REPORTED = 128
+#: Requests of one team that are reported for a part and the crash of a runner:
+#: with a second one it is known that not one request alone crashes runners.
+REQUESTS_REPORTED = 2
+#: The gateway's own evidence applies where its report of a crash has not been
+#: acknowledged for this long, each time for `OWN_HOLD_S`.
+UNACKNOWLEDGED_S, OWN_HOLD_S = 1.0, 30.0
+
+
+class Parts(typing.NamedTuple):
+    """The parts of one request's prompt that others may share."""
+
+    digests: tuple[bytes, ...] = ()
+    team: bytes = promptparts.ALL_TEAMS  # tag
+
+
+class _Probe:
+    """A probe that the leader has granted to this gateway."""
+
+    def __init__(self, until_s: float):
+        self.until_s = until_s
+        self.is_in_use = False
+
+
+def probe_wait_s(
+    key: bytes, listed: dict[bytes, quarantines.QuarantinedRequest]
+) -> float:
+    """Return how long a part in a list is quarantined before its probe."""
+    entry = listed[key]
+    is_shared = any(
+        promptparts.part_of(other) != promptparts.part_of(key)
+        and abs(each.since_s - entry.since_s) < TOGETHER_S
+        for other, each in listed.items()
+    )
+    first_s = SHARED_PROBE_WAIT_S if is_shared else PROBE_WAIT_S
+    return min(MAX_PROBE_WAIT_S, first_s * GROWTH ** (max(1, entry.holds) - 1))
+
+
+class PartRecords:
+    """Crashes and successes by part, and the quarantined parts."""
+
+    def __init__(self, key: str = ''):
+        self._key = key.encode()
+        self._listed: dict[bytes, quarantines.QuarantinedRequest] = {}
+        #: Since when a quarantined part has been in its present state.
+        self._since_s: dict[bytes, float] = {}
+        self._evidence = partevidence.PartEvidence()
+        #: Crashes to report, with their times.
+        self._crashes: collections.deque[
+            tuple[float, promptparts.PartCrash]
+        ] = collections.deque(maxlen=4 * MAX_REPORTED)
+        #: Parts whose last success the leader may not know.
+        self._unreported: dict[bytes, float] = {}
+        #: Crashes up to this time have been acknowledged by the leader.
+        self._acknowledged_s = float('-inf')
+        self._last_crash_s = float('-inf')
+        #: What this gateway would quarantine, until when.
+        self._own_verdicts: dict[bytes, float] = {}
+        self._probes: dict[bytes, _Probe] = {}
+        self._asked_s: dict[bytes, float] = {}
+
+    def parts(
+        self, service: str, part_ids: typing.Iterable[bytes], team: str
+    ) -> Parts:
+        """Return the parts of a request's prompt as they are recorded."""
+        digests = tuple(
+            promptparts.part_digest(self._key, service, part_id)
+            for part_id in part_ids
+        )
+        return Parts(digests, promptparts.team_tag(self._key, team))
+
+    # Evidence.
+
+    def record_crash(
+        self,
+        parts: Parts,
+        request: bytes,
+        incarnation: partevidence.Incarnation,
+        now_s: float,
+    ) -> None:
+        """Record that a runner crashed as it began to answer a request."""
+        for part in parts.digests:
+            crash = promptparts.PartCrash(
+                part, parts.team, request, *incarnation, 0.0
+            )
+            self._evidence.record_crash(crash, now_s)
+            alike = sum(
+                (each.part, each.team, each.incarnation)
+                == (part, parts.team, incarnation)
+                for _, each in self._crashes
+            )
+            if alike < REQUESTS_REPORTED:
+                self._crashes.append((now_s, crash))
+        if not parts.digests:
+            return
+        self._last_crash_s = now_s
+        self._own_verdicts = {
+            key: until_s
+            for key, until_s in self._own_verdicts.items()
+            if now_s < until_s
+        }
+        for verdict in self._evidence.verdicts(self._own_verdicts, now_s):
+            self._own_verdicts[verdict.key] = now_s + OWN_HOLD_S
+
+    def record_success(self, parts: Parts, now_s: float) -> bool:
+        """Record that a runner has answered a request completely.
+
+        Returns whether to report it: a part was suspect or quarantined.
+        """
+        is_wanted = False
+        for part in parts.digests:
+            is_suspect = self._evidence.has_crashes(part)
+            self._evidence.record_success(part, now_s)
+            if is_suspect or self._is_listed(part):
+                self._unreported[part] = now_s
+                is_wanted = True
+        if is_wanted:
+            cleared = set(parts.digests)
+            self._own_verdicts = {
+                key: until_s
+                for key, until_s in self._own_verdicts.items()
+                if promptparts.part_of(key) not in cleared
+            }
+        return is_wanted
+
+    def is_proven(self, parts: Parts, now_s: float) -> bool:
+        """Return whether all parts have lately been answered, at least one."""
+        return bool(parts.digests) and all(
+            self._evidence.is_proven(part, now_s) for part in parts.digests
+        )
+
+    # Quarantine.
+
+    def update(
+        self,
+        listed: typing.Iterable[quarantines.QuarantinedRequest],
+        now_s: float,
+    ) -> None:
+        """Apply the quarantined parts of the view."""
+        before = self._listed
+        self._listed = {each.digest: each for each in listed}
+        for key, each in self._listed.items():
+            if before.get(key) == each:
+                continue
+            self._since_s[key] = now_s
+            part = promptparts.part_of(key)
+            if key not in before and self._evidence.is_proven(part, now_s):
+                self._unreported[part] = self._evidence.success_s(part)
+        for key in before.keys() - self._listed.keys():
+            # Released: what led to it no longer counts.
+            self._own_verdicts.pop(key, None)
+            for kept in (self._since_s, self._probes, self._asked_s):
+                kept.pop(key, None)
+
+    def _is_listed(self, part: bytes) -> bool:
+        return any(promptparts.part_of(key) == part for key in self._listed)
+
+    def held(self, parts: Parts, now_s: float) -> list[bytes]:
+        """Return the keys of the quarantines that concern a request."""
+        if not self._listed and not self._own_verdicts:
+            return []
+        keys = [
+            promptparts.part_key(part, team)
+            for part in parts.digests
+            for team in (parts.team, promptparts.ALL_TEAMS)
+        ]
+        own = self._own_verdicts if self._is_alone(now_s) else {}
+        return [
+            key
+            for key in keys
+            if key in self._listed or now_s < own.get(key, now_s)
+        ]
+
+    def _is_alone(self, now_s: float) -> bool:
+        """Return whether the leader does not answer reports of crashes."""
+        crashed_s = self._last_crash_s
+        return self._acknowledged_s < crashed_s < now_s - UNACKNOWLEDGED_S
+
+    # Probes.
+
+    def claim_probe(self, key: bytes, now_s: float) -> bool:
+        """Return whether a request may be sent as a granted probe.
+
+        The caller ends the use of the probe with `end_probe`.
+        """
+        probe = self._probes.get(key)
+        if probe is None or probe.is_in_use or now_s >= probe.until_s:
+            return False
+        probe.is_in_use = True
+        return True
+
+    def end_probe(self, key: bytes) -> None:
+        """Record that the request sent as a probe has ended."""
+        if key in self._probes:
+            self._probes[key].is_in_use = False
+
+    def drop_probe(self, key: bytes) -> None:
+        """Discard a probe: its request has crashed a runner."""
+        self._probes.pop(key, None)
+
+    def add_probe(self, key: bytes, asked_s: float) -> None:
+        """Record a probe that the leader granted when asked at a time."""
+        self._probes[key] = _Probe(asked_s + PROBE_S)
+
+    def may_ask(self, key: bytes, now_s: float) -> bool:
+        """Return whether to ask the leader for a probe now, and count it."""
+        entry = self._listed.get(key)
+        if entry is None or not entry.is_held:
+            return False
+        asked_s = self._asked_s.get(key, float('-inf'))
+        waited_s = now_s - self._since_s[key]
+        if waited_s < probe_wait_s(key, self._listed):
+            return False
+        if now_s - asked_s < ASK_INTERVAL_S:
+            return False
+        self._asked_s[key] = now_s
+        return True
+
+    # Reports.
+
+    def make_report(self, now_s: float) -> messages.PartReport | None:
+        """Return the next report to the leader, None if it would be empty."""
+        while self._crashes and now_s - self._crashes[0][0] >= REPORT_FOR_S:
+            self._crashes.popleft()
+        self._evidence.expire(now_s)
+        crashes = [
+            crash._replace(age_s=now_s - at_s) for at_s, crash in self._crashes
+        ][-MAX_REPORTED:]
+        if not crashes and not self._unreported:
+            return None
+        successes = dict(self._unreported)
+        for crash in crashes:
+            if self._evidence.is_proven(crash.part, now_s):
+                succeeded_s = self._evidence.success_s(crash.part)
+                successes[crash.part] = succeeded_s
+        ages = [(part, now_s - at_s) for part, at_s in successes.items()]
+        return messages.PartReport(crashes, ages[:MAX_REPORTED])
+
+    def acknowledge(
+        self, report: messages.PartReport, reported_s: float
+    ) -> None:
+        """Record that the leader has received a report made at a time."""
+        self._acknowledged_s = max(self._acknowledged_s, reported_s)
+        for part, age_s in report.successes:
+            succeeded_s = self._unreported.get(part)
+            if (
+                succeeded_s is not None
+                and succeeded_s <= reported_s - age_s + 1e-6
+            ):
+                del self._unreported[part]
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -8,7 +8,8 @@
 after that. All requests that it ran are suspects; a success clears a suspect,
 and one that has crashed several incarnations of runners without a success is
 quarantined. The leader counts the crashes of all gateways, and its quarantine
-list is part of the view; a gateway's own count takes effect at once.
+list is part of the view; a gateway's own count takes effect at once. Parts of
+prompts are recorded beside (`partrecords`).
 """
 
 import collections
@@ -18,7 +19,7 @@
 from mountridge import messages
 from mountridge.net import httpserver
 
-__all__ = ['Quarantine', 'REPORT_INTERVAL_S']
+__all__ = ['Quarantine', 'REPORT_INTERVAL_S', 'incarnation']
 
 #: Interval between reports of the same crashes, which a new leader needs.
 REPORT_INTERVAL_S = 2.0
@@ -34,6 +35,11 @@
 MAX_REPORTED = 64
 
 
+def incarnation(runner: instances.Instance) -> tuple[str, int, int]:
+    """Return what identifies one start of a runner."""
+    return runner.instance_id, runner.lives, runner.born_ms
+
+
 class Quarantine:
     """Crashes seen by one gateway, and the quarantine list of the leader."""
 
@@ -66,15 +72,6 @@
             request.body,
         )
 
-    def part_digests(
-        self, service: str, part_ids: typing.Iterable[bytes]
-    ) -> tuple[bytes, ...]:
-        """Return the digests of parts of a prompt, for one service."""
-        return tuple(
-            quarantines.part_digest(self._key, service, part_id)
-            for part_id in part_ids
-        )
-
     def update(
         self, listed: typing.Iterable[quarantines.QuarantinedRequest]
     ) -> None:
@@ -131,8 +128,7 @@
     ) -> None:
         """Record that a runner crashed while it ran a request."""
         seen = self._crashes.pop(digest, {})
-        incarnation = (runner.instance_id, runner.lives, runner.born_ms)
-        seen.setdefault(incarnation, now_s)
+        seen.setdefault(incarnation(runner), now_s)
         self._crashes[digest] = seen
         while len(self._crashes) > MAX_SUSPECTS:
             self._crashes.popitem(last=False)
@@ -156,9 +152,9 @@
         """Return the next report to the leader, None if it would be empty."""
         self._expire(now_s)
         crashes = [
-            quarantines.Crash(digest, *incarnation, now_s - at_s)
+            quarantines.Crash(digest, *crashed, now_s - at_s)
             for digest, seen in self._crashes.items()
-            for incarnation, at_s in seen.items()
+            for crashed, at_s in seen.items()
             if now_s - at_s < REPORT_FOR_S
         ]
         good = [(key, now_s - at_s) for key, at_s in self._unreported.items()]
@@ -175,8 +171,8 @@
 
     def _expire(self, now_s: float) -> None:
         for digest, seen in list(self._crashes.items()):
-            for incarnation, at_s in list(seen.items()):
+            for crashed, at_s in list(seen.items()):
                 if now_s - at_s >= quarantines.CRASH_TTL_S:
-                    del seen[incarnation]
+                    del seen[crashed]
             if not seen:
                 del self._crashes[digest]
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -6,7 +6,7 @@
 
 from mountridge.documents import routes
 from mountridge.net import dialects, httpserver
-from mountridge.routing import backends, budgets
+from mountridge.routing import backends, budgets, partrecords
 
 __all__ = ['Answer', 'Exchange', 'runner_fields', 'to_ms']
 
@@ -48,9 +48,10 @@
         #: Digest that identifies the request in the quarantine; empty until
         #: it is needed.
         self.digest = b''
-        #: Digests of the parts of its prompt that others may share; None
-        #: until they are needed.
-        self.part_digests: tuple[bytes, ...] | None = None
+        #: Parts of its prompt that others may share; None until needed.
+        self.parts: partrecords.Parts | None = None
+        #: Key of the quarantined part that it probes.
+        self.probe = b''
         #: Whether the request may have crashed the runner that ran it last.
         self.is_suspect = False
         #: Events sent to the caller when the current attempt started.
--- a/mountridge/routing/routefilters.py
+++ b/mountridge/routing/routefilters.py
@@ -14,9 +14,7 @@
 from mountridge.net import dialects
 from mountridge.routing import quarantine, routedexchanges
 
-__all__ = [
-    'Filter', 'chain', 'part_digests', 'refuse_quarantined', 'request_digest',
-]  # fmt: skip
+__all__ = ['Filter', 'chain', 'refuse_quarantined', 'request_digest']
 
 Exchange = routedexchanges.Exchange
 Filter = typing.Callable[[Exchange, float], None]
@@ -76,17 +74,6 @@
     return exchange.digest
 
 
-def part_digests(
-    records: quarantine.Quarantine, exchange: Exchange
-) -> tuple[bytes, ...]:
-    """Return the digests of the shared parts of a prompt, computed once."""
-    if exchange.part_digests is None:
-        exchange.part_digests = records.part_digests(
-            exchange.service, exchange.request_head.shared_parts
-        )
-    return exchange.part_digests
-
-
 def refuse_quarantined(records: quarantine.Quarantine) -> Filter:
     """Return the filter that refuses quarantined requests.
 
