Quarantine requests and parts that crash runners behind agents

What callers saw: behind agents nothing was quarantined, neither a request sent again and again nor a part that new requests share.

Cause: the gateways were told that an attempt broke off, not that its runner's process had ended, and did not keep a quarantine.

Now an agent checks whether its runner still accepts connections where an attempt breaks off, and names the start of the runner that crashed with the error (a field of frames, in format level 2). Gateways record and report it as for routed requests, and check requests before each ticket. The parts of a prompt are those that the caller names, or the messages of a chat but the last.

Evidence: with the agent's check taken out, the four scenarios behind agents fail; with it they pass. tools/formats.py reads a sample of an earlier level with defaults for the fields that level did not have.

--- a/features/harmfulparts.feature
+++ b/features/harmfulparts.feature
@@ -32,3 +32,20 @@
       | a group         | middle | a second part is harmful too             |
       | a group         | middle | several teams send them                  |
       | a group         | middle | others use a part that comes with it     |
+
+  Scenario Outline: Requests with a harmful part behind agents, while <case>
+    Given 8 agents with a runner each
+    When requests share a harmful part from 3 s on, beside sound ones, for 50 s, while <case>
+    Then at most 3 of them reach runners behind agents later than 3 s after the fifth crash
+    And 9 of 10 sound ones are served from 6 s after the last crash on
+
+    Examples:
+      | case                                 |
+      | nothing else happens                 |
+      | each is sent once more by its caller |
+      | the leader is killed                 |
+
+  Scenario: A repeated request that crashes runners behind agents is held back
+    Given 8 agents with a runner each
+    When the same request is sent every second through another gateway for 20 s
+    Then it has crashed at most 3 runners, and is refused as quarantined
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -222,6 +222,11 @@
         self.running = 0
         self.pieces, self.gap_s = 5, 0.02
         self.stalled = self.truncates = False
+        #: Part of the mark of requests that crash it, and until when it is
+        #: down; `crashes` has (time, mark) of each.
+        self.crashes_on, self.down_until_s = None, 0.0
+        self.crashes = []
+        self.ended = trio.Event()
         self.starts = []
         #: Head of its answers; a status other than 200 refuses all requests.
         self.head = REPLY_HEAD
@@ -236,19 +241,37 @@
             self.refusals.append(trio.current_time())
             yield types.SimpleNamespace(head=self.head, pieces=_empty_body)
             return
+        if await self.has_crashed():
+            raise errors.NoRunner('refused')
         if self.head.is_leaving:
             self.announcements.append(trio.current_time())
         self.runs[mark] += 1
         self.running += 1
         try:
+            if self.crashes_on and self.crashes_on in mark:
+                self.crash(mark)
+                raise errors.OutcomeUnknown('no answer: reset')
             yield types.SimpleNamespace(
                 head=self.head, pieces=lambda: self.answer(mark)
             )
         finally:
             self.running -= 1
 
+    def crash(self, mark):
+        """Crash, with all that runs here; it is back after 3 s."""
+        self.crashes.append((trio.current_time(), mark))
+        self.down_until_s = trio.current_time() + 3.0
+        self.ended.set()
+        self.ended = trio.Event()
+
+    async def has_crashed(self):
+        return trio.current_time() < self.down_until_s
+
     async def answer(self, mark):
+        ended = self.ended
         for number in range(self.pieces):
+            if ended.is_set():
+                raise errors.BadAnswer('reset')
             if self.stalled:
                 await trio.sleep_forever()
             if self.truncates and number == 3:
@@ -509,6 +532,7 @@
         limit_s=60.0,
         vanish_s=None,
         whole=False,
+        parts=(),
     ):
         """Send a request through a gateway and return the result.
 
@@ -525,6 +549,7 @@
             f'{name}-{mark}', team, service, '/v1/x', body, key,
             trio.current_time(),
         )  # fmt: skip
+        exchange.shared_parts = parts
         result = Result(by=name)
         started_s = trio.current_time()
         done = trio.Event()
--- a/mountridge/agent.py
+++ b/mountridge/agent.py
@@ -27,6 +27,11 @@
 #: replaced. Several times the grace period of a planned stop,
 #: `bounds.grace_s`.
 LEAVING_BACKOFF_S = 30.0
+#: Attempts that a crash of the runner breaks off end within this time of each
+#: other; a runner takes longer to start again.
+CRASH_SPAN_S = 1.0
+#: Errors of an attempt whose runner may have crashed.
+CONNECTION_ERRORS = (errors.BadAnswer, errors.OutcomeUnknown)
 
 
 class Attempt:
@@ -74,6 +79,8 @@
         self.ended: dict[str, Attempt] = {}
         self.outbox = outboxes.Outbox(app, self.load, self._drop_gateway)
         self.draining = False
+        #: Number of the runner's last start that ended in a crash, and when.
+        self._crashed_life, self._crashed_s = 0, float('-inf')
         self.backoff_state = backoffstates.BackoffState()
         self.upstream = upstream or upstreams.Upstream(self.settings['runner'])
 
@@ -238,6 +245,9 @@
                 problem = errors.RunnerFailed('the deadline passed')
             except errors.MountridgeError as failed:
                 problem = failed
+        crashed_life = 0
+        if isinstance(problem, CONNECTION_ERRORS):
+            crashed_life = await self._detect_crash()
         self.queue.release_slot(ticket.attempt_id, self.app.now_s())
         if is_probe:
             self.backoff_state.end_probe()
@@ -247,7 +257,7 @@
             self._send_frame(attempt, b'', end=True)
             outcome = errors.RAN
         else:
-            self._fail(attempt, problem)
+            self._fail(attempt, problem, crashed_life)
             outcome = problem.outcome
         self._record_decision(ticket, 'end', str(problem or outcome), 0)
         self._finish(attempt, outcome)
@@ -341,7 +351,25 @@
         attempt.position += len(data)
         self._send_to_readers(attempt, frame)
 
-    def _fail(self, attempt: Attempt, problem: errors.MountridgeError) -> None:
+    async def _detect_crash(self) -> int:
+        """Return the number of the runner's start that has crashed, or 0."""
+        is_expected = not self.backoff_state.may_send(self.app.now_s())
+        if is_expected or not await self.upstream.has_crashed():
+            return 0
+        now_s = self.app.now_s()
+        if now_s - self._crashed_s > CRASH_SPAN_S:
+            self._crashed_life += 1
+            self.app.metrics.incr('runner.crashed')
+            logger.info('runner crashed', start=self._crashed_life)
+        self._crashed_s = now_s
+        return self._crashed_life
+
+    def _fail(
+        self,
+        attempt: Attempt,
+        problem: errors.MountridgeError,
+        crashed_life: int = 0,
+    ) -> None:
         frame = messages.Frame(
             attempt.ticket.attempt_id,
             attempt.position,
@@ -351,6 +379,7 @@
             problem.code,
             str(problem),
             problem.retry_after_s or 0.0,
+            crashed_life,
         )
         self._send_to_readers(attempt, frame)
 
--- a/mountridge/dispatch/attempts.py
+++ b/mountridge/dispatch/attempts.py
@@ -25,6 +25,10 @@
         self.position = 0
         self.ended = False
         self.problem: errors.MountridgeError | None = None
+        #: Number of the runner's start that crashed with this attempt, or 0.
+        self.crashed_life = 0
+        #: Time of the first data.
+        self.began_s: float | None = None
         self._data: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._changed = trio.Event()
@@ -39,6 +43,7 @@
             self._buffered_bytes += len(frame.data)
             self._data.append(frame.data)
         if frame.code:
+            self.crashed_life = frame.crashed_life
             self.fail(
                 errors.by_code(frame.code)(
                     frame.message, frame.retry_after_s or None
--- a/mountridge/dispatch/dispatching.py
+++ b/mountridge/dispatch/dispatching.py
@@ -8,8 +8,8 @@
 import trio
 
 from mountridge import application, errors, messages, utils
-from mountridge.dispatch import attempts, decisions, exchanges, placing
-from mountridge.dispatch import retries, runners
+from mountridge.dispatch import attempts, crashes, decisions, exchanges
+from mountridge.dispatch import placing, retries, runners
 from mountridge.documents import tables
 from mountridge.net import sockets
 from mountridge.state import leases, members
@@ -46,6 +46,7 @@
         self.settings = app.settings['gateway']
         self.runners = runners.Runners()
         self.attempts = attempts.Attempts(app.metrics.incr)
+        self.crashes = crashes.RequestCrashes(app, leader.call)
         self.budget = retries.Budget(self.settings['retry_share'])
         self.rng = random.Random(app.incarnation)
         self._connections: dict[str, tuple[str, sockets.Connection]] = {}
@@ -195,6 +196,10 @@
         if choice.name not in self.runners.states:
             # It left the view during the call that claimed the key.
             raise errors.NoRunner(f'{choice.name} is no longer a member')
+        # It may have been quarantined since the request arrived.
+        self.crashes.check(exchange)
+        member = self.runners.states[choice.name].member
+        exchange.agent_incarnation = member.incarnation
         ticket = self._make_ticket(
             exchange, choice.name, choice.reason, attempt
         )
@@ -233,6 +238,7 @@
         choice = self._select_runner(exchange)
         await self._ensure_load(choice.name)
         attempt = attempts.Attempt(utils.fresh_id(), choice.name)
+        exchange.attempt = attempt
         if exchange.key:
             claimed = await self._claim(exchange, choice, attempt)
             if claimed is not None:
@@ -282,7 +288,8 @@
             raise errors.OutcomeUnknown(
                 f'timed out waiting for the first data from {name}'
             )
-        took_s = self.app.now_s() - sent_s
+        attempt.began_s = self.app.now_s()
+        took_s = attempt.began_s - sent_s
         self.app.metrics.timing('first_data', took_s)
         self.runners.record_first_data(name, took_s)
         return data
@@ -325,6 +332,7 @@
                 return attempt, data
             except errors.MountridgeError as problem:
                 may_have_run |= problem.outcome != errors.NOT_RUN
+                await self.crashes.check_attempt(exchange)
                 if self._try_retry(exchange, problem):
                     continue
                 if may_have_run and problem.outcome == errors.NOT_RUN:
--- a/mountridge/dispatch/exchanges.py
+++ b/mountridge/dispatch/exchanges.py
@@ -4,7 +4,9 @@
 
 import typing
 
+from mountridge.dispatch import attempts
 from mountridge.documents import tables
+from mountridge.routing import partrecords
 
 __all__ = ['Exchange']
 
@@ -34,6 +36,15 @@
         self.groups: set[str] = set()
         self.table_version = 0
         self.prefix = ''
+        #: Ids of the parts of its prompt that others may share.
+        self.shared_parts: tuple[bytes, ...] = ()
+        #: The same as they are recorded, and the digest of the request.
+        self.parts, self.digest = partrecords.Parts(), b''
+        #: Key of the quarantined part that it probes.
+        self.probe = b''
+        #: The newest attempt, and the start of its agent's process.
+        self.attempt: attempts.Attempt | None = None
+        self.agent_incarnation = ''
         self.attempts = 0
         #: An earlier request with the same key may have run. Cleared when
         #: a reply to a claim rules it out.
--- a/mountridge/dispatch/retries.py
+++ b/mountridge/dispatch/retries.py
@@ -9,6 +9,8 @@
 #: Retries that a team may spend before it has earned any.
 INITIAL_BALANCE = 3.0
 MAX_BALANCE = 50.0
+#: Errors that another attempt would have too.
+FINAL = (errors.BadRequest, errors.DeadlinePassed, errors.RequestHeldBack)
 #: A request with less time left than this is not retried.
 MIN_TIME_LEFT_S = 0.2
 
@@ -71,6 +73,6 @@
         return False
     if isinstance(problem, errors.Busy) and attempts >= 2:
         return False
-    if isinstance(problem, (errors.BadRequest, errors.DeadlinePassed)):
+    if isinstance(problem, FINAL):
         return False
     return repeatable or problem.outcome == errors.NOT_RUN
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -80,7 +80,8 @@
         async with self._pool.request(
             self._address, b'POST', path.encode(), encoded, body, None
         ) as reply:
-            yield Response(path, reply, self._has_crashed)
+            yield Response(path, reply, self.has_crashed)
 
-    async def _has_crashed(self) -> bool:
+    async def has_crashed(self) -> bool:
+        """Return whether the runner's address refuses connections."""
         return await self._pool.refuses_connections(self._address, CONFIRM_S)
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -119,7 +119,7 @@
         crashes = self.forwarder.crashes
         crashes.on_crash = self.crash_reporter.report_now
         crashes.on_success = self.crash_reporter.wake
-        crashes.on_probe = self.crash_reporter.take_probe
+        crashes.part_gate.on_probe = self.crash_reporter.take_probe
         self.draining = False
         self._drain_began_s = 0.0
         self.front = self.make_server(self.forwarder.handle)
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -2,6 +2,7 @@
 
 """The gateway: HTTP for callers, and the processing of each request."""
 
+import hashlib
 import json
 import math
 import typing
@@ -17,6 +18,7 @@
 from mountridge.dispatch import filters, streamends
 from mountridge.documents import tables
 from mountridge.logs import logger
+from mountridge.net import dialects
 from mountridge.state import leases, limits, members, views
 
 __all__ = ['Gateway', 'build', 'end_request', 'run']
@@ -24,6 +26,7 @@
 DRAIN_POLL_S = 0.05
 CHAT_PATH = streamends.CHAT_PATH
 SERVICE_PATH = '/v1/services/'
+PARTS_HEADER = dialects.NATIVE.headers.prefix_parts.decode()
 
 
 class Gateway:
@@ -61,6 +64,9 @@
         if self.lease.view.revision != self._view_revision:
             self._view_revision = self.lease.view.revision
             self.dispatcher.update_members(self.members())
+            packed = self.lease.view.by_prefix(views.QUARANTINE_PREFIX)
+            listed = [views.unpack_quarantined(v) for v in packed.values()]
+            self.dispatcher.crashes.update(listed)
 
     def members(self) -> list[views.Member]:
         """Return the members in the view."""
@@ -104,6 +110,7 @@
         try:
             for apply_filter in self.filters:
                 apply_filter(exchange, self.app.now_s())
+            await self.dispatcher.crashes.admit(exchange)
             await self._admit(exchange)
             return await self.dispatcher.run(exchange, buffered)
         except errors.MountridgeError as problem:
@@ -259,8 +266,19 @@
     raise errors.UnknownTeam('expected Authorization: Bearer TEAM')
 
 
-def _chat_model(body: bytes) -> tuple[str, bool]:
-    """Return the model of a chat request, and whether it is streamed."""
+class _Chat(typing.NamedTuple):
+    """What the body of a chat request determines."""
+
+    model: str
+    is_stream: bool
+    messages: list
+
+
+def _read_chat(body: bytes) -> _Chat:
+    """Return what the body of a chat request determines.
+
+    :raises BadRequest: it is malformed.
+    """
     try:
         parsed = json.loads(body)
     except (ValueError, RecursionError):
@@ -270,9 +288,24 @@
     model = parsed.get('model')
     if not isinstance(model, str) or not model:
         raise errors.BadRequest('"model" is missing or not a string')
-    if not isinstance(parsed.get('messages'), list):
+    listed = parsed.get('messages')
+    if not isinstance(listed, list):
         raise errors.BadRequest('"messages" is missing or not a list')
-    return model, parsed.get('stream') is True
+    return _Chat(model, parsed.get('stream') is True, listed)
+
+
+def _shared_parts(header: str, listed: list) -> tuple[bytes, ...]:
+    """Return the ids of the parts of a prompt that others may share.
+
+    Where the caller names none, the messages of a chat but the last one are
+    its parts.
+    """
+    if header:
+        return dialects.shared_parts(header.encode('latin-1', 'replace'))
+    shared = listed[: min(len(listed) - 1, dialects.MAX_PREFIX_PARTS)]
+    encoded = (json.dumps(each, sort_keys=True).encode() for each in shared)
+    ids = (hashlib.blake2b(each, digest_size=16).digest() for each in encoded)
+    return tuple(dict.fromkeys(ids))
 
 
 async def _stream(gateway: Gateway, exchange, attempt, first: bytes):
@@ -294,6 +327,7 @@
     """Release all resources of a request; ``attempt`` may be None."""
     if attempt is not None:
         gateway.dispatcher.finish(attempt)
+    gateway.dispatcher.crashes.end(exchange)
     exchange.close()
     gateway.open_requests -= 1
 
@@ -331,11 +365,14 @@
         exchange.body = await request.get_data()
         exchange.team = _team(request.headers)
         exchange.key = request.headers.get('idempotency-key', '')
-        is_stream = False
+        is_stream, listed = False, []
         if path == CHAT_PATH:
-            exchange.service, is_stream = _chat_model(exchange.body)
+            exchange.service, is_stream, listed = _read_chat(exchange.body)
         else:
             exchange.service = _service_in_path(path)
+        exchange.shared_parts = _shared_parts(
+            request.headers.get(PARTS_HEADER, ''), listed
+        )
         streamed = is_stream and _has_chunks(request.http_version)
         attempt, first = await gateway.begin(exchange, buffered=not streamed)
         headers = {'x-request-id': request_id}
@@ -424,6 +461,7 @@
 
     app.handlers[messages.ReadDecisions] = on_read_decisions
     app.tasks += [gateway.hold_lease, gateway.dispatcher.monitor_agents]
+    app.tasks.append(gateway.dispatcher.crashes.reporter.run)
     app.drain.append(gateway.drain)
     app.dumpers['gateway'] = gateway.dump
     return gateway
--- a/mountridge/messages/attempt.py
+++ b/mountridge/messages/attempt.py
@@ -48,6 +48,9 @@
     code: int  # error code; 0 if there was no error
     message: str
     retry_after_s: float
+    #: Number of the runner's start that ended in a crash with this attempt,
+    #: counted by its agent; 0 if it has not crashed.
+    crashed_life: int = 0
 
 
 class Load(typing.NamedTuple):
--- a/mountridge/net/dialects.py
+++ b/mountridge/net/dialects.py
@@ -16,7 +16,7 @@
 __all__ = [
     'Dialect', 'HeaderNames', 'NATIVE', 'ReplyHead', 'RequestHead',
     'keep_alive_s', 'media_type', 'read_reply_head', 'read_request_head',
-    'reply_headers', 'runner_headers',
+    'reply_headers', 'runner_headers', 'shared_parts',
 ]  # fmt: skip
 
 Headers = list[tuple[bytes, bytes]]
@@ -116,7 +116,7 @@
         _bearer(found.get(b'authorization')),
         found.get(names.last_event_id),
         *_token_counts(found.get(names.token_counts)),
-        _shared_parts(found.get(names.prefix_parts, b'')),
+        shared_parts(found.get(names.prefix_parts, b'')),
     )
 
 
@@ -158,7 +158,7 @@
         raise errors.BadRequest(f'malformed token counts: {_text(value)!r}')
 
 
-def _shared_parts(value: bytes) -> tuple[bytes, ...]:
+def shared_parts(value: bytes) -> tuple[bytes, ...]:
     """Return the ids of all parts of a prompt but the last, each once."""
     parts = value.split(b',', MAX_PREFIX_PARTS)[:-1]
     ids = (part.partition(b':')[0].strip().lower() for part in parts)
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -14,7 +14,7 @@
 from mountridge.documents import instances
 from mountridge.logs import logger
 from mountridge.net import lasthop
-from mountridge.routing import backoffs, partrecords, quarantine
+from mountridge.routing import backoffs, partgates, partrecords, quarantine
 from mountridge.routing import routedexchanges
 from mountridge.routing import routefilters
 
@@ -35,11 +35,6 @@
     """Report crashes to no leader."""
 
 
-async def _no_probe(key: bytes) -> bool:
-    """Take a probe from no leader."""
-    return False
-
-
 class CrashWatch:
     """Detects crashes, and keeps suspects from crashing more runners."""
 
@@ -54,16 +49,13 @@
         self._app = app
         self._quarantine = records
         self.parts = parts
+        self.part_gate = partgates.PartGate(app, parts)
         self._backoffs = backoffs
         self._has_ranks = has_ranks
         #: Called when a suspect or quarantined request has succeeded.
         self.on_success: typing.Callable[[], None] = lambda: None
         #: Called when a runner has crashed while it ran a request.
         self.on_crash: typing.Callable[[], typing.Awaitable[None]] = _no_report
-        #: Asks the leader for a probe of a quarantined part.
-        self.on_probe: typing.Callable[[bytes], typing.Awaitable[bool]] = (
-            _no_probe
-        )
 
     async def check_attempt(
         self,
@@ -121,47 +113,22 @@
     async def admit(self, exchange: Exchange) -> None:
         """Check that no part of a request's prompt is quarantined.
 
-        A request with one such part may be sent as its probe, one in the
-        whole system at a time.
-
-        :raises RequestHeldBack: there is one.
+        :raises RequestHeldBack: one is, and the request may not probe it.
         """
-        held = self.parts.held(self._parts_of(exchange), self._app.now_s())
-        if not held:
-            return
-        if len(held) > 1 or not await self._take_probe(held[0]):
-            raise _held_back(held)
-        exchange.probe = held[0]
-        logger.info(
-            'probing a quarantined part',
-            request=exchange.request_head.request_id,
-            part=held[0].hex(),
+        exchange.probe = await self.part_gate.admit(
+            self._parts_of(exchange), exchange.request_head.request_id
         )
 
-    async def _take_probe(self, key: bytes) -> bool:
-        now_s = self._app.now_s()
-        if self.parts.claim_probe(key, now_s):
-            return True
-        if not self.parts.may_ask(key, now_s):
-            return False
-        if not await self.on_probe(key):
-            return False
-        self.parts.add_probe(key, now_s)
-        return self.parts.claim_probe(key, self._app.now_s())
-
     def check_parts(self, exchange: Exchange) -> None:
         """Check again that no part is quarantined, right before a send.
 
-        :raises RequestHeldBack: there is one.
+        :raises RequestHeldBack: one is.
         """
-        held = self.parts.held(self._parts_of(exchange), self._app.now_s())
-        if held and held != [exchange.probe]:
-            raise _held_back(held)
+        self.part_gate.check(self._parts_of(exchange), exchange.probe)
 
     def end(self, exchange: Exchange) -> None:
         """Record that a request has ended, in whatever way."""
-        if exchange.probe:
-            self.parts.end_probe(exchange.probe)
+        self.part_gate.end(exchange.probe)
 
     async def has_crashed(
         self,
@@ -223,8 +190,3 @@
         return True
     began_s = exchange.attempt_data_s
     return began_s is not None and now_s - began_s < BEGUN_S
-
-
-def _held_back(held: list[bytes]) -> errors.RequestHeldBack:
-    keys = ', '.join(key.hex() for key in held)
-    return errors.RequestHeldBack(f'with parts that are quarantined as {keys}')
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -64,14 +64,19 @@
     ) -> bytes:
         """Return the digest that identifies a request of a caller."""
         caller = f'{team.name if team else ""}/{key or ""}'
-        return quarantines.digest(
-            self._key,
+        return self.digest_of(
             request.method,
             request.target,
             caller.encode('latin-1', 'replace'),
             request.body,
         )
 
+    def digest_of(
+        self, method: bytes, target: bytes, caller: bytes, body: bytes
+    ) -> bytes:
+        """Return the digest of a request by what identifies it."""
+        return quarantines.digest(self._key, method, target, caller, body)
+
     def update(
         self, listed: typing.Iterable[quarantines.QuarantinedRequest]
     ) -> None:
--- a/tools/formats.py
+++ b/tools/formats.py
@@ -80,19 +80,31 @@
 # Records with a value in each field.
 
 
-def sample(kind: typing.Any, name: str = '') -> typing.Any:
-    """Return a value of a type, determined by the name of its field."""
+def sample(
+    kind: typing.Any,
+    name: str = '',
+    schema: dict[str, list[str]] | None = None,
+) -> typing.Any:
+    """Return a value of a type, determined by the name of its field.
+
+    With the schema of an earlier level, the fields of a record that it does
+    not have keep their defaults.
+    """
     if is_record(kind):
-        return kind(*(sample(each, n) for n, each in field_types(kind)))
+        known = (schema or {}).get(type_name(kind))
+        fields = field_types(kind)[: None if known is None else len(known)]
+        return kind(*(sample(each, n, schema) for n, each in fields))
     origin, args = typing.get_origin(kind), typing.get_args(kind)
     if origin in (typing.Union, types.UnionType):
-        return sample(args[0], name)
+        return sample(args[0], name, schema)
     if origin is tuple:
-        return tuple(sample(each, f'{name}{n}') for n, each in enumerate(args))
+        return tuple(
+            sample(each, f'{name}{n}', schema) for n, each in enumerate(args)
+        )
     if origin is list:
-        return [sample(args[0], name)]
+        return [sample(args[0], name, schema)]
     if origin is dict:
-        return {sample(args[0], name): sample(args[1], name)}
+        return {sample(args[0], name): sample(args[1], name, schema)}
     number = zlib.crc32(name.encode()) % 100 + 1
     plain = {
         int: number,
@@ -110,6 +122,11 @@
     return isinstance(kind, type) and hasattr(kind, '_fields')
 
 
+def type_name(kind: type) -> str:
+    """Return the name of a record type in a schema."""
+    return f'{kind.__module__}.{kind.__qualname__}'
+
+
 def field_types(kind: type) -> list[tuple[str, typing.Any]]:
     """Return the names and types of a record's fields."""
     hints = typing.get_type_hints(kind)
@@ -132,8 +149,7 @@
     roots = [k for family in FAMILIES.values() for k in family.kinds]
     for root in (*roots, *STORED):
         for kind in nested_records(root):
-            name = f'{kind.__module__}.{kind.__qualname__}'
-            found[name] = [
+            found[type_name(kind)] = [
                 f'{field}: {_type_text(each)}'
                 for field, each in field_types(kind)
             ]
@@ -241,7 +257,7 @@
         for kind, (kind_name, data) in zip(family.kinds, samples):
             found = family.decode(kind, bytes.fromhex(data))
             assert kind.__name__ == kind_name, (kind, kind_name)
-            assert found == sample(kind), found
+            assert found == sample(kind, '', recorded['schema']), found
             count += 1
         assert len(samples) <= len(family.kinds), name
     machine = read_folder(folder / 'data')
