--- a/features/steps/harmfulagents_steps.py
+++ b/features/steps/harmfulagents_steps.py
@@ -85,8 +85,8 @@
 
 
 @then(
-    'at most {most:d} of them reach runners behind agents later than {late_s:g}'
-    ' s after the fifth crash'
+    'at most {most:d} of them reach runners behind agents later than'
+    ' {late_s:g} s after the fifth crash'
 )
 def check_reached(context, most, late_s):
     crashed_s = [at_s for at_s, _ in _crashes(context.play)]
@@ -101,7 +101,8 @@
 
 
 @then(
-    '9 of 10 sound ones are served from {from_s:g} s after the last crash on'
+    '9 of 10 sound ones are served from {from_s:g} s after the last'
+    ' crash on'
 )
 def check_served(context, from_s):
     last_s = _crashes(context.play)[-1][0]
