Scenarios of evidence on parts of prompts, and of their probes

18 histories of crashes and successes with who is quarantined for them: one request that crashes runners, runners that crash together, teams that send the parts of others, two harmful parts, a new leader. Probes over 11 h with five gateways and a new leader each 3 h: three are granted. Probes that succeed, crash, have no result, or whose leader ends. Tables are bounded.

Found by them: crashes older than ten minutes counted until the next report of the same gateway; they are forgotten before each decision.

--- /dev/null
+++ b/features/partevidence.feature
@@ -0,0 +1,51 @@
+Feature: Evidence on parts of prompts that crash runners
+
+  Which parts of prompts are quarantined, for whom and for how long, decided
+  from reports of crashes and successes alone.
+
+  Scenario Outline: <case>
+    Given a leader of gateways that report crashes of runners
+    When gateways report <reports>
+    Then the parts held are <held>
+
+    Examples:
+      | case                                                | reports                                                  | held                |
+      | One crash holds nothing                             | 1:red/r1/bad                                             | -                   |
+      | Two crashes with one part in common                 | 1:red/r1/bad,a 2:red/r2/bad,b                            | bad:red             |
+      | One request that crashes two runners                | 1:red/r1/rare 2:red/r1/rare                              | -                   |
+      | Two runners that crash together                     | 1:red/r1/rare 1.05:red/r2/rare                           | -                   |
+      | A part that serves others between the crashes       | 1:red/r1/bad,a 2:ok/a 3:red/r2/bad,a                     | bad:red             |
+      | A part that has served others before the crashes    | 0:ok/a 1:red/r1/bad,a 2:red/r2/bad,a 3:red/r3/bad,a      | bad:red             |
+      | A part that served others, and crashes them now     | 0:ok/a 1:red/r1/a 2:red/r2/a 3:red/r3/a 4:red/r4/a       | a:red               |
+      | Two parts that always come together                 | 1:red/r1/bad,too 2:red/r2/bad,too                        | bad:red too:red     |
+      | A part that comes with another, and then serves     | 1:red/r1/bad,too 2:red/r2/bad,too 3:ok/too               | bad:red             |
+      | A part beside one that more crashes name            | 1:red/r1/bad 2:red/r2/bad,b 2.5:lost 3:red/r3/bad,b      | bad:red             |
+      | Crashes with several teams                          | 1:red/r1/bad 2:blue/r2/bad                               | bad:all             |
+      | A second team after the first                       | 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad    | bad:red bad:all     |
+      | A team that sends a part of others with a crash     | 1:red/r1/evil,their 1:blue/r2/their 2:red/r3/evil,their  | evil:red their:red  |
+      | A part of others that is served meanwhile           | 1:red/r1/evil,their 2:ok/their 3:red/r3/evil,their       | evil:red            |
+      | Two harmful parts in turn                           | 1:red/r1/bad 2:red/r2/worse 3:red/r3/bad 4:red/r4/worse  | bad:red worse:red   |
+      | A crash long ago                                    | 1:red/r1/bad 700:red/r2/bad                              | -                   |
+      | A new leader that all crashes are reported to       | 1:red/r1/bad 2:lost 3:red/r2/bad                         | bad:red             |
+      | Half of the runners crash with what they run        | 1:red/r1/x 1.01:blue/r2/x 1.02:red/r3/x 1.03:blue/r4/x   | -                   |
+
+  Scenario: A harmful part is probed by one request at a time, over hours
+    Given a leader of gateways that report crashes of runners
+    When a part is quarantined, and each of 5 gateways asks for a probe every 2 s for 11 h, with a new leader each 3 h
+    Then 3 probes were granted, one after the other
+
+  Scenario Outline: A probe that <end>
+    Given a leader of gateways that report crashes of runners
+    When a part is quarantined, and its probe <end>
+    Then <result>
+
+    Examples:
+      | end                           | result                                        |
+      | succeeds                      | it is held no longer                          |
+      | crashes its runner            | it is held, and not probed for 8 minutes      |
+      | has no result                 | it is held again after 45 s, and not probed   |
+      | is granted as the leader ends | the next leader grants none before its result |
+
+  Scenario: The records of parts are bounded
+    When a leader and a gateway see 20000 parts in crashes, and as many succeed
+    Then each keeps 4000 of both, and reports 128 at a time
--- /dev/null
+++ b/features/steps/partevidence_steps.py
@@ -0,0 +1,230 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps for the evidence on parts of prompts, and for their quarantine."""
+
+import types
+
+from behave import given, then, when
+import trio
+
+from mountridge.control import partquarantine
+from mountridge.documents import promptparts
+from mountridge import messages, metrics
+from mountridge.routing import partrecords
+from mountridge.state import partevidence, statemachine
+
+ALL = promptparts.ALL_TEAMS
+
+
+def part(name):
+    return name.encode().ljust(16, b'.')
+
+
+def team(name):
+    return name.encode().ljust(8, b'.')
+
+
+class Leader:
+    """A leader's quarantine of parts, on scripted time."""
+
+    def __init__(self):
+        self.now_s, self.index = 0.0, 0
+        self.machine = statemachine.StateMachine()
+        self.app = types.SimpleNamespace(
+            now_s=lambda: self.now_s,
+            wall_s=lambda: 1e9 + self.now_s,
+            metrics=metrics.Metrics(None),
+        )
+        replica = types.SimpleNamespace(
+            check_leader=lambda: None, propose=self._propose
+        )
+        self.parts = partquarantine.PartQuarantine(
+            self.app, self.machine, replica, lambda: None
+        )
+        self.crashes, self.grants_s = [], []
+
+    async def _propose(self, payload):
+        self.index += 1
+        return self.machine.apply_payload(self.index, payload)
+
+    def report(self, crashes=(), successes=()):
+        """Report the (time, crash) pairs, and the parts that succeed now."""
+        aged = [
+            crash._replace(age_s=self.now_s - at_s) for at_s, crash in crashes
+        ]
+        good = [(part(name), 0.0) for name in successes]
+        report = messages.PartReport(aged, good)
+        trio.run(self.parts.on_report, None, report)
+
+    def crash(self, number, by, request, names):
+        """Report that a runner crashed beneath a request."""
+        new = [
+            (self.now_s, promptparts.PartCrash(
+                part(name), team(by), request.encode(), f'i-{number}', 1, 0,
+                0.0,
+            ))
+            for name in names
+        ]  # fmt: skip
+        self.crashes += new
+        self.report(new)
+
+    def take_probe(self, key):
+        peer = types.SimpleNamespace(name='e1')
+        order = messages.TakeProbe(key)
+        reply = trio.run(self.parts.on_take_probe, peer, order)
+        if reply.is_granted:
+            self.grants_s.append(self.now_s)
+        return reply.is_granted
+
+    def lose(self):
+        """Begin the term of another leader."""
+        self.parts.begin_term()
+        trio.run(self.parts.expire)
+
+    def held(self):
+        """Return the names of the parts that are held, and for whom."""
+        found = []
+        for key in self.machine.quarantine:
+            name = promptparts.part_of(key).rstrip(b'.').decode()
+            by = key[16:].rstrip(b'.').decode() if key[16:] != ALL else 'all'
+            found.append(f'{name}:{by}')
+        return ' '.join(sorted(found)) or '-'
+
+    def hold(self):
+        """Hold the part "bad" of the team "red"; return its key."""
+        for number in (1, 2):
+            self.now_s += 1
+            self.crash(number, 'red', f'r{number}', ['bad'])
+        assert self.held() == 'bad:red', self.held()
+        return part('bad') + team('red')
+
+
+@given('a leader of gateways that report crashes of runners')
+def leader(context):
+    context.leader = Leader()
+
+
+@when('gateways report {script}')
+def reports(context, script):
+    for step in script.split():
+        at_s, what = step.split(':')
+        context.leader.now_s = float(at_s)
+        if what == 'lost':
+            context.leader.lose()
+            context.leader.report(context.leader.crashes)
+        elif what.startswith('ok/'):
+            context.leader.report([], what[3:].split(','))
+        else:
+            by, request, names = what.split('/')
+            context.leader.crash(at_s, by, request, names.split(','))
+
+
+@then('the parts held are {expected}')
+def check_held(context, expected):
+    found = context.leader.held()
+    assert found == ' '.join(sorted(expected.split())), found
+
+
+@when(
+    'a part is quarantined, and each of {count:d} gateways asks for a probe'
+    ' every {each_s:d} s for {span_h:d} h, with a new leader each {lead_h:d} h'
+)
+def ask_for_hours(context, count, each_s, span_h, lead_h):
+    leader = context.leader
+    key = leader.hold()
+    gateways = [partrecords.PartRecords() for _ in range(count)]
+    for second in range(3, span_h * 3600, each_s):
+        leader.now_s = float(second)
+        if second % (lead_h * 3600) < each_s:
+            leader.lose()
+        trio.run(leader.parts.expire)
+        for number, gateway in enumerate(gateways):
+            gateway.update(leader.machine.quarantine.values(), leader.now_s)
+            if gateway.may_ask(key, leader.now_s) and leader.take_probe(key):
+                assert not leader.take_probe(key)
+                leader.now_s += 0.5
+                names = (f'r{second}', ['bad'])
+                leader.crash(f'{second}', 'red', *names)
+
+
+@then('{count:d} probes were granted, one after the other')
+def check_probes(context, count):
+    assert len(context.leader.grants_s) == count, context.leader.grants_s
+
+
+@when('a part is quarantined, and its probe {end}')
+def probe(context, end):
+    leader = context.leader
+    context.key = key = leader.hold()
+    leader.now_s += partrecords.PROBE_WAIT_S + 1
+    assert leader.take_probe(key)
+    leader.now_s += 1
+    if end == 'succeeds':
+        leader.report([], ['bad'])
+    elif end == 'crashes its runner':
+        leader.crash(3, 'red', 'r3', ['bad'])
+    elif end == 'is granted as the leader ends':
+        leader.lose()
+
+
+@then('it is held no longer')
+def check_released(context):
+    assert context.leader.held() == '-'
+
+
+@then('it is held, and not probed for 8 minutes')
+def check_not_probed(context):
+    leader = context.leader
+    assert leader.machine.quarantine[context.key].is_held
+    leader.now_s += 479
+    assert not leader.take_probe(context.key)
+    leader.now_s += 2
+    assert leader.take_probe(context.key)
+
+
+@then('it is held again after 45 s, and not probed')
+def check_held_again(context):
+    leader = context.leader
+    leader.now_s += 42
+    trio.run(leader.parts.expire)
+    assert not leader.machine.quarantine[context.key].is_held
+    leader.now_s += 3
+    trio.run(leader.parts.expire)
+    assert leader.machine.quarantine[context.key].is_held
+    assert not leader.take_probe(context.key)
+
+
+@then('the next leader grants none before its result')
+def check_no_grant(context):
+    leader = context.leader
+    for _ in range(44):
+        leader.now_s += 1
+        assert not leader.take_probe(context.key)
+
+
+@when(
+    'a leader and a gateway see {count:d} parts in crashes, and as many'
+    ' succeed'
+)
+def see_many(context, count):
+    context.evidence = partevidence.PartEvidence()
+    context.records = partrecords.PartRecords()
+    for number in range(count):
+        names = (f'{number}'.encode(), f'good{number}'.encode())
+        listed = partrecords.Parts(names[:1], team('red'))
+        runner = (f'i-{number}', 1, 0)
+        context.records.record_crash(listed, names[0], runner, 1.0)
+        good = partrecords.Parts(names[1:], team('red'))
+        context.records.record_success(good, 1.0)
+    report = context.records.make_report(1.0)
+    assert len(report.crashes) == partrecords.MAX_REPORTED, report
+
+
+@then('each keeps {kept:d} of both, and reports {most:d} at a time')
+def check_bounds(context, kept, most):
+    evidence = context.records._evidence
+    assert len(evidence._crashes) == kept
+    assert len(evidence._success_s) == kept
+    report = context.records.make_report(1.0)
+    assert len(report.crashes) == most
+    assert len(context.records._crashes) <= 4 * most
--- a/mountridge/control/partquarantine.py
+++ b/mountridge/control/partquarantine.py
@@ -210,7 +210,6 @@
         now_s = self._app.now_s()
         entries = self._entries()
         self._refresh(entries, now_s)
-        self._evidence.expire(now_s)
         for key, entry in entries.items():
             is_late = now_s - self._since[key][1] >= PROBE_RESULT_S
             if not entry.is_held and is_late and key not in self._changing:
--- a/mountridge/routing/partrecords.py
+++ b/mountridge/routing/partrecords.py
@@ -259,7 +259,6 @@
         """Return the next report to the leader, None if it would be empty."""
         while self._crashes and now_s - self._crashes[0][0] >= REPORT_FOR_S:
             self._crashes.popleft()
-        self._evidence.expire(now_s)
         crashes = [
             crash._replace(age_s=now_s - at_s) for at_s, crash in self._crashes
         ][-MAX_REPORTED:]
--- a/mountridge/state/partevidence.py
+++ b/mountridge/state/partevidence.py
@@ -127,7 +127,7 @@
         """Return whether there are crashes that count against a part."""
         return part in self._crashes
 
-    def expire(self, now_s: float) -> None:
+    def _expire(self, now_s: float) -> None:
         """Forget crashes that no longer count."""
         for part, seen in list(self._crashes.items()):
             for incarnation, crash in list(seen.items()):
@@ -145,6 +145,7 @@
         crashes name needs others. Parts that the same crashes name can't be
         told apart, and are quarantined together.
         """
+        self._expire(now_s)
         parts = {promptparts.part_of(key) for key in held}
         found = self._wider(held, now_s)
         while True:
