Soak: parts of prompts that crash runners, on ranks and plain runners

The emulated runners crash soon after they begin to answer a request with a harmful part; no two such requests are alike, and sound ones share the other parts. Checked: what reaches runners later than 4 s after the fifth crash, from entries in touch, and that no sound request is held back in the end.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,17 @@
       | good service is back        |
     And no process of the run remains
 
+  # Guards against requests that no two are alike and that crash runners.
+  Scenario: A short run with parts of prompts that crash runners breaks no rule
+    When seed 1 is run for 24 s with parts of prompts that crash runners
+    Then no rule is broken, and these rules were checked
+      | rule                                   |
+      | parts that crash runners are held back |
+      | sound requests are not held back       |
+      | good service is back                   |
+    And each harmful part has crashed a runner
+    And no process of the run remains
+
   # Guards against draws that lack a break, or that no caller could notice.
   Scenario: Each framing is drawn with each break that can be noticed
     When the framings of 5000 streams and 5000 bodies are drawn
@@ -69,6 +80,8 @@
       | a request to a leaving runner           | it arrives 3 s after its runner announced that it leaves        | who leaves gets nothing                   |
       | a limit that is exceeded                | 12 safe requests arrive 1 s after a limit of 1 a second         | named limits are kept                     |
       | a request that crashes too many runners | a request crashes 3 runners, and 4 more 5 s later               | requests that crash runners are held back |
+      | a part that crashes too many runners    | a part crashes 5 runners, and reaches 4 more 5 s later          | parts that crash runners are held back    |
+      | a sound request that is held back       | it is answered with 502 and the code of a quarantined part      | sound requests are not held back          |
       | two maps in a forward pass              | a forward pass runs with two maps                               | one map a pass                            |
       | a process that ends unexpectedly        | a process ends unexpectedly                                     | no process ends by itself                 |
       | a message that cannot be decoded        | the metrics of an entry count a malformed message               | processes read all messages               |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,7 +15,8 @@
 
 from mountridge import metrics
 from tools.soak import __main__ as soak_command
-from tools.soak import checks, framings, report, rolls, schedule
+from tools.soak import checks, framings, harmfulparts, report, rolls
+from tools.soak import schedule
 
 HERE = pathlib.Path('tools/soak')
 SIZES = yaml.safe_load((HERE / 'sizes.yaml').read_text())
@@ -76,6 +77,18 @@
     _run_soak(context, seed, '0.3', 'framings.yaml')
 
 
+@when('seed {seed:d} is run for 24 s with parts of prompts that crash runners')
+def run_parts_soak(context, seed):
+    _run_soak(context, seed, '0.4', 'parts.yaml')
+
+
+@then('each harmful part has crashed a runner')
+def check_harmful_crashes(context):
+    verdict = json.loads(context.completed.stdout)
+    for part in ('bad-chat', 'bad-read'):
+        assert verdict[f'crashes by {part}'] > 0, verdict
+
+
 def _run_soak(context, seed, minutes, sizes):
     context.folder = tempfile.mkdtemp()
     command = [sys.executable, '-m', 'tools.soak', 'run', '--seed', str(seed)]
@@ -320,6 +333,23 @@
     context.checker.sweep(NOW_S, 0, [])
 
 
+@when('a part crashes 5 runners, and reaches 4 more 5 s later')
+def crash_runners_by_part(context):
+    known = context.checker.harmful_parts
+    known.crashes_s[b'bad'] += [NOW_S - 9] * 5
+    for _ in range(4):
+        context.checker.record_harmful(b'bad', b'order-1', NOW_S - 4)
+    context.checker.sweep(NOW_S, 0, [])
+
+
+@when('it is answered with 502 and the code of a quarantined part')
+def answer_held_back(context):
+    body = json.dumps({'error': {'code': harmfulparts.QUARANTINED_CODE}})
+    answer = checks.Answer(502, {}, body.encode(), True, False)
+    context.checker.record_answer(context.request, answer, NOW_S)
+    context.checker.finish(1, 1, NOW_S - 1)
+
+
 @when('a forward pass runs with two maps')
 def run_pass_with_two_maps(context):
     context.checker.sweep(NOW_S, 1, [])
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,7 +10,7 @@
 import math
 import typing
 
-from tools.soak import announcements, report
+from tools.soak import announcements, harmfulparts, report
 
 __all__ = ['Answer', 'Checker', 'SentRequest']
 
@@ -80,6 +80,7 @@
         self.announcements = announcements.Announcements()
         #: Times of crashes caused by the request that crashes runners.
         self.crashes_s: list[float] = []
+        self.harmful_parts = harmfulparts.HarmfulParts(sizes)
         self.acked_version = self.sent_version = 0  # newest routes
         self._body_by_version: dict[int, bytes] = {}
         #: Newest version served, by entry and incarnation.
@@ -150,6 +151,9 @@
             status in DENIAL_STATUSES and request.kind['kind'] != 'probe'
         )
         self.check('no denials', not is_denied, asked=request, error=error)
+        is_held = error.get('code') == harmfulparts.QUARANTINED_CODE
+        if is_held and not self.harmful_parts.is_harmful(request.kind):
+            self.harmful_parts.refused_s.append(request.at_s)
 
     def _check_not_run(self, request_id: str) -> None:
         run_count = self.run_count(request_id)
@@ -382,6 +386,39 @@
         for service in self._repeated_sends_s:
             self._check_budget(service, now_s)
         self._check_crashes()
+        self._check_harmful_parts()
+
+    def record_harmful(
+        self, part: bytes, request_id: bytes, now_s: float
+    ) -> None:
+        """Record the arrival of a request that will crash its runner."""
+        request = self.sent_requests.get(request_id.decode('latin-1'))
+        if request is not None:
+            calm_from_s = now_s - self.sizes['calm_s']
+            in_touch = self.entry_had_no_faults(request.entry, calm_from_s)
+            arrival = (request.entry, now_s, in_touch)
+            self.harmful_parts.arrivals[part].append(arrival)
+
+    def _check_harmful_parts(self) -> None:
+        """Check that a part that crashed runners reaches few others."""
+        for part in list(self.harmful_parts.crashes_s):
+            further = self.harmful_parts.further(part)
+            self.check(
+                'parts that crash runners are held back',
+                len(further) <= harmfulparts.MAX_FURTHER,
+                part=part,
+                further=further,
+            )
+
+    def _check_sound(self, quiet_from_s: float) -> None:
+        """Check that no sound request is held back in the end."""
+        late_s = [
+            at_s
+            for at_s in self.harmful_parts.refused_s
+            if at_s > quiet_from_s
+        ]
+        rule = 'sound requests are not held back'
+        self.check(rule, not late_s, at_s=late_s)
 
     def _check_crashes(self) -> None:
         """Check that a request that crashed runners reaches few others."""
@@ -411,8 +448,11 @@
         rule = 'repeated sends in budget'
         self.check(rule, sent <= limit, to=service, sent=sent, most=limit)
 
-    def finish(self, served: int, asked: int) -> None:
+    def finish(
+        self, served: int, asked: int, quiet_from_s: float = math.inf
+    ) -> None:
         """Check the final service level, and the permanent rules again."""
+        self._check_sound(quiet_from_s)
         is_good = served >= self.sizes['served_part'] * max(1, asked)
         self.check('good service is back', is_good, served=served, of=asked)
         for request_id in self.reported_not_run:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -147,7 +147,7 @@
             for runner in self.emulated.runners:
                 if runner.hall == hall:
                     nursery.start_soon(
-                        self._restart_runner, runner, fault.span_s
+                        self.restart_runner, runner, fault.span_s
                     )
 
     async def _stop(self, name: str, span_s: float) -> None:
@@ -196,7 +196,7 @@
             fault, [r for r in all_runners if service in (None, r.service)]
         )
         if fault_name == 'restart':
-            await self._restart_runner(runner, fault.span_s)
+            await self.restart_runner(runner, fault.span_s)
         elif fault_name == 'rest':
             runner.backoff_s = MIN_BACKOFF_S + EXTRA_BACKOFF_S * fault.strength
             await trio.sleep(fault.span_s)
@@ -204,7 +204,7 @@
         elif fault_name == 'leave':
             runner.is_leaving = True
             await trio.sleep(fault.span_s)
-            await self._restart_runner(runner, RESTART_S)
+            await self.restart_runner(runner, RESTART_S)
         elif fault_name == 'limit':
             await self._limit_runner(runner, fault)
         elif fault_name == 'broken':
@@ -248,9 +248,9 @@
             runner.broken_off = 0.0
             if runner.is_ending.is_set():
                 await trio.sleep(ENDING_S)
-                await self._restart_runner(runner, RESTART_S)
+                await self.restart_runner(runner, RESTART_S)
 
-    async def _restart_runner(
+    async def restart_runner(
         self, runner: runners.Runner, span_s: float
     ) -> None:
         """End a runner and start it again; its group forms again, if any."""
--- a/tools/soak/loads.py
+++ b/tools/soak/loads.py
@@ -10,7 +10,7 @@
 
 from mountridge import errors
 from mountridge.net import dialects, lasthop
-from tools.soak import checks, fleet, links
+from tools.soak import checks, fleet, harmfulparts, links
 
 __all__ = ['Caller']
 
@@ -104,6 +104,9 @@
             (NAMES.token_counts, b'%d,%d' % (kind['prompt'], kind['output'])),
             (b'Content-Length', b'%d' % len(body)),
         ]
+        if 'parts' in kind:
+            parts = harmfulparts.header(kind, request.request_id)
+            headers.append((NAMES.prefix_parts, parts))
         # Some kinds send an identical request each time, from any caller.
         name = kind.get('same') or request.request_id
         target = f'/{kind["name"]}/{name}'.encode()
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -21,6 +21,11 @@
 #: Path prefix of requests that crash the runner that starts them.
 CRASHING_PATH = b'/killer/'
 CRASH_DOWN_S = 2.0
+#: How long a request with a harmful part runs until its runner crashes.
+BEGIN_S = (0.01, 0.12)
+BEGIN_POLL_S = 0.005
+#: How long a request with a harmful part waits to be run, at most.
+MAX_WAIT_S = 8.0
 #: Bytes that are not a valid HTTP response.
 GARBLED = b'\x00\x17 not an answer \r\n\r\n'
 
@@ -51,6 +56,9 @@
         #: Set when the process is about to end in the middle of an answer.
         self.is_ending = trio.Event()
         self.cold_until_s = 0.0
+        #: Ends this incarnation and starts the next one later; set by the run.
+        self.crash: typing.Callable[[], None] = lambda: None
+        self._nursery: trio.Nursery | None = None
         self._down_s = 0.0  # until the next incarnation
         self._incarnation = trio.CancelScope()
 
@@ -70,6 +78,7 @@
             server = httpserver.Server(handler, limits, lambda: False)
             with trio.CancelScope() as self._incarnation:
                 async with trio.open_nursery() as nursery:
+                    self._nursery = nursery
                     nursery.start_soon(server.run, self.address)
                     nursery.start_soon(self._register, system, checker)
             self.link.refuse()
@@ -117,6 +126,12 @@
                     checker.crashes_s.append(now_s)
                     self.end(CRASH_DOWN_S)
                     await trio.sleep_forever()
+                part = checker.harmful_parts.of(
+                    request.header(NAMES.prefix_parts)
+                )
+                if part is not None:
+                    checker.record_harmful(part, request_id, now_s)
+                    await self._run_harmful(part, responder, rng, checker)
                 if frames:
                     responder = self._framing(
                         request_id, responder, rng, checker
@@ -144,6 +159,39 @@
 
         return handle
 
+    async def _run_harmful(
+        self,
+        part: bytes,
+        responder: httpserver.Responder,
+        rng: random.Random,
+        checker: checks.Checker,
+    ) -> None:
+        """Crash soon after a request with a harmful part begins to run.
+
+        A stream crashes the runner after it has begun its answer, another
+        request before that.
+        """
+        span_s = rng.uniform(*BEGIN_S)
+
+        async def crash() -> None:
+            await trio.sleep(span_s)
+            crashed_s = trio.current_time()
+            checker.harmful_parts.crashes_s[part].append(crashed_s)
+            self.crash()
+
+        async def crash_once_begun() -> None:
+            with trio.move_on_after(MAX_WAIT_S):
+                while not responder.started:
+                    await trio.sleep(BEGIN_POLL_S)
+            if responder.started and not responder.finished:
+                await crash()
+
+        if self.service == 'llm':
+            self._nursery.start_soon(crash_once_begun)
+            return
+        await crash()
+        await trio.sleep_forever()
+
     def _framing(
         self,
         request_id: bytes,
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -2,6 +2,7 @@
 
 """One run: starts the system, executes the plan, checks and cleans up."""
 
+import functools
 import json
 import pathlib
 import random
@@ -57,6 +58,12 @@
                 nursery.start_soon(link.run)
             nursery.start_soon(self.emulated.ranks.run_passes)
             for runner in self.emulated.runners:
+                runner.crash = functools.partial(
+                    nursery.start_soon,
+                    self.faults.restart_runner,
+                    runner,
+                    runners.CRASH_DOWN_S,
+                )
                 nursery.start_soon(runner.run, self.system, self.checker)
             with trio.fail_after(START_S):
                 await self.operator.put_first_routes()
@@ -75,6 +82,11 @@
             await self._assess_recovery()
             nursery.cancel_scope.cancel()
         counts = dict(zip(('asked', 'served'), self._counts()))
+        crashes = self.checker.harmful_parts.crashes_s
+        counts |= {
+            f'crashes by {part.decode()}': len(times_s)
+            for part, times_s in crashes.items()
+        }
         return self.report.end({'passes': self.emulated.group.step, **counts})
 
     def _start_plan(self, nursery: trio.Nursery) -> None:
@@ -110,7 +122,9 @@
             )
         if self.planned_rolls:
             self.rolls.check_builds()
-        self.checker.finish(served - served_before, asked - asked_before)
+        self.checker.finish(
+            served - served_before, asked - asked_before, quiet_from_s
+        )
 
     def _counts(self) -> tuple[int, int]:
         asked = sum(caller.asked for caller in self.callers)
