Scenarios of whom a crash implicates, and mutants of the quarantine of parts

Answers that have gone on for a while are not suspected, short or stalled ones are; the last part of a prompt never is. 22 mutants of the mechanisms.

--- a/features/harmfulparts.feature
+++ b/features/harmfulparts.feature
@@ -49,3 +49,21 @@
     Given 8 agents with a runner each
     When the same request is sent every second through another gateway for 20 s
     Then it has crashed at most 3 runners, and is refused as quarantined
+
+  Scenario Outline: An answer that <progress> when its runner crashes is <suspect>
+    Given a gateway whose runner crashes beneath a request with a part in its prompt
+    When its answer <progress>
+    Then the part is <suspect>
+
+    Examples:
+      | progress                      | suspect      |
+      | has not begun                 | suspected    |
+      | has 2 events in 0.08 s        | suspected    |
+      | has 2 events in 3 s           | suspected    |
+      | has 12 events in 0.2 s        | suspected    |
+      | has 12 events in 0.7 s        | not suspected |
+
+  Scenario: The last part of a prompt is its request's own, and is never held back
+    Given 6 runners of a plain service
+    When requests of which each names a harmful last part of its own are sent, and sound ones with the same first part
+    Then no part is quarantined
--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -2,11 +2,18 @@
 
 """Steps for the quarantine of parts of prompts that crash their runners."""
 
-from behave import then, when
+from functools import partial
+import types
+
+from behave import given, then, when
 import trio
 
 from features.worlds import crashes
-from mountridge import errors
+from mountridge.documents import instances, promptparts
+from mountridge import errors, metrics
+from mountridge.net import dialects, httpserver
+from mountridge.routing import backoffs, crashwatch, partrecords
+from mountridge.routing import quarantine, routedexchanges
 
 QUARANTINED = errors.RequestHeldBack.code
 HARMFUL_FROM_S, HARMFUL_PER_S, SOUND_PER_S = 5.0, 4, 30
@@ -184,3 +191,84 @@
     for part, refused_s in context.load.refused_s.items():
         longest = refused_s[-1] - refused_s[0]
         assert longest <= longest_s, (part, refused_s[0], refused_s[-1])
+
+
+@given(
+    'a gateway whose runner crashes beneath a request with a part in its'
+    ' prompt'
+)
+def gateway_with_crash(context):
+    context.records = partrecords.PartRecords()
+    app = types.SimpleNamespace(
+        now_s=lambda: 10.0, metrics=metrics.Metrics(None)
+    )
+    context.watch = crashwatch.CrashWatch(
+        app,
+        quarantine.Quarantine(),
+        context.records,
+        backoffs.Backoffs(),
+        lambda _: True,
+    )
+
+
+@when('its answer has not begun')
+def no_answer(context):
+    _crash_beneath(context, 0, None)
+
+
+@when('its answer has {count:d} events in {span_s:g} s')
+def answer_with_events(context, count, span_s):
+    _crash_beneath(context, count, 10.0 - span_s)
+
+
+def _crash_beneath(context, events, began_s):
+    headers = [(b'x-prefix-parts', b'shared:10,own:20')]
+    request = httpserver.Request(b'POST', b'/1', headers, b'body')
+    exchange = routedexchanges.Exchange(request, None, 0.0)
+    names = dialects.NATIVE.headers
+    exchange.request_head = dialects.read_request_head(request, names)
+    exchange.events_sent, exchange.attempt_data_s = events, began_s
+    runner = instances.Instance('i', 's', '', '', '', 1, instances.READY)
+
+    async def refuses_connections(address, timeout_s=None):
+        return True
+
+    pool = types.SimpleNamespace(refuses_connections=refuses_connections)
+    problem = errors.BadAnswer('cut')
+    trio.run(context.watch.check_attempt, exchange, runner, problem, pool)
+
+
+@then('the part is {suspect}')
+def check_suspect(context, suspect):
+    report = context.records.make_report(10.0)
+    assert (report is not None) == (suspect == 'suspected'), report
+
+
+@when(
+    'requests of which each names a harmful last part of its own are sent, and'
+    ' sound ones with the same first part'
+)
+def last_parts(context):
+    async def script(play):
+        async with trio.open_nursery() as nursery:
+            for number in range(80):
+                last = b'own%d' % (number % 4)
+                is_harmful = number % 8 == 0
+                body = b'kill %d' if is_harmful else b'sound %d'
+                if is_harmful:
+                    last = b'their own'
+                nursery.start_soon(
+                    partial(play.ask, parts=(b'first', last)),
+                    play.world.entries[number % 3],
+                    body % number,
+                )
+                await trio.sleep(0.25)
+        context.listed = await play.world.daemons['e1'].read_quarantine()
+
+    crashes.play(context, script, **context.sizes)
+
+
+@then('no part is quarantined')
+def check_no_part(context):
+    parts = [x for x in context.listed if promptparts.is_part(x.digest)]
+    assert not parts, parts
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -823,7 +823,7 @@
     ),
     Mutant(
         'quarantine: no exemption of streams with progress', 'crashwatch',
-        'exchange.is_suspect = exchange.events_sent == exchange.events_before',
+        'exchange.is_suspect = _may_have_crashed(exchange, now_s)',
         'exchange.is_suspect = True', 'quarantine',
     ),
     Mutant(
@@ -837,7 +837,7 @@
     ),
     Mutant(
         'quarantine: no immediate report of success', 'entry',
-        'self.forwarder.crashes.on_success = self.crash_reporter.wake', 'pass',
+        'crashes.on_success = self.crash_reporter.wake', 'pass',
         'quarantine',
     ),
     Mutant(
@@ -874,6 +874,110 @@
         'quarantine: no update of the view', 'entry',
         '        self._update_quarantine()\n', '', 'quarantine',
     ),
+    Mutant(
+        'parts: no check right before a send', 'forwarding',
+        'self.crashes.check_parts(exchange)', 'pass', 'harmfulparts',
+        'a group, the middle',
+    ),
+    Mutant(
+        'parts: no check on arrival', 'forwarding',
+        'await self.crashes.admit(exchange)', 'pass', 'harmfulparts',
+        'others use',
+    ),
+    Mutant(
+        'parts: the last part counts too', 'dialects',
+        "MAX_PREFIX_PARTS)[:-1]", 'MAX_PREFIX_PARTS)', 'harmfulparts',
+        'The last part',
+    ),
+    Mutant(
+        'parts: a request that crashes two runners holds its parts',
+        'partevidence',
+        'return not set.intersection(*(each.requests for each in '
+        'seen.values()))',
+        'return True', 'partevidence',
+    ),
+    Mutant(
+        'parts: runners that crash together count apart', 'partevidence',
+        'if at_s - last_s > SAME_CRASH_S:', 'if True:', 'partevidence',
+    ),
+    Mutant(
+        'parts: a success clears nothing', 'partevidence',
+        'if crash.at_s <= latest_s:', 'if False:', 'partevidence',
+    ),
+    Mutant(
+        'parts: no higher threshold for proven parts', 'partevidence',
+        'needed = CRASHES_IF_PROVEN', 'pass', 'partevidence',
+    ),
+    Mutant(
+        'parts: crashes are explained by no other part', 'partevidence',
+        'if incarnation not in explained', 'if True', 'partevidence',
+    ),
+    Mutant(
+        'parts: a team holds the parts of all teams', 'partevidence',
+        'teams = _common_teams(seen) or {promptparts.ALL_TEAMS}',
+        'teams = {promptparts.ALL_TEAMS}', 'partevidence',
+    ),
+    Mutant(
+        'parts: no quarantine for all teams', 'partevidence',
+        'found = self._wider(held, now_s)', 'found = []', 'partevidence',
+    ),
+    Mutant(
+        'parts: crashes count for ever', 'partevidence',
+        'self._expire(now_s)', 'pass', 'partevidence',
+    ),
+    Mutant(
+        'parts: no limit on probes', 'partquarantine',
+        'if now_s - since_s < partrecords.probe_wait_s(order.key, entries):',
+        'if False:', 'partevidence',
+    ),
+    Mutant(
+        'parts: several probes at a time', 'partquarantine',
+        'if entry is None or not is_free:', 'if entry is None:',
+        'partevidence',
+    ),
+    Mutant(
+        'parts: a failed probe is not quarantined again', 'partquarantine',
+        'await self._quarantine(key, 1)', 'pass', 'partevidence',
+    ),
+    Mutant(
+        'parts: a probe without a result is never ended', 'partquarantine',
+        'if not entry.is_held and is_late and key not in self._changing:',
+        'if False:', 'partevidence',
+    ),
+    Mutant(
+        'parts: no release after a success', 'partquarantine',
+        "await self._release(key, 'succeeded')", 'pass', 'partevidence',
+    ),
+    Mutant(
+        'parts: no evidence of its own without a leader', 'partrecords',
+        'own = self._own_verdicts if self._is_alone(now_s) else {}',
+        'own = {}', 'harmfulparts', 'partitioned',
+    ),
+    Mutant(
+        'parts: no report of crashes by part', 'crashreports',
+        'parts = self._parts.make_report(now_s)', 'parts = None',
+        'harmfulparts', 'a plain service, the middle one, while nothing',
+    ),
+    Mutant(
+        'parts: no report of an earlier success', 'partrecords',
+        'self._unreported[part] = self._evidence.success_s(part)', 'pass',
+        'harmfulparts',
+    ),
+    Mutant(
+        'parts: long answers are suspects too', 'crashwatch',
+        'return began_s is not None and now_s - began_s < BEGUN_S',
+        'return True', 'harmfulparts', 'An answer that',
+    ),
+    Mutant(
+        'parts: agents detect no crash', 'agent',
+        'crashed_life = await self._detect_crash()', 'pass', 'harmfulparts',
+        'behind agents',
+    ),
+    Mutant(
+        'parts: no quarantine of requests behind agents', 'crashes',
+        'if self._requests.is_quarantined(exchange.digest, now_s):',
+        'if False:', 'harmfulparts', 'behind agents',
+    ),
     Mutant(
         'last hop: no keep-alive timeout from the server', 'lasthop',
         'if announced_s is not None:', 'if False:',
