A part that is held for a team and for all is probed as one

Cause: a request had two keys of quarantine for one part, and requests with two never probe, so an innocent part in this state was held until an operator released it.

Own verdicts of a gateway are formed only where the leader does not answer, and the records to report are bounded together with their counters.

--- a/features/partevidence.feature
+++ b/features/partevidence.feature
@@ -31,7 +31,7 @@
 
   Scenario: A harmful part is probed by one request at a time, over hours
     Given a leader of gateways that report crashes of runners
-    When a part is quarantined, and each of 5 gateways asks for a probe every 2 s for 11 h, with a new leader each 3 h
+    When a part is quarantined, and each of 5 gateways asks for a probe every 10 s for 11 h, with a new leader each 3 h
     Then 3 probes were granted, one after the other
 
   Scenario Outline: A probe that <end>
@@ -46,6 +46,11 @@
       | has no result                 | it is held again after 45 s, and not probed   |
       | is granted as the leader ends | the next leader grants none before its result |
 
+  Scenario: A part that is held for a team and for all is probed as one
+    Given a leader of gateways that report crashes of runners
+    When gateways report 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad
+    Then a request of either team has one key to probe, and its success releases both
+
   Scenario: The records of parts are bounded
-    When a leader and a gateway see 20000 parts in crashes, and as many succeed
+    When a leader and a gateway see 6000 parts in crashes, and as many succeed
     Then each keeps 4000 of both, and reports 128 at a time
--- a/mountridge/routing/partrecords.py
+++ b/mountridge/routing/partrecords.py
@@ -36,6 +36,8 @@
 #: Most crashes and most successes in one report, the latest ones; about 80 and
 #: 30 bytes each.
 MAX_REPORTED = 128
+#: Crashes that are kept to report them again, with the requests of each.
+MAX_KEPT = 512
 #: Requests of one team that are reported for a part and the crash of a runner:
 #: with a second one it is known that not one request alone crashes runners.
 REQUESTS_REPORTED = 2
@@ -85,7 +87,9 @@
         #: Crashes to report, with their times.
         self._crashes: collections.deque[
             tuple[float, promptparts.PartCrash]
-        ] = collections.deque(maxlen=4 * MAX_REPORTED)
+        ] = collections.deque()
+        #: Requests among them by part, team and runner.
+        self._reported: collections.Counter[tuple] = collections.Counter()
         #: Parts whose last success the leader may not know.
         self._unreported: dict[bytes, float] = {}
         #: Crashes up to this time have been acknowledged by the leader.
@@ -93,6 +97,7 @@
         self._last_crash_s = float('-inf')
         #: What this gateway would quarantine, until when.
         self._own_verdicts: dict[bytes, float] = {}
+        self._is_judged = True
         self._probes: dict[bytes, _Probe] = {}
         self._asked_s: dict[bytes, float] = {}
 
@@ -121,23 +126,13 @@
                 part, parts.team, request, *incarnation, 0.0
             )
             self._evidence.record_crash(crash, now_s)
-            alike = sum(
-                (each.part, each.team, each.incarnation)
-                == (part, parts.team, incarnation)
-                for _, each in self._crashes
-            )
-            if alike < REQUESTS_REPORTED:
+            alike = (part, parts.team, incarnation)
+            self._reported[alike] += 1
+            if self._reported[alike] <= REQUESTS_REPORTED:
                 self._crashes.append((now_s, crash))
-        if not parts.digests:
-            return
-        self._last_crash_s = now_s
-        self._own_verdicts = {
-            key: until_s
-            for key, until_s in self._own_verdicts.items()
-            if now_s < until_s
-        }
-        for verdict in self._evidence.verdicts(self._own_verdicts, now_s):
-            self._own_verdicts[verdict.key] = now_s + OWN_HOLD_S
+                if len(self._crashes) > MAX_KEPT:
+                    self._drop_oldest()
+            self._last_crash_s, self._is_judged = now_s, False
 
     def record_success(self, parts: Parts, now_s: float) -> bool:
         """Record that a runner has answered a request completely.
@@ -193,20 +188,35 @@
         return any(promptparts.part_of(key) == part for key in self._listed)
 
     def held(self, parts: Parts, now_s: float) -> list[bytes]:
-        """Return the keys of the quarantines that concern a request."""
-        if not self._listed and not self._own_verdicts:
+        """Return the keys of the quarantines that concern a request.
+
+        One for each part: where it is quarantined for all teams and for the
+        request's too, the key of the former.
+        """
+        own = self._own(now_s) if self._is_alone(now_s) else {}
+        if not self._listed and not own:
             return []
-        keys = [
-            promptparts.part_key(part, team)
-            for part in parts.digests
-            for team in (parts.team, promptparts.ALL_TEAMS)
-        ]
-        own = self._own_verdicts if self._is_alone(now_s) else {}
-        return [
-            key
-            for key in keys
-            if key in self._listed or now_s < own.get(key, now_s)
-        ]
+        found = []
+        for part in parts.digests:
+            for team in (promptparts.ALL_TEAMS, parts.team):
+                key = promptparts.part_key(part, team)
+                if key in self._listed or now_s < own.get(key, now_s):
+                    found.append(key)
+                    break
+        return found
+
+    def _own(self, now_s: float) -> dict[bytes, float]:
+        """Return what this gateway would quarantine, until when."""
+        if not self._is_judged:
+            self._is_judged = True
+            self._own_verdicts = {
+                key: until_s
+                for key, until_s in self._own_verdicts.items()
+                if now_s < until_s
+            }
+            for verdict in self._evidence.verdicts(self._own_verdicts, now_s):
+                self._own_verdicts[verdict.key] = now_s + OWN_HOLD_S
+        return self._own_verdicts
 
     def _is_alone(self, now_s: float) -> bool:
         """Return whether the leader does not answer reports of crashes."""
@@ -258,7 +268,7 @@
     def make_report(self, now_s: float) -> messages.PartReport | None:
         """Return the next report to the leader, None if it would be empty."""
         while self._crashes and now_s - self._crashes[0][0] >= REPORT_FOR_S:
-            self._crashes.popleft()
+            self._drop_oldest()
         crashes = [
             crash._replace(age_s=now_s - at_s) for at_s, crash in self._crashes
         ][-MAX_REPORTED:]
@@ -272,6 +282,10 @@
         ages = [(part, now_s - at_s) for part, at_s in successes.items()]
         return messages.PartReport(crashes, ages[:MAX_REPORTED])
 
+    def _drop_oldest(self) -> None:
+        _, crash = self._crashes.popleft()
+        self._reported.pop((crash.part, crash.team, crash.incarnation), None)
+
     def acknowledge(
         self, report: messages.PartReport, reported_s: float
     ) -> None:
--- a/mountridge/state/partevidence.py
+++ b/mountridge/state/partevidence.py
@@ -33,6 +33,8 @@
 #: Crashes of a part that are kept, and requests and teams of each.
 MAX_CRASHES, MAX_NAMED = 16, 64
 
+EXPIRE_INTERVAL_S = 5.0
+
 Incarnation = tuple[str, int, int]
 NEVER_S = float('-inf')
 
@@ -71,6 +73,7 @@
         self._crashes: collections.OrderedDict[bytes, _Crashes] = (
             collections.OrderedDict()
         )
+        self._expired_s = NEVER_S
         self._success_s: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
@@ -128,7 +131,10 @@
         return part in self._crashes
 
     def _expire(self, now_s: float) -> None:
-        """Forget crashes that no longer count."""
+        """Forget crashes that no longer count, at intervals."""
+        if now_s - self._expired_s < EXPIRE_INTERVAL_S:
+            return
+        self._expired_s = now_s
         for part, seen in list(self._crashes.items()):
             for incarnation, crash in list(seen.items()):
                 if now_s - crash.at_s >= quarantines.CRASH_TTL_S:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -950,7 +950,7 @@
     ),
     Mutant(
         'parts: no evidence of its own without a leader', 'partrecords',
-        'own = self._own_verdicts if self._is_alone(now_s) else {}',
+        'own = self._own(now_s) if self._is_alone(now_s) else {}',
         'own = {}', 'harmfulparts', 'partitioned',
     ),
     Mutant(
