Of parts that come together in crashes, quarantine the one in fewest requests

Cause: parts that the same crashes name were all held, and only requests with a single one could probe.

Now the part that the fewest requests of the crashes have is held, once the reports of other gateways on the same crash are in (50 ms). Where that leaves several, a request with some of them may probe those at once, one with all may not; a failed probe releases the parts that it explains.

--- a/features/partevidence.feature
+++ b/features/partevidence.feature
@@ -19,10 +19,13 @@
       | A part that served others, and crashes them now     | 0:ok/a 1:red/r1/a 2:red/r2/a 3:red/r3/a 4:red/r4/a       | a:red               |
       | Two parts that always come together                 | 1:red/r1/bad,too 2:red/r2/bad,too                        | bad:red too:red     |
       | A part that comes with another, and then serves     | 1:red/r1/bad,too 2:red/r2/bad,too 3:ok/too               | bad:red             |
+      | A part in few of the requests that crashes name     | 1:red/r1/bad,a 2:red/r2/bad,a+red/r3/a                   | bad:red             |
+      | A part in most of the requests, which does crash    | 1:red/r1/b,a 2:red/r2/b,a+red/r3/a 3:red/r4/a 4:red/r5/a | a:red b:red       |
       | A part beside one that more crashes name            | 1:red/r1/bad 2:red/r2/bad,b 2.5:lost 3:red/r3/bad,b      | bad:red             |
       | Crashes with several teams                          | 1:red/r1/bad 2:blue/r2/bad                               | bad:all             |
       | A second team after the first                       | 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad    | bad:red bad:all     |
-      | A team that sends a part of others with a crash     | 1:red/r1/evil,their 1:blue/r2/their 2:red/r3/evil,their  | evil:red their:red  |
+      | A team that sends a part of others with each crash  | 1:red/r1/evil,their 2:red/r3/evil,their                  | evil:red their:red  |
+      | A part of others who are beside it                  | 1:red/r1/evil,their+blue/r2/their 2:red/r3/evil,their    | evil:red            |
       | A part of others that is served meanwhile           | 1:red/r1/evil,their 2:ok/their 3:red/r3/evil,their       | evil:red            |
       | Two harmful parts in turn                           | 1:red/r1/bad 2:red/r2/worse 3:red/r3/bad 4:red/r4/worse  | bad:red worse:red   |
       | A crash long ago                                    | 1:red/r1/bad 700:red/r2/bad                              | -                   |
@@ -46,6 +49,19 @@
       | has no result                 | it is held again after 45 s, and not probed   |
       | is granted as the leader ends | the next leader grants none before its result |
 
+  Scenario Outline: Of parts quarantined together, <what> are probed by <request>
+    Given a leader of gateways that report crashes of runners
+    When gateways report 1:red/r1/bad,first,mid 2:red/r2/bad,first,mid
+    And 6 s later a request with the parts <request> asks for a probe
+    Then it is <granted>, and if it <ends> the parts held are <held>
+
+    Examples:
+      | what        | request       | granted | ends      | held                      |
+      | the others  | first,mid     | granted | succeeds  | bad:red                   |
+      | two of them | bad,first     | granted | crashes   | bad:red first:red         |
+      | one of them | bad           | granted | crashes   | bad:red                   |
+      | all of them | bad,first,mid | refused | -         | bad:red first:red mid:red |
+
   Scenario: A part that is held for a team and for all is probed as one
     Given a leader of gateways that report crashes of runners
     When gateways report 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad
--- a/features/steps/partevidence_steps.py
+++ b/features/steps/partevidence_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 import trio
+import trio.testing
 
 from mountridge.control import partquarantine
 from mountridge.documents import promptparts
@@ -24,6 +25,12 @@
     return name.encode().ljust(8, b'.')
 
 
+def run(function, *args):
+    """Run a function on virtual time."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *args, clock=clock)
+
+
 class Leader:
     """A leader's quarantine of parts, on scripted time."""
 
@@ -54,24 +61,30 @@
         ]
         good = [(part(name), 0.0) for name in successes]
         report = messages.PartReport(aged, good)
-        trio.run(self.parts.on_report, None, report)
-
-    def crash(self, number, by, request, names):
-        """Report that a runner crashed beneath a request."""
-        new = [
-            (self.now_s, promptparts.PartCrash(
-                part(name), team(by), request.encode(), f'i-{number}', 1, 0,
-                0.0,
-            ))
-            for name in names
-        ]  # fmt: skip
+        run(self.parts.on_report, None, report)
+
+    def crash(self, number, *beneath):
+        """Report that a runner crashed, and beneath which requests.
+
+        Each is TEAM/REQUEST/PARTS.
+        """
+        new = []
+        for each in beneath:
+            by, request, names = each.split('/')
+            new += [
+                (self.now_s, promptparts.PartCrash(
+                    part(name), team(by), request.encode(), f'i-{number}', 1,
+                    0, 0.0,
+                ))
+                for name in names.split(',')
+            ]  # fmt: skip
         self.crashes += new
         self.report(new)
 
-    def take_probe(self, key):
+    def take_probe(self, *keys):
         peer = types.SimpleNamespace(name='e1')
-        order = messages.TakeProbe(key)
-        reply = trio.run(self.parts.on_take_probe, peer, order)
+        order = messages.TakeProbe(list(keys))
+        reply = run(self.parts.on_take_probe, peer, order)
         if reply.is_granted:
             self.grants_s.append(self.now_s)
         return reply.is_granted
@@ -79,7 +92,7 @@
     def lose(self):
         """Begin the term of another leader."""
         self.parts.begin_term()
-        trio.run(self.parts.expire)
+        run(self.parts.expire)
 
     def held(self):
         """Return the names of the parts that are held, and for whom."""
@@ -94,7 +107,7 @@
         """Hold the part "bad" of the team "red"; return its key."""
         for number in (1, 2):
             self.now_s += 1
-            self.crash(number, 'red', f'r{number}', ['bad'])
+            self.crash(number, f'red/r{number}/bad')
         assert self.held() == 'bad:red', self.held()
         return part('bad') + team('red')
 
@@ -115,8 +128,7 @@
         elif what.startswith('ok/'):
             context.leader.report([], what[3:].split(','))
         else:
-            by, request, names = what.split('/')
-            context.leader.crash(at_s, by, request, names.split(','))
+            context.leader.crash(at_s, *what.split('+'))
 
 
 @then('the parts held are {expected}')
@@ -137,14 +149,15 @@
         leader.now_s = float(second)
         if second % (lead_h * 3600) < each_s:
             leader.lose()
-        trio.run(leader.parts.expire)
+        run(leader.parts.expire)
         for number, gateway in enumerate(gateways):
             gateway.update(leader.machine.quarantine.values(), leader.now_s)
-            if gateway.may_ask(key, leader.now_s) and leader.take_probe(key):
+            if gateway.may_ask((key,), leader.now_s) and leader.take_probe(
+                key
+            ):
                 assert not leader.take_probe(key)
                 leader.now_s += 0.5
-                names = (f'r{second}', ['bad'])
-                leader.crash(f'{second}', 'red', *names)
+                leader.crash(second, f'red/r{second}/bad')
 
 
 @then('{count:d} probes were granted, one after the other')
@@ -162,7 +175,7 @@
     if end == 'succeeds':
         leader.report([], ['bad'])
     elif end == 'crashes its runner':
-        leader.crash(3, 'red', 'r3', ['bad'])
+        leader.crash(3, 'red/r3/bad')
     elif end == 'is granted as the leader ends':
         leader.lose()
 
@@ -186,10 +199,10 @@
 def check_held_again(context):
     leader = context.leader
     leader.now_s += 42
-    trio.run(leader.parts.expire)
+    run(leader.parts.expire)
     assert not leader.machine.quarantine[context.key].is_held
     leader.now_s += 3
-    trio.run(leader.parts.expire)
+    run(leader.parts.expire)
     assert leader.machine.quarantine[context.key].is_held
     assert not leader.take_probe(context.key)
 
@@ -247,3 +260,23 @@
     leader.now_s += 1
     leader.report([], ['bad'])
     assert leader.held() == '-', leader.held()
+
+
+@when('6 s later a request with the parts {names} asks for a probe')
+def ask_for_probe(context, names):
+    leader, context.names = context.leader, names.split(',')
+    leader.now_s += 6
+    keys = [part(name) + team('red') for name in context.names]
+    context.is_granted = leader.take_probe(*keys)
+
+
+@then('it is {granted}, and if it {end} the parts held are {held}')
+def check_grant(context, granted, end, held):
+    leader = context.leader
+    assert context.is_granted == (granted == 'granted')
+    leader.now_s += 1
+    if end == 'succeeds':
+        leader.report([], context.names)
+    elif end == 'crashes':
+        leader.crash(3, f'red/r3/{",".join(context.names)}')
+    assert leader.held() == held, leader.held()
--- a/mountridge/control/partquarantine.py
+++ b/mountridge/control/partquarantine.py
@@ -10,6 +10,8 @@
 
 import typing
 
+import trio
+
 from mountridge import application, errors, messages
 from mountridge.consensus import replicas
 from mountridge.documents import promptparts, quarantines
@@ -22,6 +24,9 @@
 #: After a granted probe without a result the part is quarantined again. Longer
 #: than a gateway may use it, plus its last request.
 PROBE_RESULT_S = partrecords.PROBE_S + 15.0
+#: Time for the reports of other gateways on the same crash, which show who
+#: else had requests there. Suspects wait for it before they are retried.
+GATHER_S = 0.05
 
 
 class PartQuarantine:
@@ -83,11 +88,29 @@
                 self._app.metrics.incr('quarantine.parts_suspected')
                 again |= self._failed_probes(crash, crashed_s, entries)
         for key in again - set(released):
-            await self._quarantine(key, 1)
+            await self._release_explained(key, entries, now_s)
+            await self._quarantine(key, 1, self._app.wall_s())
         if is_new or released:
-            await self._apply_verdicts(now_s)
+            await trio.sleep(GATHER_S)
+            await self._apply_verdicts(self._app.now_s())
         return messages.CrashReportReply()
 
+    async def _release_explained(
+        self,
+        failed: bytes,
+        entries: dict[bytes, quarantines.QuarantinedRequest],
+        now_s: float,
+    ) -> None:
+        """Release parts whose crashes a failed probe of another explains."""
+        by = {promptparts.part_of(failed)}
+        for key, entry in entries.items():
+            part = promptparts.part_of(key)
+            is_known = part not in by and self._evidence.has_crashes(part)
+            if not entry.is_held or not is_known:
+                continue
+            if self._evidence.is_explained(part, by, now_s):
+                await self._release(key, 'explained by another part')
+
     def _is_cleared(
         self, key: bytes, ages_s: dict[bytes, float], now_s: float
     ) -> bool:
@@ -125,8 +148,9 @@
 
     async def _apply_verdicts(self, now_s: float) -> None:
         held = set(self._entries()) | self._changing
+        wall_s = self._app.wall_s()
         for verdict in self._evidence.verdicts(held, now_s):
-            await self._quarantine(verdict.key, verdict.crashes)
+            await self._quarantine(verdict.key, verdict.crashes, wall_s)
 
     async def on_take_probe(
         self, peer: application.Peer, order: messages.TakeProbe
@@ -136,25 +160,43 @@
         now_s = self._app.now_s()
         entries = self._entries()
         self._refresh(entries, now_s)
-        entry = entries.get(order.key)
         is_free = not self._changing and all(
             each.is_held for each in entries.values()
         )
-        if entry is None or not is_free:
-            return messages.ProbeReply(False)
-        _, since_s = self._since[order.key]
-        if now_s - since_s < partrecords.probe_wait_s(order.key, entries):
+        if not is_free or not self._may_probe(order.keys, entries, now_s):
             return messages.ProbeReply(False)
-        command = commands.ReleaseRequest(order.key, True, self._app.wall_s())
-        await self._commit(order.key, command)
+        self._changing.update(order.keys)
+        try:
+            for key in order.keys:
+                wall_s = self._app.wall_s()
+                command = commands.ReleaseRequest(key, True, wall_s)
+                await self._commit(key, command)
+        finally:
+            self._changing.difference_update(order.keys)
         logger.info(
-            'probe of a part granted',
-            part=order.key.hex(),
+            'probe of parts granted',
+            parts=[key.hex() for key in order.keys],
             to=peer.name,
-            holds=entry.holds,
         )
         return messages.ProbeReply(True)
 
+    def _may_probe(
+        self,
+        keys: list[bytes],
+        entries: dict[bytes, quarantines.QuarantinedRequest],
+        now_s: float,
+    ) -> bool:
+        """Return whether the wait of all these parts is over."""
+        if not keys or not entries.keys() >= set(keys):
+            return False
+        if not partrecords.may_tell_apart(keys, entries):
+            return False
+        return all(
+            now_s - self._since[key][1]
+            >= partrecords.probe_wait_s(key, entries)
+            for key in keys
+        )
+
     async def _commit(
         self, key: bytes, command: commands.Command
     ) -> typing.Any:
@@ -167,8 +209,11 @@
         self._push()
         return reply
 
-    async def _quarantine(self, key: bytes, crashes: int) -> None:
-        command = commands.QuarantineRequest(key, crashes, self._app.wall_s())
+    async def _quarantine(
+        self, key: bytes, crashes: int, wall_s: float
+    ) -> None:
+        """Quarantine a part; those of one decision have the same time."""
+        command = commands.QuarantineRequest(key, crashes, wall_s)
         entry = await self._commit(key, command)
         self._app.metrics.incr('quarantine.parts_held')
         logger.info(
@@ -214,6 +259,6 @@
             is_late = now_s - self._since[key][1] >= PROBE_RESULT_S
             if not entry.is_held and is_late and key not in self._changing:
                 try:
-                    await self._quarantine(key, 0)
+                    await self._quarantine(key, 0, self._app.wall_s())
                 except errors.MountridgeError as problem:
                     logger.debug('part not held', reason=str(problem))
--- a/mountridge/dispatch/exchanges.py
+++ b/mountridge/dispatch/exchanges.py
@@ -40,8 +40,8 @@
         self.shared_parts: tuple[bytes, ...] = ()
         #: The same as they are recorded, and the digest of the request.
         self.parts, self.digest = partrecords.Parts(), b''
-        #: Key of the quarantined part that it probes.
-        self.probe = b''
+        #: Keys of the quarantined parts that it probes.
+        self.probe: tuple[bytes, ...] = ()
         #: The newest attempt, and the start of its agent's process.
         self.attempt: attempts.Attempt | None = None
         self.agent_incarnation = ''
--- a/mountridge/messages/quarantine.py
+++ b/mountridge/messages/quarantine.py
@@ -66,9 +66,9 @@
 
 
 class TakeProbe(typing.NamedTuple):
-    """Gateway to leader: may a request with a quarantined part be sent?"""
+    """Gateway to leader: may a request with quarantined parts be sent?"""
 
-    key: bytes
+    keys: list[bytes]
 
 
 class ProbeReply(typing.NamedTuple):
--- a/mountridge/routing/crashreports.py
+++ b/mountridge/routing/crashreports.py
@@ -114,10 +114,11 @@
                 if self._reported_s < crashed_s:
                     await self._report_all()
 
-    async def take_probe(self, key: bytes) -> bool:
-        """Return whether the leader lets a request probe a part."""
+    async def take_probe(self, keys: tuple[bytes, ...]) -> bool:
+        """Return whether the leader lets a request probe parts."""
+        order = messages.TakeProbe(list(keys))
         try:
-            reply = await self._call(messages.TakeProbe(key), PROBE_TIMEOUT_S)
+            reply = await self._call(order, PROBE_TIMEOUT_S)
         except errors.MountridgeError as problem:
             logger.debug('no answer about a probe', reason=str(problem))
             return False
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -77,8 +77,7 @@
         if exchange.is_suspect:
             incarnation = quarantine.incarnation(runner)
             self.parts.record_crash(parts, digest, incarnation, now_s)
-            if exchange.probe:
-                self.parts.drop_probe(exchange.probe)
+            self.parts.drop_probe(exchange.probe)
         self._app.metrics.incr('quarantine.crashes')
         answer_ms = 0.0
         if exchange.attempt_data_s is not None:
--- a/mountridge/routing/partrecords.py
+++ b/mountridge/routing/partrecords.py
@@ -15,17 +15,18 @@
 from mountridge import messages
 from mountridge.state import partevidence
 
-__all__ = ['Parts', 'PartRecords', 'probe_wait_s', 'PROBE_S']
+__all__ = [
+    'PROBE_S', 'Parts', 'PartRecords', 'may_tell_apart', 'probe_wait_s',
+    'together',
+]  # fmt: skip
 
 #: Wait before the first probe of a quarantined part; of one that was
 #: quarantined together with others, of which some are likely innocent; the
 #: factor by which each further wait is longer, and the longest. An innocent
 #: part is served again soon, while a harmful one crashes three runners in half
 #: a day.
-PROBE_WAIT_S, SHARED_PROBE_WAIT_S = 30.0, 10.0
+PROBE_WAIT_S, SHARED_PROBE_WAIT_S = 30.0, 5.0
 GROWTH, MAX_PROBE_WAIT_S = 16.0, 43_200.0
-#: Parts were quarantined together if their entries changed within this time.
-TOGETHER_S = 1.0
 #: How long a granted probe may be used: until one of the requests with the
 #: part has succeeded or crashed its runner. Without either it is used up.
 PROBE_S = 30.0
@@ -61,18 +62,34 @@
         self.is_in_use = False
 
 
-def probe_wait_s(
-    key: bytes, listed: dict[bytes, quarantines.QuarantinedRequest]
-) -> float:
+Listed = typing.Mapping[bytes, quarantines.QuarantinedRequest]
+
+
+def together(key: bytes, listed: Listed) -> set[bytes]:
+    """Return the keys of the parts that one decision has quarantined."""
+    since_s = listed[key].since_s
+    return {other for other, each in listed.items() if each.since_s == since_s}
+
+
+def probe_wait_s(key: bytes, listed: Listed) -> float:
     """Return how long a part in a list is quarantined before its probe."""
-    entry = listed[key]
-    is_shared = any(
-        promptparts.part_of(other) != promptparts.part_of(key)
-        and abs(each.since_s - entry.since_s) < TOGETHER_S
-        for other, each in listed.items()
-    )
-    first_s = SHARED_PROBE_WAIT_S if is_shared else PROBE_WAIT_S
-    return min(MAX_PROBE_WAIT_S, first_s * GROWTH ** (max(1, entry.holds) - 1))
+    parts = {promptparts.part_of(each) for each in together(key, listed)}
+    first_s = SHARED_PROBE_WAIT_S if len(parts) > 1 else PROBE_WAIT_S
+    holds = max(1, listed[key].holds)
+    return min(MAX_PROBE_WAIT_S, first_s * GROWTH ** (holds - 1))
+
+
+def may_tell_apart(keys: typing.Collection[bytes], listed: Listed) -> bool:
+    """Return whether a request with these quarantined parts may probe them.
+
+    Not with all of those that were quarantined together: the harmful one is
+    among them, and others are likely innocent.
+    """
+    for key in keys:
+        group = {promptparts.part_of(each) for each in together(key, listed)}
+        if len(group) > 1 and group <= {promptparts.part_of(k) for k in keys}:
+            return False
+    return True
 
 
 class PartRecords:
@@ -225,43 +242,53 @@
 
     # Probes.
 
-    def claim_probe(self, key: bytes, now_s: float) -> bool:
+    def claim_probe(self, keys: tuple[bytes, ...], now_s: float) -> bool:
         """Return whether a request may be sent as a granted probe.
 
         The caller ends the use of the probe with `end_probe`.
         """
-        probe = self._probes.get(key)
-        if probe is None or probe.is_in_use or now_s >= probe.until_s:
-            return False
-        probe.is_in_use = True
+        probes = [self._probes.get(key) for key in keys]
+        for probe in probes:
+            if not probe or probe.is_in_use or now_s >= probe.until_s:
+                return False
+        for probe in probes:
+            probe.is_in_use = True
         return True
 
-    def end_probe(self, key: bytes) -> None:
+    def end_probe(self, keys: tuple[bytes, ...]) -> None:
         """Record that the request sent as a probe has ended."""
-        if key in self._probes:
-            self._probes[key].is_in_use = False
+        for key in keys:
+            if key in self._probes:
+                self._probes[key].is_in_use = False
 
-    def drop_probe(self, key: bytes) -> None:
+    def drop_probe(self, keys: tuple[bytes, ...]) -> None:
         """Discard a probe: its request has crashed a runner."""
-        self._probes.pop(key, None)
+        for key in keys:
+            self._probes.pop(key, None)
 
-    def add_probe(self, key: bytes, asked_s: float) -> None:
+    def add_probe(self, keys: tuple[bytes, ...], asked_s: float) -> None:
         """Record a probe that the leader granted when asked at a time."""
-        self._probes[key] = _Probe(asked_s + PROBE_S)
+        for key in keys:
+            self._probes[key] = _Probe(asked_s + PROBE_S)
 
-    def may_ask(self, key: bytes, now_s: float) -> bool:
+    def may_ask(self, keys: tuple[bytes, ...], now_s: float) -> bool:
         """Return whether to ask the leader for a probe now, and count it."""
+        if not all(self._is_due(key, now_s) for key in keys):
+            return False
+        if not may_tell_apart(keys, self._listed):
+            return False
+        for key in keys:
+            self._asked_s[key] = now_s
+        return True
+
+    def _is_due(self, key: bytes, now_s: float) -> bool:
         entry = self._listed.get(key)
         if entry is None or not entry.is_held:
             return False
         asked_s = self._asked_s.get(key, float('-inf'))
         waited_s = now_s - self._since_s[key]
-        if waited_s < probe_wait_s(key, self._listed):
-            return False
-        if now_s - asked_s < ASK_INTERVAL_S:
-            return False
-        self._asked_s[key] = now_s
-        return True
+        is_over = waited_s >= probe_wait_s(key, self._listed)
+        return is_over and now_s - asked_s >= ASK_INTERVAL_S
 
     # Reports.
 
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -50,8 +50,8 @@
         self.digest = b''
         #: Parts of its prompt that others may share; None until needed.
         self.parts: partrecords.Parts | None = None
-        #: Key of the quarantined part that it probes.
-        self.probe = b''
+        #: Keys of the quarantined parts that it probes.
+        self.probe: tuple[bytes, ...] = ()
         #: Whether the request may have crashed the runner that ran it last.
         self.is_suspect = False
         #: Events sent to the caller when the current attempt started.
--- a/mountridge/state/partevidence.py
+++ b/mountridge/state/partevidence.py
@@ -148,8 +148,9 @@
         """Return the parts to quarantine, beside the keys ``held``.
 
         The part that most crashes name explains them, and what else those
-        crashes name needs others. Parts that the same crashes name can't be
-        told apart, and are quarantined together.
+        crashes name needs others. Of parts that the same crashes name, the one
+        in the fewest requests does; where it would be any of several, all of
+        them are quarantined together.
         """
         self._expire(now_s)
         parts = {promptparts.part_of(key) for key in held}
@@ -166,14 +167,28 @@
                     len(left_by_part[part]),
                 ),
             )
-            crashes = left_by_part[best].keys()
-            proven = self.is_proven(best, now_s)
-            for part, left in left_by_part.items():
-                alike = self.is_proven(part, now_s) == proven
-                if alike and left.keys() == crashes:
-                    found += _verdicts(part, left)
+            alike = {
+                part: _count_requests(left)
+                for part, left in left_by_part.items()
+                if left.keys() == left_by_part[best].keys()
+                and self.is_proven(part, now_s) == self.is_proven(best, now_s)
+            }
+            fewest = min(alike.values())
+            for part, count in alike.items():
+                if count == fewest:
+                    found += _verdicts(part, left_by_part[part])
                     parts.add(part)
 
+    def is_explained(self, part: bytes, by: set[bytes], now_s: float) -> bool:
+        """Return whether the crashes that ``by`` explain leave too few."""
+        others = self._incarnations(by - {part})
+        left = {
+            incarnation: crash
+            for incarnation, crash in self._crashes.get(part, {}).items()
+            if incarnation not in others
+        }
+        return not self._is_enough(part, left, now_s)
+
     def is_suspect(self, part: bytes, now_s: float) -> bool:
         """Return whether a part alone would be quarantined."""
         seen = self._crashes.get(part, {})
@@ -256,6 +271,10 @@
     return count
 
 
+def _count_requests(seen: _Crashes) -> int:
+    return len(set.union(*(crash.requests for crash in seen.values())))
+
+
 def _common_teams(seen: _Crashes) -> set[bytes]:
     return set.intersection(*(crash.teams for crash in seen.values()))
 
