--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -937,7 +937,8 @@
     ),
     Mutant(
         'parts: a failed probe is not quarantined again', 'partquarantine',
-        'await self._quarantine(key, 1, self._app.wall_s())', 'pass', 'partevidence',
+        'await self._quarantine(key, 1, self._app.wall_s())', 'pass',
+        'partevidence',
     ),
     Mutant(
         'parts: a probe without a result is never ended', 'partquarantine',
