Check a runner after a caller of a new part has left

Cause: a request whose caller leaves before its runner crashes was not among those that the crash implicates, and nobody else has its part. Where not all parts of its prompt have lately been answered, its runner is checked 0.25 s later.

--- a/features/harmfulparts.feature
+++ b/features/harmfulparts.feature
@@ -15,6 +15,7 @@
       | a plain service | middle | nothing else happens                     |
       | a plain service | first  | nothing else happens                     |
       | a plain service | middle | each is sent once more by its caller     |
+      | a plain service | middle | each caller leaves at once               |
       | a plain service | middle | the leader is killed after one crash     |
       | a plain service | middle | the leader is killed after two crashes   |
       | a plain service | middle | a gateway is partitioned after one crash |
--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -3,6 +3,7 @@
 """Steps for the quarantine of parts of prompts that crash their runners."""
 
 from functools import partial
+import math
 import types
 
 from behave import given, then, when
@@ -17,6 +18,8 @@
 
 QUARANTINED = errors.RequestHeldBack.code
 HARMFUL_FROM_S, HARMFUL_PER_S, SOUND_PER_S = 5.0, 4, 30
+#: Callers that leave do so before their requests crash a runner.
+LEAVE_S = 0.05
 TEAMS = ('red', 'green', 'blue')
 HARMFUL, SECOND, RARE = b'bad', b'worse', b'rare'
 #: Sound requests that have the part which comes with the harmful one: none
@@ -88,8 +91,9 @@
             if self.play.world.processes.get(name) is None:
                 return
             body = b'harmful %d' % number
-            if not await self.play.ask(name, body, parts=parts, team=team):
-                return
+            leaves = self.case == 'each caller leaves at once'
+            with trio.move_on_after(LEAVE_S if leaves else math.inf):
+                await self.play.ask(name, body, parts=parts, team=team)
             await trio.sleep(0.5)
 
     async def disturb(self):
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -111,12 +111,11 @@
         if body.startswith(b'kill'):
             runner.crash()
             play.world.nursery.start_soon(play.restart, runner)
-        with trio.move_on_after(BEGIN_S if is_harmful else RUN_S):
-            await ended.wait()
-        if is_harmful and not ended.is_set():
-            play.crash(runner)
+        if is_harmful:
             (part,) = play.harmful.intersection(parts)
-            play.crashes_s.append((trio.current_time(), part))
+            play.world.nursery.start_soon(play.crash_soon, runner, part)
+        with trio.move_on_after(RUN_S):
+            await ended.wait()
         if not ended.is_set() and play.is_closed():
             await trio.sleep(STALL_S)
             raise errors.BadAnswer('cut')
@@ -155,6 +154,17 @@
         """Return whether the group of all runners stands still."""
         return self.is_group and trio.current_time() < self._closed_until_s
 
+    async def crash_soon(self, runner, part):
+        """Crash a runner soon after it has begun to answer a request.
+
+        Also where the request's caller has left meanwhile.
+        """
+        ended = runner.ended
+        await trio.sleep(BEGIN_S)
+        if not ended.is_set():
+            self.crashes_s.append((trio.current_time(), part))
+            self.crash(runner)
+
     def crash(self, runner):
         """Crash a runner, which is back after `RESTART_S`."""
         if not runner.is_down:
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -10,6 +10,8 @@
 
 import typing
 
+import trio
+
 from mountridge import application, errors
 from mountridge.documents import instances
 from mountridge.logs import logger
@@ -29,6 +31,8 @@
 #: An answer that has gone on for so many events, and for so long, has begun
 #: well: its request did not crash the runner.
 BEGUN_EVENTS, BEGUN_S = 3, 0.5
+#: After a caller has left, its runner is checked for a crash this much later.
+ABANDONED_CHECK_S = 0.25
 
 
 async def _no_report() -> None:
@@ -67,8 +71,36 @@
         """Mark a request as suspect if its runner has crashed."""
         if not isinstance(problem, CONNECTION_ERRORS):
             return
-        if not await self.has_crashed(runner, pool):
+        if await self.has_crashed(runner, pool):
+            await self._record_crash(exchange, runner)
+
+    def check_abandoned(self, exchange: Exchange, pool: lasthop.Pool) -> None:
+        """Check later whether a request whose caller left crashes its runner.
+
+        Not where all parts of its prompt have lately been answered.
+        """
+        now_s = self._app.now_s()
+        parts = self._parts_of(exchange)
+        is_known = not parts.digests or self.parts.is_proven(parts, now_s)
+        if not exchange.is_in_flight or is_known:
             return
+        if _may_have_crashed(exchange, now_s):
+            runner = exchange.picked.backend.instance
+            self._app.start_task(self._check_later, exchange, runner, pool)
+
+    async def _check_later(
+        self,
+        exchange: Exchange,
+        runner: instances.Instance,
+        pool: lasthop.Pool,
+    ) -> None:
+        await trio.sleep(ABANDONED_CHECK_S)
+        if await self.has_crashed(runner, pool):
+            await self._record_crash(exchange, runner)
+
+    async def _record_crash(
+        self, exchange: Exchange, runner: instances.Instance
+    ) -> None:
         now_s = self._app.now_s()
         digest = routefilters.request_digest(self._quarantine, exchange)
         self._quarantine.record_crash(digest, runner, now_s)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -129,6 +129,7 @@
             await self._answer_error(exchange, problem)
         except trio.Cancelled:
             self._log_request(exchange, 'caller left')
+            self.crashes.check_abandoned(exchange, self.pool)
             raise
         finally:
             if exchange.retry is not None:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -927,12 +927,11 @@
     ),
     Mutant(
         'parts: no limit on probes', 'partquarantine',
-        'if now_s - since_s < partrecords.probe_wait_s(order.key, entries):',
-        'if False:', 'partevidence',
+        '>= partrecords.probe_wait_s(key, entries)', '>= 0', 'partevidence',
     ),
     Mutant(
         'parts: several probes at a time', 'partquarantine',
-        'if entry is None or not is_free:', 'if entry is None:',
+        'if not is_free or not self._may_probe(', 'if not self._may_probe(',
         'partevidence',
     ),
     Mutant(
@@ -969,6 +968,20 @@
         'return began_s is not None and now_s - began_s < BEGUN_S',
         'return True', 'harmfulparts', 'An answer that',
     ),
+    Mutant(
+        'parts: a probe of all parts that are held together', 'partrecords',
+        'if len(group) > 1 and group <= {', 'if False and {', 'partevidence',
+    ),
+    Mutant(
+        'parts: no release of parts that a failed probe explains',
+        'partquarantine', "await self._release(key, 'explained by another "
+        "part')", 'pass', 'partevidence',
+    ),
+    Mutant(
+        'parts: no check after callers that leave', 'forwarding',
+        'self.crashes.check_abandoned(exchange, self.pool)', 'pass',
+        'harmfulparts', 'leaves at once',
+    ),
     Mutant(
         'parts: agents detect no crash', 'agent',
         'crashed_life = await self._detect_crash()', 'pass', 'harmfulparts',
