--- a/features/steps/native_endings_steps.py
+++ b/features/steps/native_endings_steps.py
@@ -153,7 +153,8 @@
 
     def serves():
         with contextlib.suppress(OSError):
-            return _ask(context, 'after its last event', 'HTTP/1.1')[2]
+            answer = _ask(context, 'after its last event', 'HTTP/1.1')
+            return _name(*answer) == 'complete'
 
     cluster.wait_for(serves)
 
