Count a crash for the newest start of a runner

Cause: a gateway counted a crash for the registration by which it had selected the runner.

Now a crash counts for the newest registration at the time of the crash; the rows of answers check it.

--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -212,6 +212,7 @@
         context.records,
         backoffs.Backoffs(),
         lambda _: True,
+        lambda runner: runner._replace(lives=runner.lives + 1),
     )
 
 
@@ -246,6 +247,9 @@
 def check_suspect(context, suspect):
     report = context.records.make_report(10.0)
     assert (report is not None) == (suspect == 'suspected'), report
+    # Guards against a crash that is counted for an earlier start of its runner:
+    # it has registered again since it was selected.
+    assert report is None or report.crashes[0].lives == 1, report
 
 
 @when(
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -330,6 +330,7 @@
         partrecords.PartRecords(),
         held_backoffs,
         lambda _: True,
+        lambda runner: runner,
     )
     request = httpserver.Request(b'POST', b'/1', [], b'body')
     exchange = routedexchanges.Exchange(request, None, 0.0)
--- a/mountridge/routing/backends.py
+++ b/mountridge/routing/backends.py
@@ -153,6 +153,11 @@
         """Return the runners of a service that may get requests."""
         return self.registry.of_service(service)
 
+    def newest(self, runner: instances.Instance) -> instances.Instance:
+        """Return the newest registration under a runner's id."""
+        backend = self.by_id.get(runner.instance_id)
+        return backend.instance if backend else runner
+
     def all_halls_out(self, service: str) -> bool:
         """Return whether all runners of a service are in halls that are out.
 
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -49,6 +49,7 @@
         parts: partrecords.PartRecords,
         backoffs: backoffs.Backoffs,
         has_ranks: typing.Callable[[str], bool],
+        newest: typing.Callable[[instances.Instance], instances.Instance],
     ):
         self._app = app
         self._quarantine = records
@@ -56,6 +57,8 @@
         self.part_gate = partgates.PartGate(app, parts)
         self._backoffs = backoffs
         self._has_ranks = has_ranks
+        #: Returns the newest registration of a runner.
+        self._newest = newest
         #: Called when a suspect or quarantined request has succeeded.
         self.on_success: typing.Callable[[], None] = lambda: None
         #: Called when a runner has crashed while it ran a request.
@@ -102,6 +105,8 @@
         self, exchange: Exchange, runner: instances.Instance
     ) -> None:
         now_s = self._app.now_s()
+        # It may have started again, and registered, after it was selected.
+        runner = self._newest(runner)
         digest = routefilters.request_digest(self._quarantine, exchange)
         self._quarantine.record_crash(digest, runner, now_s)
         parts = self._parts_of(exchange)
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -113,6 +113,7 @@
             partrecords.PartRecords(digest_key),
             backends.backoffs,
             self.picker.has_ranks,
+            backends.newest,
         )
         self.filters = routefilters.chain(index, dialect.headers, self.rng)
         self.filters.append(routefilters.refuse_quarantined(self.quarantine))
