--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -247,8 +247,8 @@
 def check_suspect(context, suspect):
     report = context.records.make_report(10.0)
     assert (report is not None) == (suspect == 'suspected'), report
-    # Guards against a crash that is counted for an earlier start of its runner:
-    # it has registered again since it was selected.
+    # Guards against a crash counted for an earlier start of its runner, which
+    # has registered again since it was selected.
     assert report is None or report.crashes[0].lives == 1, report
 
 
