Agents skip answers that name another request

What callers could get: an agent took the first answer on a connection for that of its request, whatever request it named, so a surplus answer of a runner could reach the next caller.

Now an answer with the id of another request is skipped, as gateways do; one without an id is taken, since runners behind agents need not name any. With the id left out, two of the four new rows fail.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -73,6 +73,19 @@
       | /v1/services/plain   | before its first event | chunks    | complete   |
       | /v1/services/plain   | as its runner crashes  | its close | broken off |
 
+  # Guards against a surplus answer on a connection that an agent takes for that
+  # of its next request.
+  Scenario Outline: An agent's runner that answers <first> before the request's own answer
+    When an agent sends request "b" and its runner answers <first> before it
+    Then the agent takes the answer of <taken>
+
+    Examples:
+      | first                   | taken |
+      | request "a" again       | b     |
+      | request "a" in chunks   | b     |
+      | nothing                 | b     |
+      | without naming requests | none  |
+
   # Guards against answers of the gateway that look complete to a caller after
   # its runner, its agent or the gateway itself has died.
   Scenario: What callers of a gateway get when a process or a connection ends
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -253,6 +253,42 @@
     trio.run(read)
 
 
+def _named(name, framing=b''):
+    """Return the bytes of an answer that names a request, if any."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+    if name:
+        head += b'X-Request-Id: ' + name + b'\r\n'
+    if framing:
+        chunk = b'1\r\n' + name + b'\r\n0\r\n\r\n'
+        return head + b'Transfer-Encoding: chunked\r\n\r\n' + chunk
+    body = name or b'none'
+    return head + b'Content-Length: %d\r\n\r\n' % len(body) + body
+
+
+@when('an agent sends request "b" and its runner answers {first} before it')
+def answer_before(context, first):
+    before = {
+        'request "a" again': _named(b'a'),
+        'request "a" in chunks': _named(b'a', b'chunked'),
+        'nothing': b'',
+        'without naming requests': _named(b''),
+    }[first]
+
+    async def read():
+        async with _answering(before + _named(b'b'), False) as address:
+            upstream = upstreams.Upstream(f'http://{address}')
+            async with upstream.request('/v1/x', [], b'{}', 'b') as response:
+                pieces = [data async for data in response.pieces()]
+        context.received = b''.join(pieces)
+
+    trio.run(read)
+
+
+@then('the agent takes the answer of {taken}')
+def check_answer_of(context, taken):
+    assert context.received == taken.encode(), context.received
+
+
 @then('the agent takes it for {seen}')
 def check_taken_for(context, seen):
     is_broken = context.problem is not None
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -234,7 +234,7 @@
         self.refusals, self.announcements = [], []
 
     @contextlib.asynccontextmanager
-    async def request(self, path, headers, body):
+    async def request(self, path, headers, body, request_id=None):
         mark = json.loads(body).get('mark', '')
         self.starts.append((trio.current_time(), mark))
         if self.head.status != 200:
--- a/mountridge/agent.py
+++ b/mountridge/agent.py
@@ -269,7 +269,7 @@
             ('x-request-id', ticket.request_id),
         ]
         async with self.upstream.request(
-            ticket.path, headers, ticket.body
+            ticket.path, headers, ticket.body, ticket.request_id
         ) as response:
             self._apply_head(response.head)
             attempt.status = response.head.status
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -64,10 +64,17 @@
 
     @contextlib.asynccontextmanager
     async def request(
-        self, path: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        request_id: str | None = None,
     ) -> typing.AsyncIterator[Response]:
         """Post ``body`` and yield the response once its head is received.
 
+        An answer that names another request than ``request_id`` is skipped;
+        runners need not name any.
+
         :raises NoRunner: no connection could be made; nothing was sent.
         :raises OutcomeUnknown: the connection broke before the response.
         """
@@ -78,7 +85,7 @@
         ]
         encoded = [(name.encode(), value.encode()) for name, value in fields]
         async with self._pool.request(
-            self._address, b'POST', path.encode(), encoded, body, None
+            self._address, b'POST', path.encode(), encoded, body, request_id
         ) as reply:
             yield Response(path, reply, self.has_crashed)
 
