An aborted stream ends with an error event for callers of HTTP/2

What callers felt: a stream that its runner or agent broke off had no end by HTTP/2, neither a reset nor a last frame, so they waited for their own time-out.

Cause: the server drops a stream whose application fails, and tells HTTP/2 callers nothing (seen with a client of the h2 library: no frame in 4 s).

Now such a caller gets whole events only, and then an event 'error' with the coded error; the stream has no [DONE]. HTTP/1.1 is as before.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -107,6 +107,21 @@
       | as the gateway dies    | HTTP/1.1 | incomplete         |
       | as the gateway dies    | HTTP/1.0 | missing            |
 
+  # Guards against callers of HTTP/2 that are told nothing of an aborted stream,
+  # and wait for their own time-out.
+  Scenario: What callers of a gateway get by HTTP/2
+    Given a system with 1 controller(s), 1 gateway(s) and 0 agent(s)
+    And an agent whose runner ends its answers as requests name it
+    Then callers get these chat streams
+      | ends                   | protocol | seen               |
+      | after its last event   | HTTP/2   | complete           |
+      | within an event        | HTTP/2   | ended by an error  |
+      | between two events     | HTTP/2   | ended by an error  |
+      | before its first event | HTTP/2   | refused as ran     |
+      | before its head        | HTTP/2   | refused as unknown |
+      | by a reset             | HTTP/2   | ended by an error  |
+      | as the agent dies      | HTTP/2   | ended by an error  |
+
   # Guards against an order that is logged as not given although the engine may
   # have carried it out.
   Scenario Outline: An order whose answer <answer> is <outcome>
--- a/features/steps/native_endings_steps.py
+++ b/features/steps/native_endings_steps.py
@@ -12,6 +12,8 @@
 
 from behave import given, then, when
 import h11
+import h2.connection
+import h2.events
 
 from features.steps import processes
 from features.worlds import system
@@ -96,13 +98,56 @@
     host, port = daemons.http['g1'].split(':')
     address = host, int(port)
     with socket.create_connection(address, timeout=TIMEOUT_S) as caller:
-        caller.sendall(head.encode() + data)
+        if protocol == 'HTTP/2':
+            caller.sendall(_http2_request(data))
+        else:
+            caller.sendall(head.encode() + data)
         if ends.endswith('dies'):
             assert reached.wait(TIMEOUT_S)
             daemons.kill('a1' if 'agent' in ends else 'g1')
+        if protocol == 'HTTP/2':
+            return _read_http2_response(caller)
         return _read_response(caller)
 
 
+def _http2_request(data):
+    """Return the bytes of a chat request on a new HTTP/2 connection."""
+    http = h2.connection.H2Connection()
+    http.initiate_connection()
+    fields = [
+        (':method', 'POST'), (':path', '/v1/chat/completions'),
+        (':scheme', 'http'), (':authority', 'a.example'),
+        ('authorization', 'Bearer dispatch'),
+    ]  # fmt: skip
+    http.send_headers(1, fields)
+    http.send_data(1, data, end_stream=True)
+    return http.data_to_send()
+
+
+def _read_http2_response(caller):
+    """Return a response as (status, body, whether it is complete)."""
+    http = h2.connection.H2Connection()
+    http.initiate_connection()
+    fields = [
+        (':method', 'GET'), (':path', '/'), (':scheme', 'http'),
+        (':authority', 'a'),
+    ]  # fmt: skip
+    http.send_headers(1, fields)
+    status, body = 0, b''
+    with contextlib.suppress(ConnectionResetError, TimeoutError):
+        while data := caller.recv(65536):
+            for event in http.receive_data(data):
+                if isinstance(event, h2.events.ResponseReceived):
+                    status = int(dict(event.headers)[b':status'])
+                elif isinstance(event, h2.events.DataReceived):
+                    body += event.data
+                elif isinstance(event, h2.events.StreamEnded):
+                    return status, body, True
+                elif isinstance(event, h2.events.StreamReset):
+                    return status, body, False
+    return status, body, False
+
+
 def _read_response(caller):
     """Return a response as (status, body, whether it is complete)."""
     http = h11.Connection(h11.CLIENT)
@@ -129,6 +174,11 @@
         return 'missing'
     if not is_complete:
         return 'incomplete'
+    last = body.rpartition(b'event: error\n')
+    if status == 200 and last[1]:
+        whole = b''.join(EVENTS[: last[0].count(b'\n\n')])
+        is_right = last[0] == whole and b'"code"' in last[2]
+        return 'ended by an error' if is_right else f'cut: {body}'
     if status == 200:
         return 'complete' if body == b''.join(EVENTS) else f'cut: {body}'
     return f'refused as {json.loads(body)["error"]["outcome"]}'
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -18,7 +18,7 @@
 from mountridge.dispatch import filters, streamends
 from mountridge.documents import tables
 from mountridge.logs import logger
-from mountridge.net import dialects
+from mountridge.net import dialects, events
 from mountridge.state import leases, limits, members, views
 
 __all__ = ['Gateway', 'build', 'end_request', 'run']
@@ -323,6 +323,30 @@
         end_request(gateway, exchange, attempt)
 
 
+async def _stream_with_error(
+    gateway: Gateway, exchange, attempt, first: bytes
+):
+    """Yield the answer; if it is incomplete, end it with an error event.
+
+    For HTTP/2, where the server does not tell callers of an aborted stream.
+    Only whole events are sent before the error.
+    """
+    splitter = events.Splitter()
+    stream = _stream(gateway, exchange, attempt, first)
+    try:
+        async for data in stream:
+            whole = splitter.feed(data)
+            if whole:
+                yield b''.join(event.data for event in whole)
+        if splitter.remainder:
+            yield splitter.remainder
+    except errors.MountridgeError as problem:
+        body = json.dumps(error_body(problem, exchange.request_id))
+        yield b'event: error\ndata: %b\n\n' % body.encode()
+    finally:
+        await stream.aclose()
+
+
 def end_request(gateway: Gateway, exchange, attempt) -> None:
     """Release all resources of a request; ``attempt`` may be None."""
     if attempt is not None:
@@ -381,7 +405,10 @@
             content_type = _stream_content_type(attempt.status)
         if streamed:
             streaming = True
-            body: typing.Any = _stream(gateway, exchange, attempt, first)
+            stream = _stream
+            if request.http_version.startswith('2'):
+                stream = _stream_with_error
+            body: typing.Any = stream(gateway, exchange, attempt, first)
         else:
             body = first
             gateway.dispatcher.record_decision(exchange, 'end', errors.RAN)
