Gateways that have left a view still count for admission for 30 s

Cause: without reports a gateway multiplies its own requests by the gateways of its view, and those that a partial view lacks go on sending. The largest number of the last 30 s counts now, the span after which the shares of the retry budget assume the same.

The mutant without it fails.

--- a/mountridge/routing/admission.py
+++ b/mountridge/routing/admission.py
@@ -15,7 +15,8 @@
 from mountridge.logs import logger
 from mountridge.routing import admissionbounds, admissionmodel
 from mountridge.routing import admissionpriorities, admissionreturns
-from mountridge.routing import runnerregistry, runnerstates, sendgates
+from mountridge.routing import recentmax, runnerregistry, runnerstates
+from mountridge.routing import sendgates
 
 __all__ = ['Admission', 'NEVER', 'PRIORITIES', 'ALWAYS']
 
@@ -29,6 +30,9 @@
 #: Without newer ones, reports count for this long: about as long as streams
 #: run. After that the own requests, times the gateways, are a better estimate.
 REPORT_KEPT_S = 2.0
+#: A gateway that has left the view is assumed to send for this long: it may be
+#: partitioned from the controllers only, or missing from a partial view.
+GATEWAYS_KEPT_S = 30.0
 #: A change of a bound by this part is logged.
 LOGGED_CHANGE = 0.2
 
@@ -76,6 +80,7 @@
         self._floors = admissionpriorities.Floors()
         self._turns: dict[str, admissionreturns.Turns] = {}
         self._gateways = 1
+        self._in_view = recentmax.RecentMax(GATEWAYS_KEPT_S)
 
     def update_routes(self, index: routes.Index, when: str) -> None:
         """Apply a routes document; ``when`` is `admission.when`."""
@@ -109,7 +114,7 @@
         service = self._services.get(kind.service)
         if service is None:
             return
-        self._gateways = max(1, gateways)
+        self._gateways = max(1, self._in_view.record(gateways, now_s))
         rooms = self._open_rooms(kind.service, now_s)
         if not rooms:
             return
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -874,6 +874,11 @@
         'quarantine: no update of the view', 'entry',
         '        self._update_quarantine()\n', '', 'quarantine',
     ),
+    Mutant(
+        'admission: gateways that left a view no longer count', 'admission',
+        'self._in_view.record(gateways, now_s)', 'gateways', 'admission',
+        'No more is admitted',
+    ),
     Mutant(
         'parts: no check right before a send', 'forwarding',
         'self.crashes.check_parts(exchange)', 'pass', 'harmfulparts',
