--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -306,7 +306,10 @@
 
 
 class RequestHeldBack(MountridgeError):
-    """The request has crashed several runners and is quarantined."""
+    """The request, or a part of its prompt, is quarantined.
+
+    It has crashed several runners.
+    """
 
     code = 1214
     status = 502
