Only an answer that used the prompt clears its parts

Cause, found by reading the change as a newcomer: any complete answer below 500 cleared the parts of its request, so a 404 of a runner, or a stream without an event, could free a harmful part. A caller that left before its request was parsed raised an error in the check for abandoned requests, and each change of the view repeated reports while anything was quarantined.

--- a/features/harmfulparts.feature
+++ b/features/harmfulparts.feature
@@ -64,6 +64,20 @@
       | has 12 events in 0.2 s        | suspected    |
       | has 12 events in 0.7 s        | not suspected |
 
+  # Guards against a harmful part that a refusal or an empty answer clears.
+  Scenario Outline: A complete <answer> <clears> the parts of its prompt
+    Given a gateway whose runner crashes beneath a request with a part in its prompt
+    When its answer has not begun
+    And another request with that part gets a <answer>
+    Then that <clears> the part
+
+    Examples:
+      | answer                      | clears         |
+      | plain answer with 200       | clears         |
+      | plain answer with 404       | does not clear |
+      | stream of 5 events with 200 | clears         |
+      | stream of 0 events with 200 | does not clear |
+
   Scenario: The last part of a prompt is its request's own, and is never held back
     Given 6 runners of a plain service
     When requests of which each names a harmful last part of its own are sent, and sound ones with the same first part
--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -10,7 +10,7 @@
 import trio
 
 from features.worlds import crashes
-from mountridge.documents import instances, promptparts
+from mountridge.documents import instances, promptparts, routes
 from mountridge import errors, metrics
 from mountridge.net import dialects, httpserver
 from mountridge.routing import backoffs, crashwatch, partrecords
@@ -226,12 +226,17 @@
     _crash_beneath(context, count, 10.0 - span_s)
 
 
-def _crash_beneath(context, events, began_s):
+def _exchange():
     headers = [(b'x-prefix-parts', b'shared:10,own:20')]
     request = httpserver.Request(b'POST', b'/1', headers, b'body')
     exchange = routedexchanges.Exchange(request, None, 0.0)
     names = dialects.NATIVE.headers
     exchange.request_head = dialects.read_request_head(request, names)
+    return exchange
+
+
+def _crash_beneath(context, events, began_s):
+    exchange = _exchange()
     exchange.events_sent, exchange.attempt_data_s = events, began_s
     runner = instances.Instance('i', 's', '', '', '', 1, instances.READY)
 
@@ -243,6 +248,23 @@
     trio.run(context.watch.check_attempt, exchange, runner, problem, pool)
 
 
+@when('another request with that part gets a {answer}')
+def answer_another(context, answer):
+    exchange = _exchange()
+    words = answer.split()
+    kind = routes.STREAMING if words[0] == 'stream' else routes.SAFE
+    exchange.route = types.SimpleNamespace(kind=kind)
+    exchange.status = int(words[-1])
+    exchange.events_sent = int(words[2]) if words[0] == 'stream' else 0
+    context.watch.record_success(exchange)
+
+
+@then('that {clears} the part')
+def check_cleared(context, clears):
+    report = context.records.make_report(10.0)
+    assert bool(report.successes) == (clears == 'clears'), report
+
+
 @then('the part is {suspect}')
 def check_suspect(context, suspect):
     report = context.records.make_report(10.0)
--- a/mountridge/dispatch/crashes.py
+++ b/mountridge/dispatch/crashes.py
@@ -117,7 +117,9 @@
         if attempt is not None and _has_succeeded(attempt):
             now_s = self._app.now_s()
             is_wanted = self._requests.record_success(exchange.digest, now_s)
-            is_wanted |= self._parts.record_success(exchange.parts, now_s)
+            if attempt.status < 300 and attempt.position:
+                parts = exchange.parts
+                is_wanted |= self._parts.record_success(parts, now_s)
         if is_wanted:
             self.reporter.wake()
         self._part_gate.end(exchange.probe)
--- a/mountridge/routing/crashreports.py
+++ b/mountridge/routing/crashreports.py
@@ -131,7 +131,7 @@
             [each for each in listed if not promptparts.is_part(each.digest)]
         )
         self._parts.update(parts, self._app.now_s())
-        if listed:
+        if self._quarantine.has_unreported() or self._parts.has_unreported():
             self._wake.set()
 
     async def read(self) -> list[quarantines.QuarantinedRequest]:
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -13,7 +13,7 @@
 import trio
 
 from mountridge import application, errors
-from mountridge.documents import instances
+from mountridge.documents import instances, routes
 from mountridge.logs import logger
 from mountridge.net import lasthop
 from mountridge.routing import backoffs, partgates, partrecords, quarantine
@@ -82,10 +82,11 @@
 
         Not where all parts of its prompt have lately been answered.
         """
+        if not exchange.is_in_flight:
+            return
         now_s = self._app.now_s()
         parts = self._parts_of(exchange)
-        is_known = not parts.digests or self.parts.is_proven(parts, now_s)
-        if not exchange.is_in_flight or is_known:
+        if not parts.digests or self.parts.is_proven(parts, now_s):
             return
         if _may_have_crashed(exchange, now_s):
             runner = exchange.picked.backend.instance
@@ -191,7 +192,7 @@
         now_s = self._app.now_s()
         is_wanted = self._quarantine.record_success(digest, now_s)
         parts = self._parts_of(exchange)
-        if parts.digests:
+        if parts.digests and _has_run_well(exchange):
             is_wanted |= self.parts.record_success(parts, now_s)
         if is_wanted:
             self.on_success()
@@ -217,6 +218,18 @@
         return not (is_rank and self._quarantine.is_any_quarantined())
 
 
+def _has_run_well(exchange: Exchange) -> bool:
+    """Return whether a complete answer shows that its parts are harmless.
+
+    An error, and a stream without an event, may come before the prompt is
+    used.
+    """
+    if not 200 <= exchange.status < 300:
+        return False
+    is_stream = exchange.route.kind == routes.STREAMING
+    return not is_stream or exchange.events_sent > exchange.events_before
+
+
 def _may_have_crashed(exchange: Exchange, now_s: float) -> bool:
     """Return whether a request may have crashed the runner that ran it.
 
--- a/mountridge/routing/partrecords.py
+++ b/mountridge/routing/partrecords.py
@@ -309,6 +309,10 @@
         ages = [(part, now_s - at_s) for part, at_s in successes.items()]
         return messages.PartReport(crashes, ages[:MAX_REPORTED])
 
+    def has_unreported(self) -> bool:
+        """Return whether the leader may not know a success that it needs."""
+        return bool(self._unreported)
+
     def _drop_oldest(self) -> None:
         _, crash = self._crashes.popleft()
         self._reported.pop((crash.part, crash.team, crash.incarnation), None)
--- a/mountridge/routing/quarantine.py
+++ b/mountridge/routing/quarantine.py
@@ -153,6 +153,10 @@
         self._unreported[digest] = now_s
         return True
 
+    def has_unreported(self) -> bool:
+        """Return whether the leader may not know a success that it needs."""
+        return bool(self._unreported)
+
     def make_report(self, now_s: float) -> messages.CrashReport | None:
         """Return the next report to the leader, None if it would be empty."""
         self._expire(now_s)
