Rows for three mutants of the quarantine of parts that had lived

A request whose part is quarantined while it connects, a proven part beside three crashes, and a gateway that tells of the last success of a quarantined part.

--- a/features/harmfulparts.feature
+++ b/features/harmfulparts.feature
@@ -78,6 +78,13 @@
       | stream of 5 events with 200 | clears         |
       | stream of 0 events with 200 | does not clear |
 
+  # Guards against requests that were checked on arrival only, and are sent
+  # after a wait.
+  Scenario: A request whose part is quarantined while it connects is not sent
+    Given 6 runners of a plain service
+    When a request with a part takes 1 s to connect, and the part is quarantined meanwhile
+    Then it has reached no runner, and is refused with that code
+
   Scenario: The last part of a prompt is its request's own, and is never held back
     Given 6 runners of a plain service
     When requests of which each names a harmful last part of its own are sent, and sound ones with the same first part
--- a/features/partevidence.feature
+++ b/features/partevidence.feature
@@ -16,6 +16,7 @@
       | Two runners that crash together                     | 1:red/r1/rare 1.05:red/r2/rare                           | -                   |
       | A part that serves others between the crashes       | 1:red/r1/bad,a 2:ok/a 3:red/r2/bad,a                     | bad:red             |
       | A part that has served others before the crashes    | 0:ok/a 1:red/r1/bad,a 2:red/r2/bad,a 3:red/r3/bad,a      | bad:red             |
+      | A part that served others, beside three crashes     | 0:ok/a 1:red/r1/a 2:red/r2/a 3:red/r3/a                  | -                   |
       | A part that served others, and crashes them now     | 0:ok/a 1:red/r1/a 2:red/r2/a 3:red/r3/a 4:red/r4/a       | a:red               |
       | Two parts that always come together                 | 1:red/r1/bad,too 2:red/r2/bad,too                        | bad:red too:red     |
       | A part that comes with another, and then serves     | 1:red/r1/bad,too 2:red/r2/bad,too 3:ok/too               | bad:red             |
@@ -67,6 +68,12 @@
     When gateways report 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad
     Then a request of either team has one key to probe, and its success releases both
 
+  Scenario: A gateway tells of the last success of a part that is quarantined
+    Given a leader of gateways that report crashes of runners
+    When gateways report 1:red/r1/bad 2:red/r2/bad
+    And a gateway that had answered a request with it hears of the quarantine
+    Then it reports that success, and the part is released
+
   Scenario: The records of parts are bounded
     When a leader and a gateway see 6000 parts in crashes, and as many succeed
     Then each keeps 4000 of both, and reports 128 at a time
--- a/features/steps/harmfulparts_steps.py
+++ b/features/steps/harmfulparts_steps.py
@@ -302,3 +302,37 @@
 def check_no_part(context):
     parts = [x for x in context.listed if promptparts.is_part(x.digest)]
     assert not parts, parts
+
+
+@when(
+    'a request with a part takes 1 s to connect, and the part is quarantined'
+    ' meanwhile'
+)
+def quarantined_while_connecting(context):
+    async def script(play):
+        play.connect_s = 1.0
+        daemon = play.world.daemons['e1']
+        records = daemon.forwarder.crashes.parts
+        parts = records.parts('s', [HARMFUL], '')
+
+        async def ask():
+            own = (HARMFUL, b'own')
+            context.code = await play.ask('e2', b'waits', parts=own)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            for number in range(2):
+                await trio.sleep(0.2)
+                runner = (f'i-{number}', 1, 0)
+                now_s = trio.current_time()
+                records.record_crash(parts, b'%d' % number, runner, now_s)
+                await daemon.crash_reporter.report_now()
+
+    crashes.play(context, script, **context.sizes)
+
+
+@then('it has reached no runner, and is refused with that code')
+def check_not_sent(context):
+    assert context.code == QUARANTINED, context.code
+    sent = [each for each in context.play.arrivals if each[3] == b'waits']
+    assert not sent, sent
--- a/features/steps/partevidence_steps.py
+++ b/features/steps/partevidence_steps.py
@@ -280,3 +280,23 @@
     elif end == 'crashes':
         leader.crash(3, f'red/r3/{",".join(context.names)}')
     assert leader.held() == held, leader.held()
+
+
+@when('a gateway that had answered a request with it hears of the quarantine')
+def hear_of_quarantine(context):
+    context.gateway = partrecords.PartRecords()
+    listed = partrecords.Parts((part('bad'),), team('blue'))
+    context.gateway.record_success(listed, 0.5)
+    assert context.gateway.make_report(2.0) is None
+    entries = context.leader.machine.quarantine.values()
+    context.gateway.update(entries, 2.1)
+
+
+@then('it reports that success, and the part is released')
+def check_success_reported(context):
+    leader, report = context.leader, context.gateway.make_report(2.1)
+    leader.now_s = 2.1
+    run(leader.parts.on_report, None, report)
+    assert leader.held() == '-', leader.held()
+    context.gateway.acknowledge(report, 2.1)
+    assert context.gateway.make_report(2.2) is None
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -85,6 +85,7 @@
         runner = self.play.runners[address]
         if runner.is_down:
             raise errors.NoRunner('refused')
+        await trio.sleep(self.play.connect_s)
         on_send()
         await trio.sleep(LATENCY_S)
         parts = _shared_parts(headers)
@@ -145,6 +146,7 @@
         self.crashes_s = []  # (time, part) of the crashes that they caused
         self.harmful_arrivals = []  # (time, entry, parts)
         self._closed_until_s = 0.0
+        self.connect_s = 0.0  # time to connect to a runner
         listed = [Runner(number) for number in range(count)]
         self.runners = {runner.address: runner for runner in listed}
         self.arrivals = []  # (time, entry, incarnation of the runner, body)
--- a/mountridge/routing/crashwatch.py
+++ b/mountridge/routing/crashwatch.py
@@ -74,8 +74,9 @@
         """Mark a request as suspect if its runner has crashed."""
         if not isinstance(problem, CONNECTION_ERRORS):
             return
-        if await self.has_crashed(runner, pool):
-            await self._record_crash(exchange, runner)
+        if not await self.has_crashed(runner, pool):
+            return
+        await self._record_crash(exchange, runner)
 
     def check_abandoned(self, exchange: Exchange, pool: lasthop.Pool) -> None:
         """Check later whether a request whose caller left crashes its runner.
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -882,7 +882,7 @@
     Mutant(
         'parts: no check right before a send', 'forwarding',
         'self.crashes.check_parts(exchange)', 'pass', 'harmfulparts',
-        'a group, the middle',
+        'while it connects',
     ),
     Mutant(
         'parts: no check on arrival', 'forwarding',
@@ -966,7 +966,7 @@
     Mutant(
         'parts: no report of an earlier success', 'partrecords',
         'self._unreported[part] = self._evidence.success_s(part)', 'pass',
-        'harmfulparts',
+        'partevidence',
     ),
     Mutant(
         'parts: long answers are suspects too', 'crashwatch',
