--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -153,7 +153,7 @@
 class Fleet:
     """The entries of a small deployment, and the platform that runs them."""
 
-    def __init__(self, record, count=3, disks=3, bounds=None, restarts=True):
+    def __init__(self, record, count=3, disks=3, bounds=None, restarts=True, memory_mb=None):
         self.record, self.count, self.disks = record, count, disks
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='mountridge-'))
         self.net = Network()
@@ -165,6 +165,9 @@
         self.restarts = restarts
         self.processes = {}
         self.starts = {}
+        #: Above this a process is killed (`limits.memory-mb`); None: never.
+        self.memory_mb = memory_mb
+        self.peak_mb = {}
         #: Ends that the platform has not caused: (name, exit status, time).
         self.own_ends = []
         self._expected_end = set()
@@ -268,10 +271,13 @@
         while not self._is_closing:
             await asyncio.sleep(0.02)
             for number, process in list(self.processes.items()):
+                machine = f'front-{number + 1}'
                 status = process.poll()
+                if status is None and self.memory_mb:
+                    self._limit_memory(machine, process)
+                    status = process.poll()
                 if status is None:
                     continue
-                machine = f'front-{number + 1}'
                 if number not in self._expected_end:
                     self.own_ends.append((machine, status, time.time()))
                     self.record.add('own end', machine=machine, status=status)
@@ -281,6 +287,20 @@
                         delay_s, self._restart, number
                     )
 
+    def _limit_memory(self, machine, process):
+        """Kill a process above its memory, as the platform does."""
+        try:
+            status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+        except OSError:
+            return
+        found = re.search(r'VmRSS:\s+(\d+) kB', status)
+        used_mb = int(found.group(1)) / 1024 if found else 0
+        self.peak_mb[machine] = max(self.peak_mb.get(machine, 0), used_mb)
+        if used_mb > self.memory_mb:
+            self.record.add('over memory', machine=machine, mb=round(used_mb))
+            process.kill()
+            process.wait()
+
     def _restart(self, number):
         if not self._is_closing and number not in self.processes:
             self.start(number)
@@ -399,6 +419,10 @@
     return answer
 
 
+#: Pauses of the operator between two attempts, which grow.
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.02, 0.05
+
+
 class Operator:
     """Sends configurations, each until it is acknowledged or refused."""
 
@@ -409,7 +433,7 @@
     async def put(self, config, timeout_s=20.0):
         """Return the final status, 0 if there was no clear answer in time."""
         body = json.dumps(config).encode()
-        until_s, pause_s = time.time() + timeout_s, 0.1
+        until_s, pause_s = time.time() + timeout_s, FIRST_PAUSE_S
         self._record.add('config sent', version=config['version'], size=len(body))
         while time.time() < until_s:
             number = self._next % self._fleet.count
@@ -426,7 +450,7 @@
             if answer.status in (200, 400, 409, 412, 413, 422):
                 return answer.status
             await asyncio.sleep(pause_s)
-            pause_s = min(1.0, pause_s * 1.5)
+            pause_s = min(LONGEST_PAUSE_S, pause_s * 1.5)
         return 0
 
 
