--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -528,10 +528,9 @@
             await asyncio.sleep(0.2)
 
 
-def main(folder, play):
+def main(folder, play, trouble):
     """Run ``play(record, trouble)``; exit with its result, 2 if it can't run."""
     record = Record(pathlib.Path(folder) / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
         # So that all processes are ended where this one is told to stop.
