--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -155,13 +155,13 @@
 
     def __init__(self, record, count=3, disks=3, bounds=None, restarts=True, memory_mb=None):
         self.record, self.count, self.disks = record, count, disks
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='mountridge-'))
+        if not (ROOT / 'target/deps').is_dir():
+            raise CannotRun('the build of the deploy file has not run')
         self.net = Network()
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='mountridge-'))
         self.bounds = {**BOUNDS, **(bounds or {})}
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self.role = deploy['roles']['entry']
-        if not (ROOT / 'target/deps').is_dir():
-            raise CannotRun('the build of the deploy file has not run')
         self.restarts = restarts
         self.processes = {}
         self.starts = {}
