--- a/features/soak.feature
+++ b/features/soak.feature
@@ -86,3 +86,29 @@
       | a process that ends unexpectedly        | a process ends unexpectedly                                     | no process ends by itself                 |
       | a message that cannot be decoded        | the metrics of an entry count a malformed message               | processes read all messages               |
       | a process of another build              | a process starts on the old build instead of the new one        | processes run their build                 |
+      | a change that is not in force in time   | 2.1 s after an acknowledged change its route is refused         | changes are in force in time              |
+      | a dropped key that is still taken       | 2.1 s after an acknowledged change a dropped key is taken       | changes are in force in time              |
+      | an entry that goes back                 | 0.3 s after a change had an effect its route is refused         | entries never go back                     |
+      | a refused change that is obeyed         | a route of a refused change is run                              | only what a document allows               |
+      | other content under a taken version     | a route sent later under an acknowledged version is run         | only what a document allows               |
+      | an invalid change that is taken         | an invalid change is acknowledged                               | invalid changes are refused               |
+      | content that differs when it is read    | a change is read back with other content                        | routes are read as they were sent         |
+      | added routes that are not served        | 4 of 20 requests on an added route are served                   | added routes are served                   |
+      | requests held beyond the timeout        | 8 of 20 requests wait 0.6 s beyond the timeout of their route   | requests end with the timeout of their route |
+      | a request to a draining runner          | it arrives 2.1 s after the drain of its runner was acknowledged | who drains gets nothing                   |
+
+  # Guards against bounds that excuse too much, or hold where they may not.
+  Scenario Outline: A change must be in force within <bound_s> s after <faults>
+    When the checker knows of <faults>
+    Then a change must be in force at "entry-4" within <bound_s> s
+
+    Examples:
+      | faults                                       | bound_s |
+      | no fault                                     | 2       |
+      | a fault of front-4 until 3.1 s before        | 2       |
+      | a fault of front-4 until 2.9 s before        | inf     |
+      | a fault of entry-5 until 0.1 s before        | 2       |
+      | a fault of entry-1 until 2.9 s before        | 7       |
+      | a fault of entry-1 that lasts                | 7       |
+      | faults of entry-0, entry-1 until 9.9 s before  | 2       |
+      | faults of entry-0, entry-1 until 5.9 s before  | inf     |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -15,8 +16,8 @@
 
 from mountridge import metrics
 from tools.soak import __main__ as soak_command
-from tools.soak import checks, framings, harmfulparts, report, rolls
-from tools.soak import schedule
+from tools.soak import checks, documents, framings, harmfulparts
+from tools.soak import operators, report, rolls, schedule, touch
 
 HERE = pathlib.Path('tools/soak')
 SIZES = yaml.safe_load((HERE / 'sizes.yaml').read_text())
@@ -170,6 +171,7 @@
     sizes = {**SIZES, 'cold_per_s': 2}
     context.checker = checks.Checker(sizes, context.report)
     context.checker.run_counts.append({})
+    context.checker.changes.record_sent(_make(1))
     context.request = _record_sent(context, ORDER, 'order-1')
     context.runner = types.SimpleNamespace(
         name='p-1',
@@ -386,3 +388,138 @@
 @then('the rule "{rule}" is broken')
 def check_broken(context, rule):
     assert set(context.report.broken) == {rule}, context.report.broken
+
+
+# Changes of the routes.
+
+
+CHANGING = {**SIZES, 'others': 2, 'slows': 1}
+
+
+def _make(version, variant=''):
+    return documents.make(CHANGING, version, variant).meaning
+
+
+def _put(context, versions, age_s=10.0):
+    """Record changes that were acknowledged a while ago."""
+    for version in versions:
+        context.checker.changes.record_sent(_make(version))
+        at_s = NOW_S - age_s
+        context.checker.changes.record_reply(_make(version), 200, at_s)
+
+
+def _seen(route, **fields):
+    kind = {**READ, 'name': route, **fields}
+    return checks.SentRequest('read-1', kind, 'entry-4', NOW_S, 1).seen
+
+
+@when('{age_s:g} s after an acknowledged change its route is refused')
+def refuse_changed(context, age_s):
+    _put(context, [1, 2], age_s)
+    context.checker.changes.record_denied(_seen('at-2'), 404, NOW_S)
+
+
+@when('{age_s:g} s after an acknowledged change a dropped key is taken')
+def take_dropped_key(context, age_s):
+    _put(context, [1, 2, 3], age_s)
+    seen = _seen('keyed', key=documents.key(1))
+    context.checker.changes.record_run(seen, 'plain', NOW_S)
+
+
+@when('{age_s:g} s after a change had an effect its route is refused')
+def refuse_after_effect(context, age_s):
+    changes = context.checker.changes
+    _put(context, [1, 2], 0.5)
+    changes.record_run(_seen('at-2'), 'plain', NOW_S - age_s)
+    changes.record_denied(_seen('at-2'), 404, NOW_S)
+
+
+@when('a route of a refused change is run')
+def run_refused(context):
+    _put(context, [1])
+    refused = _make(2, 'raced')
+    context.checker.changes.record_sent(refused)
+    context.checker.changes.record_reply(refused, 409, NOW_S)
+    context.checker.changes.record_run(_seen('raced'), 'plain', NOW_S)
+
+
+@when('a route sent later under an acknowledged version is run')
+def run_other_content(context):
+    _put(context, [1])
+    context.checker.changes.record_sent(_make(1, 'altered'))
+    context.checker.changes.record_run(_seen('altered'), 'plain', NOW_S)
+
+
+def _operator(context, status, body):
+    """Return an operator whose calls have one answer."""
+
+    async def ask(*args):
+        return status, body
+
+    system = types.SimpleNamespace(
+        sizes=CHANGING, ask=ask, address=lambda kind: ''
+    )
+    caller = types.SimpleNamespace(system=system, checker=context.checker)
+    return operators.Operator(caller, context.report.note)
+
+
+@when('an invalid change is acknowledged')
+def acknowledge_invalid(context):
+    order = schedule.Order('invalid', 0.0, 1)
+    operator = _operator(context, 200, b'[0]')
+    operator.read = trio.lowlevel.checkpoint
+    trio.run(operator.carry_out, order)
+
+
+@when('a change is read back with other content')
+def read_other_content(context):
+    _put(context, [1])
+    answer = documents.make(CHANGING, 1, 'altered').source
+    trio.run(_operator(context, 200, answer).read)
+
+
+@when('{served:d} of {count:d} requests on an added route are served')
+def serve_few(context, served, count):
+    changes = context.checker.changes
+    for number in range(count):
+        changes.record_outcome(_seen('read'), False, True)
+        changes.record_outcome(_seen('at-2'), True, number < served)
+    changes.finish()
+
+
+@when(
+    '{late:d} of {count:d} requests wait {over_s:g} s beyond the timeout of'
+    ' their route'
+)
+def wait_beyond_timeout(context, late, count, over_s):
+    changes = context.checker.changes
+    for number in range(count):
+        took_s = 0.7 + (over_s if number < late else 0.0)
+        changes.record_wait(_seen('patience'), 0.7, took_s)
+    changes.finish()
+
+
+@when('it arrives {over_s:g} s after the drain of its runner was acknowledged')
+def arrive_at_drained_runner(context, over_s):
+    context.runner.state = 'draining'
+    context.checker.record_heartbeat(
+        context.runner, {'state': 'draining'}, 'entry-2', NOW_S - over_s
+    )
+    _arrive(context)
+
+
+@when('the checker knows of {faults}')
+def know_faults(context, faults):
+    names = [f'entry-{number}' for number in range(3)]
+    context.touch = touch.Touch(SIZES, names)
+    faulted = re.findall(r'\w+-\d', faults)
+    context.touch.begin(faulted, NOW_S - 12)
+    ended = re.search(r'until ([\d.]+) s', faults)
+    if ended:
+        context.touch.end(faulted, NOW_S - float(ended[1]))
+
+
+@then('a change must be in force at "{entry}" within {bound_s:g} s')
+def check_bound(context, entry, bound_s):
+    found = context.touch.apply_bound_s(entry, NOW_S)
+    assert found == bound_s, found
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,7 +10,8 @@
 import math
 import typing
 
-from tools.soak import announcements, harmfulparts, report
+from tools.soak import announcements, changerules, harmfulparts
+from tools.soak import report, touch
 
 __all__ = ['Answer', 'Checker', 'SentRequest']
 
@@ -19,6 +20,8 @@
 #: Statuses of requests that no route allows; the routes allow all that is
 #: sent here.
 DENIAL_STATUSES = (400, 401, 403, 404, 405, 409, 410, 413)
+#: Statuses that say that no route or key of the request is known.
+ROUTE_DENIALS = (401, 403, 404)
 #: Number of newest versions that have a route of their own in each routes
 #: document.
 PROBED_VERSIONS = 3
@@ -45,6 +48,19 @@
     kind: dict  # a row of `kinds` in the sizes
     entry: str  # name of the process that it was sent to
     at_s: float
+    incarnation: int = 0  # of the entry
+
+    @property
+    def is_probe(self) -> bool:
+        """Whether not all routes documents allow it."""
+        return self.kind.get('is_probe', False)
+
+    @property
+    def seen(self) -> changerules.Seen:
+        """What the rules on changes of the routes are about."""
+        key = self.kind.get('key', '')
+        where = (self.entry, self.incarnation, self.kind['name'])
+        return changerules.Seen(*where, key, self.at_s)
 
 
 class Answer(typing.NamedTuple):
@@ -60,7 +76,12 @@
 class Checker:
     """Records the observations of a run and checks them against the rules."""
 
-    def __init__(self, sizes: dict, run_report: report.Report):
+    def __init__(
+        self,
+        sizes: dict,
+        run_report: report.Report,
+        controllers: typing.Collection[str] = (),
+    ):
         self.sizes = sizes
         self.check, self.note = run_report.check, run_report.note
         self.sent_requests: dict[str, SentRequest] = {}
@@ -78,6 +99,12 @@
         #: When each entry was last signaled to stop.
         self.stop_requested_s: dict[str, float] = {}
         self.announcements = announcements.Announcements()
+        self.touch = touch.Touch(sizes, controllers)
+        self.changes = changerules.ChangeRules(
+            sizes, self.touch, self.check, self.note
+        )
+        #: When runners that drain were acknowledged by entries in touch.
+        self.draining_s: dict[str, float] = {}
         #: Times of crashes caused by the request that crashes runners.
         self.crashes_s: list[float] = []
         self.harmful_parts = harmfulparts.HarmfulParts(sizes)
@@ -121,6 +148,8 @@
             self._check_answer(request, answer)
         elif answer.is_whole:
             self._check_refusal(request, answer)
+            if request.is_probe and answer.status in ROUTE_DENIALS:
+                self.changes.record_denied(request.seen, answer.status, now_s)
         if not answer.is_abandoned:
             self._check_stop(request, answer, now_s)
             self._check_delivery(request, answer, now_s)
@@ -147,9 +176,7 @@
         if error.get('outcome') == 'not run' or status in NOT_RUN_STATUSES:
             self.reported_not_run.add(request.request_id)
             self._check_not_run(request.request_id)
-        is_denied = (
-            status in DENIAL_STATUSES and request.kind['kind'] != 'probe'
-        )
+        is_denied = status in DENIAL_STATUSES and not request.is_probe
         self.check('no denials', not is_denied, asked=request, error=error)
         is_held = error.get('code') == harmfulparts.QUARANTINED_CODE
         if is_held and not self.harmful_parts.is_harmful(request.kind):
@@ -229,6 +256,8 @@
             self._check_announcements(request, runner, now_s)
             self._check_limit(request, runner, now_s)
             self._check_out_of_service(request, runner, now_s)
+            self._check_draining(request, runner, now_s)
+            self.changes.record_run(request.seen, runner.service, now_s)
             self._check_cold(request, runner, now_s)
 
     def record_announcement(
@@ -326,6 +355,21 @@
             rule, over_s < 0, places=places, over_s=over_s, asked=request
         )
 
+    def _check_draining(
+        self, request: SentRequest, runner, now_s: float
+    ) -> None:
+        """Check that a runner that drains gets nothing after a while."""
+        since_s = self.draining_s.get(runner.name, math.inf)
+        over_s = now_s - since_s - self.sizes['drain_s']
+        link = [f'link-{runner.name}']
+        calm_from_s = now_s - self.sizes['contact_s']
+        if since_s == math.inf or not self.touch.is_calm(link, calm_from_s):
+            return
+        if self.touch.is_in_touch(request.entry, now_s):
+            rule = 'who drains gets nothing'
+            fields = {'to': runner.name, 'over_s': over_s}
+            self.check(rule, over_s <= 0, asked=request, **fields)
+
     def _check_cold(self, request: SentRequest, runner, now_s: float) -> None:
         per_s = self.sizes['cold_per_s']
         if (
@@ -343,11 +387,20 @@
             'cold runners are spared', sent <= limit, to=name, sent=sent
         )
 
-    def record_heartbeat(self, runner, body: dict, now_s: float) -> None:
-        """Record an acknowledged heartbeat of a runner."""
+    def record_heartbeat(
+        self, runner, body: dict, entry: str, now_s: float
+    ) -> None:
+        """Record a heartbeat of a runner that ``entry`` acknowledged."""
         # A delayed acknowledgement may arrive after the drain has ended.
         if body['state'] == 'draining' and runner.state == 'draining':
             self.out_of_service_s.setdefault(runner.name, now_s)
+            if self.touch.is_in_touch(entry, now_s):
+                self.draining_s.setdefault(runner.name, now_s)
+
+    def end_drain(self, runner) -> None:
+        """Record that a runner takes requests again."""
+        self.out_of_service_s.pop(runner.name, None)
+        self.draining_s.pop(runner.name, None)
 
     # Operators.
 
@@ -453,6 +506,7 @@
     ) -> None:
         """Check the final service level, and the permanent rules again."""
         self._check_sound(quiet_from_s)
+        self.changes.finish()
         is_good = served >= self.sizes['served_part'] * max(1, asked)
         self.check('good service is back', is_good, served=served, of=asked)
         for request_id in self.reported_not_run:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -34,6 +34,8 @@
 ENDING_S = 0.3
 #: Delay until a runner that has left or ended starts again.
 RESTART_S = 1.0
+#: An entry counts as not ready this long after its signal to stop.
+UNREADY_S = 4.0
 #: Delay from the end of a process to the start of its other build.
 REPLACE_S = 0.5
 BOTH_DIRECTIONS = (links.TO_SERVER, links.TO_CLIENT)
@@ -77,12 +79,14 @@
         """
         has_disk = any(name in self.system.names[:3] for name in names)
         affected = [*names, 'core'] if has_disk else names
+        self.checker.touch.begin(names, trio.current_time())
         for name in affected:
             self._active_faults[name] += 1
             self.checker.last_fault_s[name] = math.inf
         try:
             yield
         finally:
+            self.checker.touch.end(names, trio.current_time())
             for name in affected:
                 self._active_faults[name] -= 1
                 if not self._active_faults[name]:
@@ -108,7 +112,27 @@
 
     # Entries and sidecars.
 
+    async def _core(self, fault: Fault) -> None:
+        """Keep a controller from running, as a busy scheduler may."""
+        await self._unschedule(
+            _pick(fault, self.system.names[: fleet.DISKS]), fault.span_s
+        )
+
+    async def _unschedule(self, name: str, span_s: float) -> None:
+        """Do not run a process for a while; no fault that counts."""
+        self.system.signal(name, signal.SIGSTOP)
+        await trio.sleep(span_s)
+        self.system.signal(name, signal.SIGCONT)
+
     async def _entry(self, fault: Fault) -> None:
+        if fault.kind == 'entry_unscheduled':
+            name = _pick(fault, self.system.names[fleet.DISKS :])
+            await self._unschedule(name, fault.span_s)
+            return
+        if fault.kind == 'entry_reload':
+            name = _pick(fault, self.system.names)
+            self.system.signal(name, signal.SIGHUP)
+            return
         is_wiped = fault.kind == 'entry_wipe'
         name = _pick(fault, self.system.names[: 3 if is_wiped else None])
         await self._process(name, fault, is_wiped)
@@ -157,15 +181,36 @@
         # A paused process can't handle the signal to stop.
         self.system.signal(name, signal.SIGCONT)
         self.checker.stop_requested_s[name] = now_s
+        self.checker.touch.begin([name], now_s)
         had_no_faults = self.checker.entry_had_no_faults(
             name, now_s - self.system.sizes['calm_s']
         )
-        took_s = await self.system.stop(name, 2 * limit_s)
+        took_s = await self._watch_stop(name, 2 * limit_s)
         in_time = took_s <= limit_s or not had_no_faults
         rule = 'planned stops end in time'
         self.checker.check(rule, in_time, entry=name, took_s=took_s)
         await trio.sleep(span_s)
         self.system.restart(name)
+        self.checker.touch.end([name], trio.current_time())
+
+    async def _watch_stop(self, name: str, limit_s: float) -> float:
+        """Stop a process; check that it is not ready any more after a while.
+
+        Returns the seconds that it took.
+        """
+
+        async def check_ready() -> None:
+            await trio.sleep(UNREADY_S)
+            address = self.system.readiness(name)
+            status, _ = await self.system.ask(address, b'/')
+            rule = 'stopping entries are not ready'
+            self.checker.check(rule, status != 200, entry=name)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(check_ready)
+            took_s = await self.system.stop(name, limit_s)
+            nursery.cancel_scope.cancel()
+        return took_s
 
     async def _pause(self, name: str, span_s: float) -> None:
         with self._mark_faulted(name):
@@ -212,8 +257,8 @@
         elif fault_name == 'drain':
             runner.state = 'draining'
             await trio.sleep(fault.span_s)
-            self.checker.out_of_service_s.pop(runner.name, None)
             runner.state = 'ready'
+            self.checker.end_drain(runner)
         else:
             target = runner if fault_name == 'garbled' else runner.faults
             with self._mark_faulted(f'link-{runner.name}'):
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -114,9 +114,14 @@
         link = self.links[f'{kind}-{self.rng.randrange(len(self.names))}']
         return links.link_address(link.target)
 
-    async def post(self, path: bytes, body: bytes) -> int:
-        """Send a control call to a random entry and return the status."""
-        return (await self.ask(self.address('control'), path, body))[0]
+    def readiness(self, name: str) -> str:
+        """Return the address at which an entry tells whether it is ready."""
+        return f'{self.network}{self.names.index(name) + 1}:8001'
+
+    def entry_at(self, address: str) -> str:
+        """Return the entry whose link has an address."""
+        host = address.rpartition(':')[0].removeprefix(self.network)
+        return self.names[int(host) - 1]
 
     # Signals, sent only to processes started here.
 
--- a/tools/soak/loads.py
+++ b/tools/soak/loads.py
@@ -83,7 +83,10 @@
         now_s = trio.current_time()
         request_id = f'{kind["name"]}-{self.rng.getrandbits(64):016x}'
         entry = self.system.names[self.system.fronts.index(front)]
-        request = checks.SentRequest(request_id, kind, entry, now_s)
+        incarnation = self.system.incarnations[entry]
+        request = checks.SentRequest(
+            request_id, kind, entry, now_s, incarnation
+        )
         self.checker.sent_requests[request_id] = request
         deadline_s = kind['deadline_ms'] / 1000 + EXTRA_WAIT_S
         until_s = now_s + min(deadline_s, abandon_after_s)
@@ -104,6 +107,9 @@
             (NAMES.token_counts, b'%d,%d' % (kind['prompt'], kind['output'])),
             (b'Content-Length', b'%d' % len(body)),
         ]
+        if 'key' in kind:
+            bearer = b'Bearer ' + kind['key'].encode()
+            headers.append((b'Authorization', bearer))
         if 'parts' in kind:
             parts = harmfulparts.header(kind, request.request_id)
             headers.append((NAMES.prefix_parts, parts))
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -7,53 +7,19 @@
 
 import trio
 
-from standins import engine
-from tools.soak import checks, loads, schedule
+from tools.soak import checks, documents, loads, schedule
 
 __all__ = ['Operator']
 
 #: Attempts to send an order until it is acknowledged, to random entries.
 MAX_SENDS = 4
+#: Changes of a series, and the time between two.
+SERIES, SERIES_EVERY_S = 4, 0.05
 #: Kind of the requests for the route of one version.
-PROBE = {'kind': 'probe', 'deadline_ms': 2500, 'prompt': 0, 'output': 0}
-
-
-def _route(
-    name: str,
-    kind: str = 'safe',
-    service: str = 'plain',
-    ms: float = 2500.0,
-    resumable: bool = True,
-) -> list:
-    is_resumable = kind == 'streaming' and resumable
-    place = ['soak.example', f'/{name}/', kind, ms, 500.0, 1]
-    return [name, *place, [[service, 1.0]], 2, True, is_resumable, 0.0]
-
-
-def document(sizes: dict, version: int, variant: str = '') -> bytes:
-    """Return a routes document, with a route for each newest version."""
-    listed = [
-        _route(
-            kind['name'],
-            kind['kind'],
-            kind['service'],
-            kind['deadline_ms'],
-            kind.get('resumable', True),
-        )
-        for kind in sizes['kinds']
-    ]
-    oldest = max(1, version - checks.PROBED_VERSIONS + 1)
-    listed += [_route(f'at-{n}') for n in range(oldest, version + 1)]
-    if variant:
-        listed.append(_route(variant))
-    sheet = engine.EngineParameters()
-    llm = [sheet.slots, sheet.memory_tokens, sheet.experts]
-    llm += [sheet.places, sheet.spare]
-    cold = [sizes['cold_s'], sizes['cold_per_s']]
-    cold = cold if sizes['cold_per_s'] else [0.0, 0.0]
-    services = [['llm', '/h', 64, llm], ['plain', '/h', 64, None, *cold]]
-    limits = [16384, 1 << 20, 3000.0, 15000.0]
-    return json.dumps([version, listed, services, limits, None]).encode()
+PROBE = {
+    'kind': 'probe', 'deadline_ms': 2500, 'prompt': 0, 'output': 0,
+    'is_probe': True,
+}  # fmt: skip
 
 
 class Operator:
@@ -66,32 +32,76 @@
         self.note = note
         #: Halls that are drained, or may be.
         self.drained: set[str] = set()
-        self._sent: dict[int, bytes] = {}
+        #: Documents that were sent, by version.
+        self._sent: dict[int, list[documents.Routes]] = {}
 
     async def put_first_routes(self) -> None:
         """Put the first routes until they are acknowledged."""
         while self.checker.acked_version == 0:
-            await self._put(1, document(self.system.sizes, 1))
+            await self._put(documents.make(self.system.sizes, 1))
 
     async def carry_out(self, order: schedule.Order) -> None:
         """Carry out one order of the plan."""
         if order.kind == 'hall':
             await self._toggle_hall(order.pick)
             return
-        version = self.checker.sent_version
-        if order.kind in ('put', 'race'):
-            version += 1
-        if order.kind == 'old':
-            version = max(1, version - 1 - order.pick % 3)
-        source = document(self.system.sizes, version)
-        async with trio.open_nursery() as nursery:
-            if order.kind == 'race':
-                other = document(self.system.sizes, version, 'raced')
-                nursery.start_soon(self._put, version, other)
-            body = self._sent.get(version, source)
-            nursery.start_soon(self._put, version, body)
+        kinds = {
+            'put': self._put_next,
+            'race': self._race,
+            'series': self._series,
+            'resend': self._resend,
+            'old': self._old,
+            'other': self._other,
+            'invalid': self._invalid,
+        }
+        await kinds[order.kind](order.pick)
         await self.read()
 
+    async def _next(self, variant: str = '') -> None:
+        version = self.checker.sent_version + 1
+        await self._put(documents.make(self.system.sizes, version, variant))
+
+    async def _put_next(self, pick: int) -> None:
+        await self._next()
+
+    async def _race(self, pick: int) -> None:
+        """Send two documents with the same version at once."""
+        version, sizes = self.checker.sent_version + 1, self.system.sizes
+        async with trio.open_nursery() as nursery:
+            for variant in ('raced', ''):
+                routes = documents.make(sizes, version, variant)
+                nursery.start_soon(self._put, routes)
+
+    async def _series(self, pick: int) -> None:
+        """Send several changes, each before the one before is answered."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(SERIES):
+                nursery.start_soon(self._next)
+                await trio.sleep(SERIES_EVERY_S)
+
+    async def _resend(self, pick: int) -> None:
+        await self._put(self._sent[self.checker.sent_version][0])
+
+    async def _old(self, pick: int) -> None:
+        version = max(1, self.checker.sent_version - 1 - pick % 3)
+        if version in self._sent:
+            await self._put(self._sent[version][0])
+
+    async def _other(self, pick: int) -> None:
+        """Send other content under an acknowledged version."""
+        version = self.checker.acked_version
+        await self._put(documents.make(self.system.sizes, version, 'altered'))
+
+    async def _invalid(self, pick: int) -> None:
+        """Send an invalid document, which must be refused."""
+        version = self.checker.sent_version + 1
+        routes = documents.invalid(self.system.sizes, version, pick)
+        self.checker.changes.record_sent(routes.meaning, is_valid=False)
+        status, _ = await self._send('/v1/routes/put', routes.source)
+        is_refused = 400 <= status < 500 or status == 503
+        rule = 'invalid changes are refused'
+        self.checker.check(rule, is_refused, status=status, pick=pick)
+
     async def _send(self, path: str, body: bytes) -> tuple[int, bytes]:
         """Send an order until it is answered with another status than 503."""
         status, answer = 503, b''
@@ -106,10 +116,15 @@
             await trio.sleep(0.2)
         return status, answer
 
-    async def _put(self, version: int, source: bytes) -> None:
+    async def _put(self, routes: documents.Routes) -> None:
+        version, changes = routes.meaning.version, self.checker.changes
         self.checker.sent_version = max(self.checker.sent_version, version)
-        self._sent.setdefault(version, source)
-        status, answer = await self._send('/v1/routes/put', source)
+        sent = self._sent.setdefault(version, [])
+        if routes not in sent:
+            sent.append(routes)
+        changes.record_sent(routes.meaning)
+        status, answer = await self._send('/v1/routes/put', routes.source)
+        changes.record_reply(routes.meaning, status, trio.current_time())
         rule = 'orders sent again are taken'
         self.checker.check(rule, status in (200, 503), version=version)
         if status == 200:
@@ -124,7 +139,11 @@
         address = self.system.address('control')
         status, body = await self.system.ask(address, b'/v1/routes/get')
         if status == 200:
-            self.checker.record_read(acked, json.loads(body)[0], body)
+            version = json.loads(body)[0]
+            self.checker.record_read(acked, version, body)
+            sent = [each.source for each in self._sent.get(version, [])]
+            rule = 'routes are read as they were sent'
+            self.checker.check(rule, body in sent, version=version)
 
     async def probe(self, name: str) -> int:
         """Return the newest version whose route an entry serves, 0 if none.
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -18,6 +18,8 @@
 PORT = 9000
 PLAIN_SLOTS = 8
 PLAIN_WORK_S = 0.02
+#: Longer than any request waits.
+SLOW_WORK_S = 60.0
 #: Path prefix of requests that crash the runner that starts them.
 CRASHING_PATH = b'/killer/'
 CRASH_DOWN_S = 2.0
@@ -85,7 +87,7 @@
             await trio.sleep(self._down_s)
             self.state, self.is_leaving = 'ready', False
             self.limit_per_s = None
-            checker.out_of_service_s.pop(self.name, None)
+            checker.end_drain(self)
             checker.announcements.forget(self.name)
             self.cold_until_s = trio.current_time() + system.sizes['cold_s']
 
@@ -103,14 +105,20 @@
                 'cold_ms': cold_s * 1000,
             }
 
+        asked = ''
+
+        async def post(path: bytes, body: bytes) -> int:
+            nonlocal asked
+            asked = system.address('control')
+            return (await system.ask(asked, path, body))[0]
+
         def acknowledged(body: dict) -> None:
-            checker.record_heartbeat(self, body, trio.current_time())
+            entry = system.entry_at(asked)
+            checker.record_heartbeat(self, body, entry, trio.current_time())
 
         at = links.link_address(self.address)
         names = (self.name, self.service, at, PLAIN_SLOTS)
-        await engineserver.register(
-            system.post, *names, status_report, acknowledged
-        )
+        await engineserver.register(post, *names, status_report, acknowledged)
 
     def _observed(
         self, rng: random.Random, checker: checks.Checker, frames: bool
@@ -264,8 +272,13 @@
 
     for n in range(sizes['ranks']):
         add(f'i-{n}', 'llm', 100 + n, ranks.handler(n), ranks.faults[n])
-    for n in range(sizes['plains']):
-        plain = engineserver.PlainRunner(n, PLAIN_WORK_S, rng)
-        checker.run_counts.append(plain.runs)
-        add(f'p-{n}', 'plain', 150 + n, plain.handle, plain.faults)
+    for prefix, service, count, host, work_s in (
+        ('p', 'plain', sizes['plains'], 150, PLAIN_WORK_S),
+        ('o', 'other', sizes['others'], 180, PLAIN_WORK_S),
+        ('s', 'slow', sizes['slows'], 200, SLOW_WORK_S),
+    ):
+        for n in range(count):
+            plain = engineserver.PlainRunner(n, work_s, rng)
+            checker.run_counts.append(plain.runs)
+            add(f'{prefix}-{n}', service, host + n, plain.handle, plain.faults)
     return EmulatedRunners(created, group, ranks)
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -27,7 +27,7 @@
 class Order(typing.NamedTuple):
     """One action of an operator."""
 
-    kind: str  # put, race, resend, old, hall
+    kind: str  # hall, or one of `order_kinds` in the sizes
     start_s: float
     pick: int
 
@@ -112,7 +112,7 @@
 ) -> list[Order]:
     found = []
     for kinds, every_s in (
-        (('put', 'put', 'race', 'resend', 'old'), sizes['operator_every_s']),
+        (sizes['order_kinds'], sizes['operator_every_s']),
         (('hall',), sizes['hall_every_s']),
     ):
         at_s = rng.expovariate(1 / every_s)
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from tools.soak import checks, faults, fleet, loads, operators
+from tools.soak import checks, faults, fleet, keepers, loads, operators
 from tools.soak import report, rolls, runners, schedule
 
 __all__ = ['execute']
@@ -36,10 +36,13 @@
     ):
         self.system = system
         self.plan = plan
+        self.seed = seed
         self.planned_rolls = planned_rolls
         rng = random.Random(seed)
         self.report = report.Report(system.folder)
-        self.checker = checks.Checker(system.sizes, self.report)
+        self.checker = checks.Checker(
+            system.sizes, self.report, system.names[: fleet.DISKS]
+        )
         self.emulated = runners.build(system, self.checker, rng)
         self.faults = faults.Faults(system, self.emulated, self.checker)
         self.rolls = rolls.Rolls(system, self.faults, self.report)
@@ -73,6 +76,7 @@
             per_s = sum(k['per_s'] for k in kinds) / len(self.callers[1:])
             for caller in self.callers[1:]:
                 nursery.start_soon(caller.run, kinds, per_s)
+            self._start_keepers(nursery)
             nursery.start_soon(self._check_periodically)
             nursery.start_soon(self._probe)
             if self.planned_rolls:
@@ -89,6 +93,15 @@
         }
         return self.report.end({'passes': self.emulated.group.step, **counts})
 
+    def _start_keepers(self, nursery: trio.Nursery) -> None:
+        sizes, rng = self.system.sizes, random.Random(self.seed)
+        for front in self.system.fronts * sizes['keepers']:
+            keeper = loads.Caller(
+                self.system, self.checker, random.Random(rng.random())
+            )
+            every_s = sizes['keeper_every_s']
+            nursery.start_soon(keepers.keep, keeper, front, every_s)
+
     def _start_plan(self, nursery: trio.Nursery) -> None:
         async def at(act: typing.Callable, step: typing.Any) -> None:
             await trio.sleep_until(self.report.started_s + step.start_s)
