Soak: departures count from the answer that announces them

Change: recorded as the head of the answer is sent; judged by when the caller sent the request; only a restart or a freeze of the entry excuses it.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -31,7 +31,8 @@
 #: `CUT_FROM_SHARE` of the grace period on, if its runner has not finished.
 MAY_BE_CUT_WITHIN_S = 3.0
 CUT_FROM_SHARE = 5 / 6
-#: How long a runner may receive requests after it announced that it leaves.
+#: A runner may receive requests that were sent within this time after an
+#: answer has announced that it leaves.
 LEAVING_GRACE_S = 2.0
 #: Crashes until a request is quarantined, and further ones that are allowed
 #: once the last of these is known.
@@ -293,9 +294,11 @@
         announced_s = self.announcements.leaving_since_s(
             runner.name, request.entry
         )
-        if announced_s < math.inf and self.had_no_faults(places, announced_s):
-            is_kept = now_s < announced_s + LEAVING_GRACE_S
-            self.check('who leaves gets nothing', is_kept, to=runner.name)
+        is_told = announced_s < math.inf
+        if is_told and self.touch.is_calm([request.entry], announced_s):
+            is_kept = request.at_s < announced_s + LEAVING_GRACE_S
+            fields = {'asked': request, 'to': runner.name}
+            self.check('who leaves gets nothing', is_kept, **fields)
 
     def record_limit(
         self, request_id: bytes, runner, per_s: float, now_s: float
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -153,10 +153,7 @@
                     )
                     return
                 if self.is_leaving:
-                    checker.record_announcement(request_id, self, now_s)
-                    responder = announcements.AnnouncingResponder(
-                        responder, (NAMES.leaving, b'1')
-                    )
+                    responder = self._leaving(request_id, responder, checker)
                 if rng.random() < self.garbled:
                     await responder._stream.send_all(GARBLED)
                     return
@@ -167,6 +164,22 @@
 
         return handle
 
+    def _leaving(
+        self,
+        request_id: bytes,
+        responder: httpserver.Responder,
+        checker: checks.Checker,
+    ) -> announcements.AnnouncingResponder:
+        """Return a responder that announces in its answer that it leaves."""
+
+        def announced() -> None:
+            now_s = trio.current_time()
+            checker.record_announcement(request_id, self, now_s)
+
+        return announcements.AnnouncingResponder(
+            responder, (NAMES.leaving, b'1'), announced
+        )
+
     async def _run_harmful(
         self,
         part: bytes,
