Log pauses of a process, and the age of the view of each request

Cause: the logs of an incident could not tell whether a process had not run, how old its view was as it routed or sent a request, or how many holders of a lease had a change when it was acknowledged (docs/incidents/outdated-views.md).

The line of a request has view_age_ms and sent_view_age_ms, from the renewal that confirmed the view. No logic is changed: hooks for pauses exist and nothing uses them.

--- a/features/worlds/core.py
+++ b/features/worlds/core.py
@@ -111,6 +111,7 @@
         self.isolated = set()
         self.cut_halls = set()
         self.last_due_s = {}
+        self.paused_since_s = {}
         self.clock_step_s = 0.0
 
     def box_at(self, address):
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -18,7 +18,7 @@
 import trio
 import trio.testing
 
-from mountridge import agent, application, controller
+from mountridge import agent, application, clocks, controller
 from mountridge.dispatch import exchanges
 from mountridge.documents import sheets, tables
 from mountridge import entry, errors, gateway
@@ -33,6 +33,8 @@
 LATENCY_S = 0.001
 COMMIT_S = 0.002
 ELECTION_S = 0.8
+#: From the end of a pause until messages that have waited are read.
+TURN_S = 0.002
 LEADER_LEASE_S = 0.45
 WALL_S = 1_800_000_000.0
 
@@ -84,14 +86,22 @@
     def __init__(self, world, settings, generation):
         super().__init__(settings)
         self.world = world
+        self.clock = clocks.Clock(
+            self.report_suspension,
+            self._time_s,
+            self._time_s,
+            self.report_pause,
+        )
         self.generation = generation
         self.incarnation = f'{self.name}-{generation}'
         self.muted = False
         self.dealers = []
         self.scope = trio.CancelScope()
 
-    def now_s(self):
-        return trio.current_time()
+    def _time_s(self):
+        """Return the time, which stands still while it is paused."""
+        now_s = trio.current_time()
+        return self.world.paused_since_s.get(self.name, now_s)
 
     def wall_s(self):
         return WALL_S + trio.current_time() + self.world.clock_step_s
@@ -105,7 +115,7 @@
         return made
 
     def system_tasks(self):
-        return [self._receive]
+        return [self._receive, self.watch_pauses]
 
     def close(self):
         pass
@@ -327,6 +337,7 @@
         self.rules = []
         self.cut_links = set()
         self.frozen_until_s = {}
+        self.paused_since_s = {}
         self.isolated_since_s = {}
         self.log = []
         self.leader, self.term = '', 0
@@ -397,6 +408,21 @@
         await trio.sleep(after_s)
         self.start(name)
 
+    def is_paused(self, name):
+        return name in self.paused_since_s
+
+    async def pause(self, name, span_s):
+        """Do not run a process for a while.
+
+        Its clock stands still, and messages from and to it wait, those to it
+        until a turn after it runs again.
+        """
+        now_s = trio.current_time()
+        self.frozen_until_s[name] = now_s + span_s + TURN_S
+        self.paused_since_s[name] = now_s
+        await trio.sleep(span_s)
+        del self.paused_since_s[name]
+
     def stop(self, name):
         """Request a planned stop."""
         self.processes[name].stopping.set()
--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -48,10 +48,15 @@
         #: Identifies this run of the process; state of other runs is invalid.
         self.incarnation = utils.fresh_id()
         self.metrics = metrics.open_metrics(settings)
-        self.clock = clocks.Clock(self.report_suspension)
+        self.clock = clocks.Clock(
+            self.report_suspension, on_pause=self.report_pause
+        )
         #: Called after a suspension of the machine, with its duration in
         #: seconds, before the new time is used.
         self.on_suspension: list[typing.Callable[[float], None]] = []
+        #: Called after this process was not run for a while, with the
+        #: duration in seconds, before it acts on anything it knew before.
+        self.on_pause: list[typing.Callable[[float], None]] = []
         self.handlers: dict[type, Handler] = {
             messages.Dump: self._dump,
             messages.Stop: self._stop,
@@ -85,6 +90,20 @@
         for hook in self.on_suspension:
             hook(gap_s)
 
+    def report_pause(self, gap_s: float) -> None:
+        """Log that the process was not run for ``gap_s``; call the hooks."""
+        self.metrics.incr('clock.pauses')
+        logger.warning('not run', gap_ms=round(gap_s * 1000))
+        for hook in self.on_pause:
+            hook(gap_s)
+
+    async def watch_pauses(self) -> None:
+        """Read the clock often enough to detect pauses."""
+        self.clock.watch()
+        while True:
+            await trio.sleep(clocks.READ_INTERVAL_S)
+            self.now_s()
+
     def wall_s(self) -> float:
         """Return the Unix time, for records and the age of keys."""
         return time.time()
@@ -244,7 +263,12 @@
         async def authenticate() -> None:
             await keys.serve_authentication(self.context, self.settings)
 
-        return [authenticate, self._receive, self._watch_signals]
+        return [
+            authenticate,
+            self._receive,
+            self._watch_signals,
+            self.watch_pauses,
+        ]
 
     def close(self) -> None:
         """Close all sockets."""
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -105,6 +105,7 @@
                 listening.PROCESS_START_S,
                 self.slack_shares.share,
             ),
+            self.lease,
         )
         app.on_suspension.append(
             lambda gap_s: self.forwarder.cancel_overdue(app.now_s())
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -20,6 +20,7 @@
 from mountridge.routing import backends, budgets, crashwatch, partrecords
 from mountridge.routing import picking, quarantine, routedanswers
 from mountridge.routing import routedexchanges, routefilters, sendgates
+from mountridge.state import leases
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -88,6 +89,7 @@
         backends: backends.Backends,
         gateway_count: typing.Callable[[], int],
         budget: budgets.RetryBudget,
+        lease: leases.HeldLease | None = None,
     ):
         self.app = app
         self.dialect = dialect
@@ -100,6 +102,7 @@
         self.pool = lasthop.Pool(dialect.headers, app.now_s)
         self._index = index
         self.budget = budget
+        self.lease = lease or leases.HeldLease()
         self.picker = picking.Picker(
             app, index, backends, gateway_count, self.rng
         )
@@ -178,6 +181,7 @@
             reason=str(problem) if problem else '',
             status=exchange.status or (problem.status if problem else 0),
             **_runner_fields(exchange.picked, now_s),
+            **routedexchanges.view_fields(exchange),
             prompt_tokens=head.prompt_tokens if head else 0,
             output_tokens=head.output_tokens if head else 0,
             tries=exchange.attempts,
@@ -199,6 +203,7 @@
                 await self.routes_known.wait()
         for apply_filter in self.filters:
             apply_filter(exchange, self.app.now_s())
+        exchange.routed_view_age_s = self._view_age_s()
         await self.crashes.admit(exchange)
         self.budget.record_first(exchange.service, self.app.now_s())
         # trio's clock and the application's have different origins.
@@ -212,6 +217,10 @@
         if scope.cancelled_caught:
             raise self._timeout_error(exchange)
 
+    def _view_age_s(self) -> float:
+        """Return how long ago the view was known to be up to date."""
+        return self.app.now_s() - self.lease.confirmed_s
+
     def cancel_overdue(self, now_s: float) -> None:
         """Cancel overdue requests; timers stop while a box is suspended."""
         for scope, until_s in self._cancel_at_s.items():
@@ -383,6 +392,7 @@
             raise errors.DeadlinePassed()
         self.crashes.check_parts(exchange)
         sends.check(now_s)
+        exchange.sent_view_age_s = self._view_age_s()
         sends.mark_sent(now_s)
         exchange.is_sent = True
         if exchange.retry is not None:
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -8,7 +8,10 @@
 from mountridge.net import dialects, httpserver
 from mountridge.routing import backends, budgets, partrecords
 
-__all__ = ['Answer', 'Exchange', 'runner_fields', 'to_ms']
+__all__ = ['Answer', 'Exchange', 'runner_fields', 'to_ms', 'view_fields']
+
+#: Longest age of a view in log lines; also stands for an unknown age.
+MAX_LOGGED_AGE_S = 999.0
 
 
 class Answer(typing.NamedTuple):
@@ -36,6 +39,10 @@
         self.team: routes.Team | None = None
         self.service = ''
         self.table_version = 0
+        #: Age of the view when the request was routed, and when it was last
+        #: sent to a runner; None where that is not known.
+        self.routed_view_age_s: float | None = None
+        self.sent_view_age_s: float | None = None
         self.deadline_s = now_s
         self.attempts = 0
         self.attempted: set[str] = set()
@@ -123,6 +130,19 @@
     }
 
 
+def view_fields(exchange: Exchange) -> dict:
+    """Return the fields of a log line on the age of the view."""
+    ages_s = {
+        'view_age_ms': exchange.routed_view_age_s,
+        'sent_view_age_ms': exchange.sent_view_age_s,
+    }
+    return {
+        name: to_ms(min(age_s, MAX_LOGGED_AGE_S))
+        for name, age_s in ages_s.items()
+        if age_s is not None
+    }
+
+
 def to_ms(span_s: float | None) -> float:
     """Return a duration in milliseconds for log lines; 0 for None."""
     return round((span_s or 0.0) * 1000, 1)
--- a/mountridge/state/leases.py
+++ b/mountridge/state/leases.py
@@ -7,6 +7,7 @@
 always ends at its holder before the leader considers it expired.
 """
 
+import math
 import typing
 
 from mountridge import messages
@@ -25,6 +26,9 @@
 
     def __init__(self) -> None:
         self.until_s = 0.0
+        #: When the newest renewal that was granted was sent: the view holds
+        #: all that was in force then.
+        self.confirmed_s = -math.inf
         self._since_s = 0.0
         self._max_gap_s = 0.0
         self.fence = messages.Fence(0, 0)
@@ -59,6 +63,7 @@
         if sent_s >= self.until_s + self._max_gap_s:
             self._since_s = sent_s
         self.until_s = max(self.until_s, sent_s + grant.lease_s)
+        self.confirmed_s = max(self.confirmed_s, sent_s)
         self.shares = {share.row: share for share in grant.shares}
         return True
 
@@ -105,12 +110,17 @@
     """
 
     def __init__(self, started_s: float, lease_s: float):
+        self._started_s = started_s
         self.quiet_until_s = started_s + lease_s
         self.lease_s = lease_s
         self.holders: dict[str, Holder] = {}
         #: (holder, lease) of earlier incarnations of holders.
         self._earlier_leases: list[tuple[str, Granted]] = []
 
+    def age_s(self, now_s: float) -> float:
+        """Return for how long this leader has granted leases."""
+        return now_s - self._started_s
+
     def renew(
         self, route: bytes, renew: messages.Renew, index: int, now_s: float
     ) -> Holder:
