--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -325,7 +325,10 @@
 
 @when('it arrives 3 s after its runner announced that it leaves')
 def arrive_at_leaving_runner(context):
-    context.checker.record_announcement(b'order-1', context.runner, NOW_S - 3)
+    context.runner.is_leaving = True
+    context.checker.record_announcement(b'order-1', context.runner, NOW_S - 4)
+    answer = checks.Answer(503, {}, b'{}', True, False)
+    context.checker.record_answer(context.request, answer, NOW_S - 3)
     _arrive(context)
 
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -100,6 +100,9 @@
         #: When each entry was last signaled to stop.
         self.stop_requested_s: dict[str, float] = {}
         self.announcements = announcements.Announcements()
+        #: Runners by request whose answer announces that they leave; it counts
+        #: once an entry has passed it on.
+        self._departures: dict[str, typing.Any] = {}
         self.touch = touch.Touch(sizes, controllers)
         self.changes = changerules.ChangeRules(
             sizes, self.touch, self.check, self.note
@@ -145,6 +148,10 @@
         self, request: SentRequest, answer: Answer, now_s: float
     ) -> None:
         """Check the answer to a request."""
+        runner = self._departures.pop(request.request_id, None)
+        if runner is not None and runner.is_leaving and answer.status:
+            names = (runner.name, request.entry)
+            self.announcements.record_leaving(*names, now_s)
         if 200 <= answer.status < 300:
             self._check_answer(request, answer)
         elif answer.is_whole:
@@ -272,9 +279,7 @@
             backoff = (runner.name, request.entry, runner.backoff_s, now_s)
             self.announcements.record_backoff(*backoff)
         else:
-            self.announcements.record_leaving(
-                runner.name, request.entry, now_s
-            )
+            self._departures[request.request_id] = runner
 
     def _check_announcements(
         self, request: SentRequest, runner, now_s: float
