Requests wait for a view that was confirmed since the last pause

Cause: an entry acts without a lease on purpose and never asked how old its view was. After a pause the requests that wait in kept connections are read in the same turn in which the process runs again, before the changes that wait beside them; and a request that was assigned before the pause was sent after it. Class: knowledge whose age is measured by the arrival of messages, in a process that may not run.

From then on the view does not count as current until a renewal that was sent after the pause is granted. Meanwhile the entry is not ready and lists no gateways. The leases of gateways and agents are not valid either. An entry that is run and cut off serves on as before.

--- a/features/pauses.feature
+++ b/features/pauses.feature
@@ -52,3 +52,9 @@
     When "a request whose route has moved" is read as the entry runs again
     Then it gets runner s-1 or s-2 within 0.02 s
     And the entry is ready, and lists the gateways
+
+  Scenario: A lease is not valid after a pause until it is renewed
+    Given a lease that was granted for 3 s
+    When its holder is not run for 1.5 s
+    Then it is not valid, also after a grant for a renewal sent before
+    And it is valid after a grant for a renewal sent later
--- a/features/steps/pauses_steps.py
+++ b/features/steps/pauses_steps.py
@@ -6,6 +6,8 @@
 import trio
 
 from features.worlds import pauses
+from mountridge import messages
+from mountridge.state import leases
 
 #: Path and key of the requests of the scenarios.
 REQUESTS = {
@@ -161,3 +163,32 @@
 def check_ready_again(context, within_s):
     assert context.ready_after_s <= within_s, context.ready_after_s
     assert context.last[0] == 200, context.last
+
+
+@given('a lease that was granted for {span_s:g} s')
+def grant_lease(context, span_s):
+    context.held = leases.HeldLease()
+    context.grant = messages.Grant(
+        span_s, messages.Fence(1, 1), 1, False, [], [], {}
+    )
+    assert context.held.apply_grant(context.grant, 10.0)
+    assert context.held.is_valid(10.0)
+
+
+@when('its holder is not run for {gap_s:g} s')
+def distrust(context, gap_s):
+    context.now_s = 10.5 + gap_s
+    context.held.distrust(context.now_s)
+
+
+@then('it is not valid, also after a grant for a renewal sent before')
+def check_invalid(context):
+    assert not context.held.is_valid(context.now_s)
+    assert context.held.apply_grant(context.grant, 10.4)
+    assert not context.held.is_valid(context.now_s)
+
+
+@then('it is valid after a grant for a renewal sent later')
+def check_valid(context):
+    assert context.held.apply_grant(context.grant, context.now_s)
+    assert context.held.is_valid(context.now_s)
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -19,7 +19,7 @@
 from mountridge.net import dialects, httpserver, listening
 from mountridge.routing import backends, budgets, crashreports, entryapi
 from mountridge.routing import forwarding, hallorders, runnerlimits
-from mountridge.routing import slackshares, warmup
+from mountridge.routing import slackshares, viewguards, warmup
 from mountridge import signals
 from mountridge.state import leases, members, views
 
@@ -105,7 +105,7 @@
                 listening.PROCESS_START_S,
                 self.slack_shares.share,
             ),
-            self.lease,
+            viewguards.ViewGuard(self.lease, self.lease_renewer.confirm_view),
         )
         app.on_suspension.append(
             lambda gap_s: self.forwarder.cancel_overdue(app.now_s())
@@ -285,11 +285,20 @@
 
     def addresses(self) -> list[str]:
         """Return the addresses to which callers may send requests."""
+        if not self._is_view_current():
+            return []
         return [member.http for member in self.gateways()]
 
+    def _is_view_current(self) -> bool:
+        """Return whether the view is not from before a pause."""
+        self.app.now_s()  # detects a pause that has just ended
+        return self.lease.is_current()
+
     def is_ready(self) -> bool:
         """Return whether this process can serve requests."""
-        return self.index is not None and not self.draining
+        if self.index is None or self.draining:
+            return False
+        return self._is_view_current()
 
     async def put_routes(self, source: bytes) -> int:
         """Submit a routes document; return the version stored afterwards.
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -20,7 +20,7 @@
 from mountridge.routing import backends, budgets, crashwatch, partrecords
 from mountridge.routing import picking, quarantine, routedanswers
 from mountridge.routing import routedexchanges, routefilters, sendgates
-from mountridge.state import leases
+from mountridge.routing import viewguards
 
 __all__ = ['Exchange', 'Forwarder']
 
@@ -47,11 +47,12 @@
 #: over: a group that has lost a rank forms again in 1 to 3 s, a process that
 #: has just started has routes and runners within 2 s, a full runner has a free
 #: slot within about 1 s. Where another gateway can serve the request at once
-#: (this one is draining, or others own the runners that may become cold) it is
-#: short. The return of a drained hall can't be predicted; after 5 s all
-#: gateways have applied the orders that were given until now.
+#: (this one is draining or was not run, or others own the runners that may
+#: become cold) it is short. The return of a drained hall can't be predicted;
+#: after 5 s all gateways have applied the orders that were given until now.
 RETRY_AFTER_S: dict[type[errors.MountridgeError], float] = {
     errors.Draining: 0.1,
+    errors.NoLease: 0.1,
     errors.NoRoutes: 1.8,
     errors.NoRunner: 1.8,
     errors.RunnerRefused: 1.2,
@@ -70,6 +71,7 @@
 #: Errors that do not count as failures of the runner.
 NOT_RUNNER_FAILURES = (
     errors.DeadlinePassed,
+    errors.NoLease,
     errors.RequestHeldBack,
     errors.RunnerRefused,
     errors.RunnerReplaced,
@@ -78,6 +80,10 @@
 )
 
 
+#: Errors that are raised before anything is sent to the selected runner.
+NOT_SENT = (errors.NoLease, errors.RunnersResting)
+
+
 class Forwarder:
     """Applies the filters to requests and forwards them to runners."""
 
@@ -89,7 +95,7 @@
         backends: backends.Backends,
         gateway_count: typing.Callable[[], int],
         budget: budgets.RetryBudget,
-        lease: leases.HeldLease | None = None,
+        view: viewguards.ViewGuard | None = None,
     ):
         self.app = app
         self.dialect = dialect
@@ -102,7 +108,7 @@
         self.pool = lasthop.Pool(dialect.headers, app.now_s)
         self._index = index
         self.budget = budget
-        self.lease = lease or leases.HeldLease()
+        self.view = view or viewguards.unguarded()
         self.picker = picking.Picker(
             app, index, backends, gateway_count, self.rng
         )
@@ -201,9 +207,7 @@
         if self._index() is None:
             with trio.move_on_after(ROUTES_WAIT_S):
                 await self.routes_known.wait()
-        for apply_filter in self.filters:
-            apply_filter(exchange, self.app.now_s())
-        exchange.routed_view_age_s = self._view_age_s()
+        await self._apply_filters(exchange)
         await self.crashes.admit(exchange)
         self.budget.record_first(exchange.service, self.app.now_s())
         # trio's clock and the application's have different origins.
@@ -217,9 +221,34 @@
         if scope.cancelled_caught:
             raise self._timeout_error(exchange)
 
-    def _view_age_s(self) -> float:
-        """Return how long ago the view was known to be up to date."""
-        return self.app.now_s() - self.lease.confirmed_s
+    async def _apply_filters(self, exchange: Exchange) -> None:
+        """Route a request by a view that is not from before a pause.
+
+        :raises NoLease: there is none.
+        """
+        self.app.now_s()  # detects a pause that has just ended
+        await self.view.wait()
+        exchange.pauses = self.view.pauses
+        for apply_filter in self.filters:
+            apply_filter(exchange, self.app.now_s())
+        exchange.routed_view_age_s = self.view.age_s(self.app.now_s())
+
+    async def _follow_view(self, exchange: Exchange) -> None:
+        """Route a request again that was routed before a pause.
+
+        One that has been sent keeps its route; its next runner is selected
+        by the view after the pause.
+
+        :raises NoLease: there is no such view.
+        """
+        self.app.now_s()  # detects a pause that has just ended
+        if exchange.pauses == self.view.pauses:
+            return
+        if exchange.is_sent:
+            await self.view.wait()
+            exchange.pauses = self.view.pauses
+        else:
+            await self._apply_filters(exchange)
 
     def cancel_overdue(self, now_s: float) -> None:
         """Cancel overdue requests; timers stop while a box is suspended."""
@@ -235,6 +264,7 @@
     async def _run_attempts(self, exchange: Exchange) -> None:
         self.picker.admit(exchange)
         while True:
+            await self._follow_view(exchange)
             picked = await self.picker.pick(exchange)
             if not self.crashes.may_retry(exchange, self.app.now_s()):
                 # It was quarantined while it waited for a runner.
@@ -268,6 +298,8 @@
         if is_limited and not exchange.unsent_attempts:
             # It was not sent, and can go to the same runner later, once.
             exchange.attempted.discard(picked.backend.instance.instance_id)
+        if isinstance(problem, errors.NoLease):
+            exchange.attempted.discard(picked.backend.instance.instance_id)
         if problem.outcome != errors.NOT_RUN:
             exchange.may_have_run = True
         if isinstance(problem, errors.RunnerRefused):
@@ -296,7 +328,7 @@
         route = exchange.route
         if isinstance(problem, errors.RunnerReplaced):
             exchange.misdirected_attempts += 1
-        is_unsent = isinstance(problem, errors.RunnersResting)
+        is_unsent = isinstance(problem, NOT_SENT)
         exchange.unsent_attempts += is_unsent
         uncounted = (
             min(exchange.misdirected_attempts, MAX_UNCOUNTED_MISDIRECTED)
@@ -382,6 +414,8 @@
         The runner was selected before the connection was made, and may have
         requested a backoff or reported that it is leaving since then.
 
+        :raises NoLease: the process was not run since the selection;
+            nothing is sent.
         :raises RunnersResting: a gate holds it back now; nothing is sent.
         :raises DeadlinePassed: the deadline has passed; nothing is sent.
         :raises RequestHeldBack: a part of its prompt has been quarantined
@@ -390,9 +424,11 @@
         now_s = self.app.now_s()
         if now_s >= exchange.deadline_s:
             raise errors.DeadlinePassed()
+        if exchange.pauses != self.view.pauses:
+            raise errors.NoLease('not run since its runner was selected')
         self.crashes.check_parts(exchange)
         sends.check(now_s)
-        exchange.sent_view_age_s = self._view_age_s()
+        exchange.sent_view_age_s = self.view.age_s(now_s)
         sends.mark_sent(now_s)
         exchange.is_sent = True
         if exchange.retry is not None:
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -39,6 +39,8 @@
         self.team: routes.Team | None = None
         self.service = ''
         self.table_version = 0
+        #: Pauses of this process before the request was routed.
+        self.pauses = 0
         #: Age of the view when the request was routed, and when it was last
         #: sent to a runner; None where that is not known.
         self.routed_view_age_s: float | None = None
--- a/mountridge/state/leases.py
+++ b/mountridge/state/leases.py
@@ -29,6 +29,9 @@
         #: When the newest renewal that was granted was sent: the view holds
         #: all that was in force then.
         self.confirmed_s = -math.inf
+        #: Number of pauses of this process, and when the last one ended.
+        self.pauses = 0
+        self._resumed_s = -math.inf
         self._since_s = 0.0
         self._max_gap_s = 0.0
         self.fence = messages.Fence(0, 0)
@@ -37,7 +40,19 @@
 
     def is_valid(self, now_s: float) -> bool:
         """Return whether new work may be accepted at ``now_s``."""
-        return now_s < self.until_s
+        return now_s < self.until_s and self.is_current()
+
+    def distrust(self, now_s: float) -> None:
+        """Record that the holder was not run until now.
+
+        The view may be outdated, even where the lease has not run out.
+        """
+        self.pauses += 1
+        self._resumed_s = now_s
+
+    def is_current(self) -> bool:
+        """Return whether the view was confirmed since the last pause."""
+        return self.confirmed_s >= self._resumed_s
 
     def held_for_s(self, now_s: float) -> float:
         """Return for how long it has been held, but for short gaps.
--- a/mountridge/state/members.py
+++ b/mountridge/state/members.py
@@ -289,6 +289,7 @@
         self._was_valid = False
         # After a suspension the view may be outdated; renew at once.
         app.on_suspension.append(lambda gap_s: self.wake())
+        app.on_pause.append(self._distrust_view)
 
     async def run(self) -> None:
         """Renew at each interval, or earlier on request."""
@@ -306,6 +307,15 @@
         """Request a renewal soon, which acknowledges pushed changes."""
         self._wake_event.set()
 
+    def _distrust_view(self, gap_s: float) -> None:
+        self._lease.distrust(self._app.now_s())
+        self.wake()
+
+    async def confirm_view(self) -> None:
+        """Return once the view is not from before a pause."""
+        while not self._lease.is_current():
+            await self.renew_now()
+
     async def renew_now(self) -> bool:
         """Renew as soon as possible; return after the next renewal ends.
 
