Ignore SIGHUP until the application handles it

Cause: the handler is installed once the application runs, after 0.3 s of imports; the default action of the signal is to end the process. Beside it, a file that changed between its loading and the begin of its watch was not applied until it changed again.

Change: the signal is ignored first of all; the watch compares the file when it begins. What remains: a signal before the first line of the program is run.

--- a/features/start.feature
+++ b/features/start.feature
@@ -19,6 +19,26 @@
     And a server is run on that socket
     Then the caller gets the complete response
 
+  # Guards against a SIGHUP that ends a process soon after its start.
+  Scenario Outline: A SIGHUP while <program> imports <module> does not end it
+    When <program> gets a SIGHUP as it imports <module>, with no settings file
+    Then it ends with the error code of bad settings
+
+    Examples:
+      | program           | module              |
+      | platform entry    | mountridge.net    |
+      | platform entry    | mountridge.logs   |
+      | platform entry    | mountridge.settings |
+      | platform sidecar  | mountridge.logs   |
+      | mountridge entry  | mountridge.cli    |
+      | mountridge entry  | mountridge.entry  |
+
+  # Guards against a change of settings that is missed during a start.
+  Scenario: Settings that change during a start are applied
+    Given the settings of an entry in both formats
+    When its file changes after it was loaded, and its watch begins
+    Then the changed seeds are applied
+
   Scenario Outline: No early socket is opened for a settings file that is <file>
     Given a settings file that is <file>
     Then no socket listens early
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -9,13 +9,14 @@
 import subprocess
 import sys
 import tempfile
+import types
 
 from behave import given, then, when
 import trio
 import yaml
 
 from mountridge.documents import routes
-from mountridge import errors, settings
+from mountridge import errors, settings, settingswatch
 from mountridge.net import httpserver, listening
 from standins import ports
 
@@ -164,6 +165,69 @@
     )
 
 
+#: Runs a program that signals itself when it first imports a module.
+SIGNALLED = """
+import importlib.abc, os, runpy, signal, sys
+
+module, program, role = sys.argv[1:4]
+sys.argv = [program, role, *sys.argv[4:]]
+
+
+class Finder(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == module:
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+
+sys.meta_path.insert(0, Finder())
+if program == 'mountridge':
+    sys.path.insert(0, '')
+    runpy.run_module('mountridge', run_name='__main__', alter_sys=True)
+sys.path.insert(0, os.path.dirname(program))
+runpy.run_path(program, run_name='__main__')
+"""
+PROGRAMS = {'platform': 'platform/serve.py', 'mountridge': 'mountridge'}
+
+
+@when(
+    '{program} {role} gets a SIGHUP as it imports {module}, with no settings'
+    ' file'
+)
+def signal_start(context, program, role, module):
+    path = '/no/such/file'
+    args = [module, PROGRAMS[program], role]
+    args += [path] if program == 'mountridge' else []
+    context.ended = subprocess.run(
+        [sys.executable, '-c', SIGNALLED, *args],
+        env={**os.environ, 'MOUNTRIDGE_NODE_FILE': path},
+        capture_output=True,
+        text=True,
+    )
+
+
+@when('its file changes after it was loaded, and its watch begins')
+def change_early(context):
+    loaded = settings.load(context.path)
+    changed = {**ENTRY['entry'], 'seeds': ['127.0.0.9:8002']}
+    context.path.write_text(json.dumps({**ENTRY, 'entry': changed}))
+    context.applied = []
+    app = types.SimpleNamespace(settings=loaded, reload=[])
+    watch = settingswatch.task(app, str(context.path), context.applied.append)
+
+    async def begin():
+        with trio.move_on_after(0.1):
+            await watch()
+
+    trio.run(begin)
+
+
+@then('the changed seeds are applied')
+def check_applied(context):
+    (applied,) = context.applied
+    assert applied['entry']['seeds'] == ['127.0.0.9:8002'], applied
+
+
 @then('it ends with the error code of bad settings')
 def check_bad_settings(context):
     output = context.ended.stderr
--- a/mountridge/__main__.py
+++ b/mountridge/__main__.py
@@ -2,7 +2,11 @@
 
 """``python -m mountridge`` is the ``mountridge`` command."""
 
-from mountridge import cli
+from mountridge import startup
+
+startup.ignore_reload_signal()
+
+from mountridge import cli  # noqa: E402
 
 if __name__ == '__main__':
     cli.main(prog_name='mountridge')
--- a/mountridge/settingswatch.py
+++ b/mountridge/settingswatch.py
@@ -33,7 +33,8 @@
 
     async def watch() -> None:
         nonlocal requested
-        applied = pathlib.Path(path).read_bytes()
+        # The file may have changed since it was loaded.
+        applied = _reload(path, b'', apply)
         while True:
             with trio.move_on_after(POLL_S):
                 await requested.wait()
@@ -49,6 +50,7 @@
 ) -> bytes:
     """Apply a changed file; return the content that is applied now.
 
+    ``applied`` is empty where nothing has been applied since the start.
     Invalid settings are not applied; they are loaded again, and the error
     logged again, until the file is corrected.
     """
@@ -57,7 +59,8 @@
         if content == applied:
             return applied
         apply(settings.load(path))
-        logger.info('settings reloaded', taken='entry.seeds, halls')
+        if applied:
+            logger.info('settings reloaded', taken='entry.seeds, halls')
         return content
     except (OSError, errors.BadSettings) as problem:
         logger.error('settings not reloaded', reason=str(problem))
