Forward long answers at the pace of their callers; bound the rest

What callers saw: none, if a runner sends bytes without end: the gateway took them into memory until the deadline, and answered 504, also where nothing of them could be an answer (interim answers, the body of an answer to another request).

Cause: a body was read to its end before any of it was sent; bodies of skipped answers, interim answers, events and streams for HTTP/1.0 had no bound. Class: memory that the other side decides.

Change: a body over 256 KB is forwarded as it comes, with its own length or in chunks, and reading stops while its caller does not read; its end is confirmed as before, and it is not retried once begun. At most 4 interim answers, 1 MB of a skipped answer, 1 MB an event, 4 MB for HTTP/1.0, 8 MB for API calls.

--- /dev/null
+++ b/features/endless.feature
@@ -0,0 +1,53 @@
+Feature: A runner that sends bytes without end costs a bounded time and memory
+
+  Such bytes may be in a head or in a body, and come until the gateway closes.
+  The caller gets a whole answer from another runner, an error, or an answer
+  that does not look complete, by its deadline of 700 ms at the latest.
+
+  # Guards against answers that are taken into memory for as long as they come,
+  # against waiting for the deadline where nothing of them can be an answer,
+  # and against ends that look complete.
+  Scenario Outline: A runner sends <bytes> without end
+    Given a runner that sends <bytes> without end
+    Then within bounds of memory a safe request gets <safe>, in <safe_s> s
+    And within bounds of memory an unsafe request gets <unsafe>, in <safe_s> s
+    And within bounds of memory a stream that may be resumed gets <stream>, in <stream_s> s
+    And the runner has been closed each time
+
+    Examples:
+      | bytes                                  | safe  | safe_s | unsafe | stream  | stream_s |
+      | what is no answer                      | whole | 0.4    | 502    | whole   | 0.4      |
+      | one line of a head                     | whole | 0.4    | 502    | whole   | 0.4      |
+      | lines of a head                        | whole | 0.4    | 502    | whole   | 0.4      |
+      | interim answers                        | whole | 0.4    | 502    | whole   | 0.4      |
+      | answers to other requests              | whole | 0.4    | 502    | whole   | 0.4      |
+      | the body of an answer to another       | whole | 0.4    | 502    | whole   | 0.4      |
+      | a body in chunks                       | cut   | 0.8    | cut    | whole   | 0.8      |
+      | a body with no length                  | cut   | 0.8    | cut    | whole   | 0.8      |
+      | a body with a length of 1 TB           | cut   | 0.8    | cut    | whole   | 0.8      |
+      | the body of an error                   | whole | 0.8    | 502    | whole   | 0.8      |
+      | the size of a chunk                    | whole | 0.4    | 502    | whole   | 0.4      |
+      | the trailer of a last chunk            | whole | 0.4    | 502    | whole   | 0.4      |
+
+  # Guards against a caller that reads slowly, for whom an answer is held.
+  Scenario Outline: <count> callers read <what> slowly
+    Given a runner that sends <what>, and <count> callers that read nothing for 1500 ms
+    Then the process holds under <held_mb> MB for them meanwhile
+    And they get <result>
+
+    Examples:
+      | count | what                        | held_mb | result            |
+      | 10    | 4 MB with a length          | 12      | whole             |
+      | 10    | 4 MB in chunks              | 12      | whole             |
+      | 10    | 4 MB with no length         | 12      | whole             |
+
+  # Guards against a 200 with an empty or short body after half a head.
+  Scenario Outline: A runner closes at any byte of a head framed by <framing>
+    Given a runner that closes after each number of bytes of a head framed by <framing>
+    Then no caller gets a 200 that looks complete, unless another runner answered
+
+    Examples:
+      | framing |
+      | length  |
+      | chunks  |
+      | close   |
--- /dev/null
+++ b/features/steps/endless_steps.py
@@ -0,0 +1,308 @@
+# SPDX-License-Identifier: Apache-2.0
+
+"""Steps for runners that send bytes without end, or stop within a head."""
+
+import itertools
+import tracemalloc
+
+from behave import given, then
+import trio
+
+from features.steps import brokenoff_steps as broken
+from features.steps import forwarding_steps as base
+from mountridge.documents import routes
+
+#: Bytes that a runner sends at a time.
+PIECE_BYTES = 16384
+#: Most memory that one such answer may take.
+MAX_BYTES = 4 << 20
+#: Deadline of requests for large answers.
+LARGE_DEADLINE_MS = 30000
+LARGE_BYTES = 4_000_000
+#: Positions within a head that are tried at once.
+BATCH = 40
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+def _pad(count=PIECE_BYTES):
+    return b'x' * count
+
+
+def _first_and_rest(what, request):
+    """Return the bytes before the endless ones, and what then repeats."""
+    other = {b'x-request-id': b'other'}
+    chunk = b'%x\r\n%s\r\n' % (PIECE_BYTES, _pad())
+    small = base._answer_bytes(200, other, b'not this')
+    interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+    length = b'Content-Length: %d\r\n\r\n' % 10**12
+    return {
+        'what is no answer': (b'', _pad()),
+        'one line of a head': (base._head(200, request, b'X-A: '), _pad()),
+        'lines of a head': (base._head(200, request), b'X-A: b\r\n' * 2000),
+        'interim answers': (b'', interim * 500),
+        'answers to other requests': (b'', small * 200),
+        'the body of an answer to another': (
+            base._head(200, other, CHUNKED), chunk,
+        ),
+        'a body in chunks': (base._head(200, request, CHUNKED), chunk),
+        'a body with no length': (base._head(200, request, b'\r\n'), _pad()),
+        'a body with a length of 1 TB': (
+            base._head(200, request, length), _pad(),
+        ),
+        'the body of an error': (base._head(500, request, CHUNKED), chunk),
+        'the size of a chunk': (
+            base._head(200, request, CHUNKED), b'1' * PIECE_BYTES,
+        ),
+        'the trailer of a last chunk': (
+            base._head(200, request, CHUNKED + b'0\r\n'),
+            b'X-A: b\r\n' * 2000,
+        ),
+    }[what]  # fmt: skip
+
+
+class Endless(base.Runner):
+    """A runner that sends bytes until its connection is closed."""
+
+    async def serve(self, stream):
+        request = await self._read(stream)
+        if request is None:
+            return
+        self.runs += 1
+        first, rest = _first_and_rest(self.fault, request)
+        try:
+            await stream.send_all(first)
+            while True:
+                await stream.send_all(rest)
+        except trio.BrokenResourceError:
+            self.closed.set()
+
+
+def _closing(request):
+    """Return a request after which its connection is closed."""
+    return request.replace(b'\r\n', b'\r\nConnection: close\r\n', 1)
+
+
+async def _read_dropping(stream):
+    """Read to the end; keep the start and the end of what was received."""
+    data = b''
+    try:
+        while piece := await stream.receive_some(65536):
+            data = data + piece
+            if len(data) > 4096:
+                data = data[:2048] + data[-2048:]
+    except trio.BrokenResourceError:
+        pass
+    return data
+
+
+def _play(what, path):
+    """Return (bytes received, duration, most memory taken, the runner)."""
+
+    async def main():
+        world = base.World('answers correctly', 'answers correctly')
+        runner = world.runners[0] = Endless(what)
+        async with trio.open_nursery() as nursery:
+            await world.start(nursery)
+            stream = await world.open()
+            request = base._request(b'/%s/1' % path.encode())
+            deadline = b'%d' % broken.DEADLINE_MS
+            begun_s = trio.current_time()
+            request = request.replace(b'2500', deadline)
+            await stream.send_all(_closing(request))
+            data = await _read_dropping(stream)
+            took_s = trio.current_time() - begun_s
+            with trio.move_on_after(1):
+                await runner.closed.wait()
+            nursery.cancel_scope.cancel()
+        return data, took_s, runner
+
+    tracemalloc.start()
+    try:
+        data, took_s, runner = trio.run(main)
+        return data, took_s, tracemalloc.get_traced_memory()[1], runner
+    finally:
+        tracemalloc.stop()
+
+
+def _check(context, path, outcome, within_s):
+    data, took_s, taken, runner = _play(context.what, path)
+    context.runners.append(runner)
+    if outcome == 'cut':
+        assert data.startswith(b'HTTP/1.1 200'), data[:80]
+        assert not data.endswith(b'0\r\n\r\n'), data[-40:]
+    else:
+        got = broken._outcome(data, path)
+        assert got == outcome, (got, data[:200])
+    assert took_s < within_s, took_s
+    assert taken < MAX_BYTES, taken
+    assert runner.runs == 1, runner.runs
+
+
+@given('a runner that sends {what} without end')
+def set_endless(context, what):
+    context.what, context.runners = what, []
+
+
+@then(
+    'within bounds of memory a safe request gets {outcome}, in {within_s:g} s'
+)
+def check_safe(context, outcome, within_s):
+    _check(context, 'safe', outcome, within_s)
+
+
+@then(
+    'within bounds of memory an unsafe request gets {outcome}, in'
+    ' {within_s:g} s'
+)
+def check_unsafe(context, outcome, within_s):
+    _check(context, 'unsafe', outcome, within_s)
+
+
+@then(
+    'within bounds of memory a stream that may be resumed gets {outcome}, in'
+    ' {within_s:g} s'
+)
+def check_stream(context, outcome, within_s):
+    _check(context, 'streaming', outcome, within_s)
+
+
+@then('the runner has been closed each time')
+def check_closed(context):
+    assert all(runner.closed.is_set() for runner in context.runners)
+
+
+# Callers that read slowly.
+
+
+class Large(base.Runner):
+    """A runner with large answers."""
+
+    async def serve(self, stream):
+        request = await self._read(stream)
+        if request is None:
+            return
+        framing = self.fault
+        length = b'Content-Length: %d\r\n\r\n' % LARGE_BYTES
+        ends = {'a length': length, 'chunks': CHUNKED, 'no length': b'\r\n'}
+        await stream.send_all(base._head(200, request, ends[framing]))
+        piece = _pad(LARGE_BYTES // 250)
+        if framing == 'chunks':
+            piece = b'%x\r\n%s\r\n' % (len(piece), piece)
+        try:
+            for _ in range(250):
+                await stream.send_all(piece)
+            if framing == 'chunks':
+                await stream.send_all(b'0\r\n\r\n')
+        except trio.BrokenResourceError:
+            self.closed.set()
+
+
+@given(
+    'a runner that sends 4 MB {framing}, and {count:d} callers that read'
+    ' nothing for {wait_ms:d} ms'
+)
+def read_slowly(context, framing, count, wait_ms):
+    context.sizes = []
+    framing = framing.removeprefix('with ').removeprefix('in ')
+
+    async def call(world):
+        stream = await world.open()
+        request = base._request(b'/safe/1')
+        deadline = b'%d' % LARGE_DEADLINE_MS
+        await stream.send_all(request.replace(b'2500', deadline))
+        await trio.sleep(wait_ms / 1000)
+        size, end = 0, b''
+        while piece := await stream.receive_some(65536):
+            size, end = size + len(piece), (end + piece)[-5:]
+            if size >= LARGE_BYTES and end in (b'0\r\n\r\n', b'xxxxx'):
+                break
+        context.sizes.append((size, end))
+
+    async def main():
+        world = base.World('answers correctly')
+        world.runners[0] = Large(framing)
+        table = world.index.table
+        listed = [
+            route._replace(timeout_ms=LARGE_DEADLINE_MS)
+            for route in table.routes
+        ]
+        world.index = routes.index(table._replace(routes=listed))
+        async with trio.open_nursery() as nursery:
+            await world.start(nursery)
+            async with trio.open_nursery() as callers:
+                for _ in range(count):
+                    callers.start_soon(call, world)
+                await trio.sleep(wait_ms / 1000 - 0.05)
+                context.held = tracemalloc.get_traced_memory()[1]
+            nursery.cancel_scope.cancel()
+
+    tracemalloc.start()
+    try:
+        trio.run(main)
+    finally:
+        tracemalloc.stop()
+
+
+@then('the process holds under {held_mb:d} MB for them meanwhile')
+def check_held(context, held_mb):
+    assert context.held < held_mb << 20, context.held
+
+
+@then('they get whole')
+def check_whole(context):
+    assert context.sizes, context.sizes
+    for size, end in context.sizes:
+        assert size > LARGE_BYTES and end in (b'0\r\n\r\n', b'xxxxx'), size
+
+
+# Heads that stop.
+
+
+class Stopping(broken.Runner):
+    """A runner that closes within the head of each answer."""
+
+    def __init__(self, framing, position):
+        super().__init__(framing, 'within the head', 'closes')
+        self.position = position
+
+    def _broken(self, request):
+        length = sum(map(len, base.EVENTS if request[b'streams'] else [b'']))
+        return self._head(request, length)[: self.position]
+
+
+@given(
+    'a runner that closes after each number of bytes of a head framed by'
+    ' {framing}'
+)
+def stop_in_head(context, framing):
+    request = {b'x-request-id': b'1', b'streams': True}
+    head = broken.Runner(framing, 'at the end', 'closes')._head(request, 80)
+    paths = ('safe', 'unsafe', 'streaming', base.ONCE)
+    cases = list(itertools.product(range(len(head)), paths))
+    context.got = {}
+
+    async def ask(case):
+        position, path = case
+        world = base.World('answers correctly', 'answers correctly')
+        world.runners[0] = Stopping(framing, position)
+        received = context.got.setdefault(case, [])
+        await broken._ask(world, path, received)
+
+    async def main():
+        for first in range(0, len(cases), BATCH):
+            async with trio.open_nursery() as nursery:
+                for case in cases[first : first + BATCH]:
+                    nursery.start_soon(ask, case)
+
+    trio.run(main)
+
+
+@then(
+    'no caller gets a 200 that looks complete, unless another runner answered'
+)
+def check_stopped(context):
+    assert context.got
+    for (position, path), (data,) in context.got.items():
+        got = broken._outcome(data, path)
+        may_repeat = path in ('safe', 'streaming')
+        assert got == ('whole' if may_repeat else '502'), (position, path, got)
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -29,6 +29,9 @@
 #: Bytes that a caller may pipeline while a response is being sent.
 PIPELINE_BYTES = 1 << 20
 
+#: Longest stream that is held for a caller of HTTP/1.0.
+MAX_HELD_BYTES = 4 << 20
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -64,11 +67,12 @@
 class Responder:
     """Sends the response to one request, complete or as a stream.
 
-    A caller of HTTP/1.0 gets a stream as one body with a length once the
-    stream has ended. HTTP/1.0 has no chunks, so it could not distinguish the
-    end of a stream from a connection that broke. Such a stream takes memory
-    as any other complete answer does: for what a runner sends within the
-    deadline of the request.
+    A caller of HTTP/1.0 gets a stream without a length as one body with a
+    length once the stream has ended. HTTP/1.0 has no chunks, so it could
+    not distinguish the end of a stream from a connection that broke. Such
+    a stream takes memory as any other complete answer does: for what a
+    runner sends within the deadline of the request, up to
+    `MAX_HELD_BYTES`.
     """
 
     def __init__(self, http: h11.Connection, stream, closing: bool, idle_s):
@@ -90,7 +94,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head; ``headers`` determine the framing of the body."""
         self.started = True
-        if self._http.their_http_version < b'1.1':
+        is_framed = any(n.lower() == b'content-length' for n, _ in headers)
+        if self._http.their_http_version < b'1.1' and not is_framed:
             self._held = _HeldStream(status, headers, [])
             return
         fields = headers + self._persistence()
@@ -101,6 +106,8 @@
         """Send a chunk of the body."""
         if self._held is not None:
             self._held.parts.append(data)
+            if sum(map(len, self._held.parts)) > MAX_HELD_BYTES:
+                raise errors.BadAnswer('too long for a caller of HTTP/1.0')
             return
         await self._stream.send_all(self._http.send(h11.Data(data)))
 
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -53,8 +53,13 @@
 #: How long a connection has to stay open to show that its process runs: longer
 #: than a process that is killed takes to close its sockets.
 SETTLE_S = 0.003
-#: Most answers read for one request, including those to earlier requests.
+#: Most answers read for one request, including those to earlier requests, and
+#: most interim answers before each.
 MAX_ANSWERS = 4
+#: Most bytes of the body of a skipped answer, and of bodies that are read as a
+#: whole by default: far above what any API of a runner answers.
+MAX_SKIPPED_BYTES = 1 << 20
+MAX_BODY_BYTES = 8 << 20
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -154,12 +159,18 @@
         except trio.BrokenResourceError as problem:
             raise errors.BadAnswer(str(problem))
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the complete body.
 
-        :raises BadAnswer: the body was truncated.
+        :raises BadAnswer: the body was truncated, or is too long.
         """
-        return b''.join([chunk async for chunk in self.chunks()])
+        parts, length = [], 0
+        async for chunk in self.chunks():
+            parts.append(chunk)
+            length += len(chunk)
+            if length > max_bytes:
+                raise errors.BadAnswer(f'the body is over {max_bytes} bytes')
+        return b''.join(parts)
 
 
 class Pool:
@@ -253,15 +264,26 @@
                 return reply
             if head.request_id == request_id:
                 return reply
-            await reply.read_body()
+            await self._skip(reply)
             _expect_next_answer(connection, request, body)
         raise errors.OutcomeUnknown('received only answers to other requests')
 
+    async def _skip(self, reply: Reply) -> None:
+        """Read the answer to another request to its end.
+
+        :raises OutcomeUnknown: it has no end, or is too long.
+        """
+        try:
+            await reply.read_body(MAX_SKIPPED_BYTES)
+        except errors.BadAnswer as problem:
+            raise errors.OutcomeUnknown(f'answer to another: {problem}')
+
     async def _read_head(self, connection: _Connection) -> tuple[int, Headers]:
         try:
-            event = await connection.next_event()
-            while isinstance(event, h11.InformationalResponse):
+            for _ in range(MAX_ANSWERS):
                 event = await connection.next_event()
+                if not isinstance(event, h11.InformationalResponse):
+                    break
         except (h11.RemoteProtocolError, OSError) as problem:
             raise errors.OutcomeUnknown(f'no answer: {problem}')
         except trio.BrokenResourceError as problem:
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -352,7 +352,9 @@
         return self._acquire_retry(exchange, now_s)
 
     def _may_go_on(self, exchange: Exchange) -> bool:
-        """Return whether another run may follow the events sent so far."""
+        """Return whether another run may follow what was sent so far."""
+        if exchange.is_body_begun:
+            return False
         if not exchange.events_sent:
             return True
         return exchange.route.resumable and exchange.is_numbered
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -2,10 +2,11 @@
 
 """Forwarding of a runner's answer to the caller: complete, or by events.
 
-A truncated answer never looks complete: a body is sent once all of it has
-been received, and a stream is ended only where the runner ended it, after a
-whole event. Where only the end of the connection marks the end of an answer,
-more evidence is needed (`_check_closed`).
+A truncated answer never looks complete: a body is sent once all of it has been
+received, or, if it is too long to be held, as it comes; and a stream is ended
+only where the runner ended it, after a whole event. Where only the end of the
+connection marks the end of an answer, more evidence is needed
+(`_check_closed`).
 """
 
 import typing
@@ -18,6 +19,12 @@
 __all__ = ['forward', 'send_answer']
 
 Answer, Exchange = routedexchanges.Answer, routedexchanges.Exchange
+#: A longer body is forwarded as it comes, at the pace of its caller: a body
+#: that is held takes memory, and one that has begun can't be retried.
+READ_AHEAD_BYTES = 256 << 10
+#: Longest event of a stream.
+MAX_EVENT_BYTES = 1 << 20
+
 Clock = typing.Callable[[], float]
 Confirm = typing.Callable[[], typing.Awaitable[None]]
 
@@ -60,13 +67,19 @@
     now_s: Clock,
     confirm_end: Confirm,
 ) -> None:
-    body = await reply.read_body()
-    await confirm_end()
-    status = reply.head.status
+    status, chunks = reply.head.status, reply.chunks()
+    body, is_all = await _read_ahead(chunks)
+    if is_all:
+        await confirm_end()
     if exchange.responder.started:
         raise errors.RunnerFailed(
             f'the runner answered {status} when the stream was resumed'
         )
+    if not is_all:
+        if status >= 500:
+            raise errors.RunnerFailed(f'the runner answered {status}')
+        await _forward_long(exchange, reply, body, chunks, now_s, confirm_end)
+        return
     headers = dialects.reply_headers(reply.headers, False)
     answer = Answer(status, headers, body)
     if status >= 500:
@@ -75,6 +88,45 @@
     await send_answer(exchange, answer, now_s())
 
 
+async def _read_ahead(
+    chunks: typing.AsyncIterator[bytes],
+) -> tuple[bytes, bool]:
+    """Return the body, or its start, and whether that is all of it."""
+    parts, length = [], 0
+    async for chunk in chunks:
+        parts.append(chunk)
+        length += len(chunk)
+        if length > READ_AHEAD_BYTES:
+            return b''.join(parts), False
+    return b''.join(parts), True
+
+
+async def _forward_long(
+    exchange: Exchange,
+    reply: lasthop.Reply,
+    start: bytes,
+    chunks: typing.AsyncIterator[bytes],
+    now_s: Clock,
+    confirm_end: Confirm,
+) -> None:
+    """Forward a body that is too long to be held, as its caller reads it.
+
+    Once the caller has got a part of it, no other runner can be asked.
+    """
+    responder = exchange.responder
+    exchange.is_body_begun = True
+    exchange.first_data_s = now_s()
+    exchange.status = reply.head.status
+    has_length = reply.framing == lasthop.LENGTH
+    headers = dialects.reply_headers(reply.headers, has_length)
+    await responder.start(reply.head.status, headers)
+    await responder.send(start)
+    async for chunk in chunks:
+        await responder.send(chunk)
+    await confirm_end()
+    await responder.finish()
+
+
 async def send_answer(
     exchange: Exchange, answer: Answer, now_s: float
 ) -> None:
@@ -103,6 +155,8 @@
             event for event in splitter.feed(chunk) if _is_new(exchange, event)
         ]
         count = sum(not event.is_empty for event in new)
+        if len(splitter.remainder) > MAX_EVENT_BYTES:
+            raise errors.BadAnswer(f'an event over {MAX_EVENT_BYTES} bytes')
         if count:
             exchange.record_events(count, now_s())
         if new:
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -75,6 +75,8 @@
         #: Last event after which a runner closed the connection.
         self.closed_after: int | None = None
         self.events_sent = 0
+        #: Whether the caller has got a part of a body that is not a stream.
+        self.is_body_begun = False
         #: Whether all events sent had numbers, so that another run can go on
         #: after the last one.
         self.is_numbered = True
