Acknowledge nothing before enough voters hold it

Cause: a commit takes a majority of the voters, and the first seed founds the system as the only one. Class: a quorum of whatever set there is, instead of one that the losses to be tolerated require. The same cause elsewhere: a voter that does not respond was removed before its replacement was promoted, so that a fourth box left two voters for a while; and a wiped box leaves two until it is promoted again.

Change: commands whose result is acknowledged (routes, registrations, leaves, halls, quarantine, tables, claims, maps) wait until there are 2 x losses + 1 voters. If the set has not changed for 3 s, a quorum above the losses is enough (a seed that never comes); a single voter acknowledges nothing. A replacement is promoted before the voter that it replaces is removed.

features/losses.feature expected the removal first, which is the moment with too few voters; the step now expects the promotion first, one change at a time and that exactly the first learner was added.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -126,7 +126,7 @@
 
   Scenario: Without tolerated hall losses, boxes are replaced in any hall
     When boxes are replaced without tolerated hall losses
-    Then the unresponsive voter is removed and then the first learner promoted
+    Then the first learner is promoted and then the unresponsive voter removed
 
   Scenario: A set of controllers that was written without halls is kept as it was
     Then a set of controllers without halls is read, and written unchanged
--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -554,11 +554,12 @@
     context.sets = settle(config, responsive, 3, 0)
 
 
-@then('the unresponsive voter is removed and then the first learner promoted')
+@then('the first learner is promoted and then the unresponsive voter removed')
 def check_replaced_anywhere(context):
     counts = [len(one.voters) for one in context.sets]
-    assert counts == [3, 2, 3], counts
-    assert 'north1-new' in context.sets[-1].voters
+    assert counts == [3, 4, 3], counts
+    before, after = context.sets[0].voters, context.sets[-1].voters
+    assert set(after) - set(before) == {'north1-new'}, after
 
 
 # Losses while writes continue.
--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -154,7 +154,7 @@
             problem.leader = self.world.leader
             raise problem
 
-    async def propose(self, payload):
+    async def propose(self, payload, is_acknowledged=True):
         self.check_leader()
         await trio.sleep(COMMIT_S)
         self.check_leader()
--- a/mountridge/consensus/replicas.py
+++ b/mountridge/consensus/replicas.py
@@ -104,6 +104,9 @@
         self._last_read_id = 0
         #: Effects of steps outside `run`, which executes them.
         self._deferred_effects: list[consensus.Effect] = []
+        #: Whether the voters are enough for what is acknowledged; set by the
+        #: formation of the cluster.
+        self.has_enough_voters: typing.Callable[[], bool] = lambda: True
         self._wake = trio.Event()
         self._stepped = trio.Event()
         self._snapshotting = False
@@ -163,13 +166,21 @@
             problem.leader_address = addresses.get(leader_id, '')
             raise problem
 
-    async def propose(self, payload: bytes) -> typing.Any:
+    async def propose(
+        self, payload: bytes, is_acknowledged: bool = True
+    ) -> typing.Any:
         """Return the state machine's result once the command is committed.
 
+        A command whose result is acknowledged to others waits until there
+        are enough voters; see `has_enough_voters`.
+
         :raises NotLeader: it was not proposed, or was lost in an election.
         :raises MountridgeError: the state machine refuses the command.
         """
         self.check_leader()
+        while is_acknowledged and not self.has_enough_voters():
+            await self.wait_for_step()
+            self.check_leader()
         sender, receiver = trio.open_memory_channel(1)
         self._proposals.append((payload, sender))
         self._wake.set()
--- a/mountridge/control/formation.py
+++ b/mountridge/control/formation.py
@@ -16,7 +16,7 @@
 
 from mountridge import application, errors, messages, signals
 from mountridge.consensus import consensus, entries, replicas, replication
-from mountridge.control import voterplacement
+from mountridge.control import copies, voterplacement
 from mountridge.logs import logger
 from mountridge.net import sockets
 from mountridge.state import members
@@ -48,8 +48,9 @@
 ) -> entries.Config | None:
     """Return the next set of controllers, or None if it need not change.
 
-    One voter changes at a time: an unresponsive one is removed once a learner
-    is ready to replace it, and learners are promoted up to ``max_voters``.
+    One voter changes at a time: learners are promoted up to ``max_voters``,
+    and one above that where it replaces an unresponsive voter, which is
+    removed after it. So there are never fewer voters meanwhile.
     If the loss of whole halls is tolerated, `_next_placement` decides.
     """
     ready = [
@@ -73,10 +74,12 @@
             max_voters, hall_losses, ready, catching_up, unresponsive
         )
         return _next_placement(node.config, node.node_id, state)
-    if not ready:
+    count = len(node.config.voters)
+    if count > max_voters:
+        others = sorted(set(node.config.voters) - {node.node_id})
+        return node.config.without([*unresponsive, *others][0])
+    if not ready or (count == max_voters and not unresponsive):
         return None
-    if len(node.config.voters) >= max_voters:
-        return node.config.without(unresponsive[0]) if unresponsive else None
     return node.config.promote(ready[0])
 
 
@@ -179,13 +182,24 @@
         self.replica = replica
         self.leader = leader
         bounds = app.settings['bounds']
-        self._max_voters = 2 * max(1, bounds['controller_losses']) + 1
+        self._losses = bounds['controller_losses']
+        self._max_voters = copies.full_size(self._losses)
         self._hall_losses = bounds['hall_losses']
+        #: Index of the newest set of controllers, and when it was first seen.
+        self._config_index, self._changed_s = -1, 0.0
         #: Join requests in progress; meanwhile nothing else changes the set.
         self._joining = 0
         #: Voters per hall, unresponsive voters and warning last logged.
         self._reported: tuple | None = None
         signals.leader_known.connect(self._update_leader, sender=replica)
+        replica.has_enough_voters = self._has_enough_voters
+
+    def _has_enough_voters(self) -> bool:
+        """Return whether what is committed now survives the losses."""
+        now_s, node = self.app.now_s(), self.replica.node
+        if node.config_index != self._config_index:
+            self._config_index, self._changed_s = node.config_index, now_s
+        return copies.has_enough(node, self._losses, now_s - self._changed_s)
 
     def _update_leader(self, sender: typing.Any, address: str) -> None:
         """Send the calls of this process to a new leader without a search."""
@@ -277,6 +291,7 @@
             if not self.replica.lease_valid():
                 self._reported = None
                 continue
+            self._has_enough_voters()
             self._report_placement()
             config = self._desired_config()
             if config is None or self._joining:
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -85,9 +85,12 @@
         self.quarantine.begin_term()
         self.groups.begin_term()
 
-    async def propose(self, command: commands.Command) -> typing.Any:
+    async def propose(
+        self, command: commands.Command, is_acknowledged: bool = True
+    ) -> typing.Any:
         """Commit a command and return the reply of the state machine."""
-        return await self.replica.propose(commands.encode(command))
+        payload = commands.encode(command)
+        return await self.replica.propose(payload, is_acknowledged)
 
     # Leases.
 
@@ -148,7 +151,9 @@
             logger.info(
                 'member changed', member=renew.name, state=member.state
             )
-            await self.propose(commands.SetMember(member, self.app.wall_s()))
+            # Members are known again from their next renewals.
+            command = commands.SetMember(member, self.app.wall_s())
+            await self.propose(command, is_acknowledged=False)
 
     async def watch(self) -> None:
         """Remove members whose lease has expired, and push changes."""
@@ -184,7 +189,8 @@
         logger.info('member changed', member=name, state='gone')
         removed = member._replace(state='gone')
         try:
-            await self.propose(commands.SetMember(removed, self.app.wall_s()))
+            command = commands.SetMember(removed, self.app.wall_s())
+            await self.propose(command, is_acknowledged=False)
         except errors.MountridgeError as problem:
             logger.debug(
                 'member not removed', member=name, reason=str(problem)
