An answer of a leaving runner that ends with its process is not whole

Cause: the check that a runner still runs after an answer that ended with its connection was skipped for runners that drain or leave, except for streams that another one can resume. Class: an announcement of an end taken for the evidence that an answer ended before it. The same at agents.

Change: the check is made for all. Price: a whole answer without a length is lost where its runner's process ends within the round trip of the check; one that ends later is delivered (rows).

The two rows that expected the delivery now expect 502 and a stream without an end; beside them stand the cut answer, its retry at another runner, and whole answers with and without a length, which are delivered.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -119,8 +119,9 @@
     Then its answer is 200 and complete
     And the runners ran it 1 times
 
-  # Guards against whole answers that are lost because their runner's process
-  # ends right after them, as planned, and against streams that it cuts off.
+  # Guards against parts of answers that are delivered as whole ones because
+  # their runner was to end, and against whole ones that are lost where it
+  # still runs as they end.
   Scenario Outline: A runner that drains and ends with its answer: <first>
     Given two runners of which the first <first>
     When a <kind> request is sent and that runner starts to drain
@@ -129,8 +130,14 @@
 
     Examples:
       | kind           | first                                       | answer           | runs |
-      | unsafe         | sends all with no length and crashes        | 200 and complete | 1    |
-      | streaming-once | has all events, its process ends, no length | 200 and complete | 1    |
+      | unsafe         | sends no length and crashes                 | 502              | 1    |
+      | unsafe         | sends all with no length and crashes        | 502              | 1    |
+      | unsafe         | sends no length and closes                  | 200 and complete | 1    |
+      | unsafe         | sends a length and crashes                  | 200 and complete | 1    |
+      | safe           | sends no length and crashes                 | 200 and complete | 2    |
+      | streaming-once | ends between two events, with no length     | 200, 2 events, without an end | 1    |
+      | streaming-once | has all events, its process ends, no length | 200, 5 events, without an end | 1    |
+      | streaming-once | closes after its last event, with no length | 200 and complete | 1    |
       | streaming      | ends between two events, with no length     | 200 and complete | 2    |
 
   # Guards against requests that crash a runner after it has sent a comment, and
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -48,7 +48,7 @@
             yield data
         if dialects.media_type(self._reply.headers) == events.MEDIA_TYPE:
             end.check(self._path, self._reply.framing)
-        if self._reply.framing != lasthop.CLOSE or self.head.is_leaving:
+        if self._reply.framing != lasthop.CLOSE:
             return
         if await self._has_crashed():
             raise errors.BadAnswer('the runner crashed as its answer ended')
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -524,9 +524,8 @@
         """Check that an answer did not end because its runner crashed.
 
         An answer that ends with its connection looks the same in both cases.
-        Where the check takes too long, the answer is delivered. So is one of
-        a runner that is to end, unless another runner can tell whether there
-        are more events.
+        Where the check takes too long, the answer is delivered. A runner that
+        drains or leaves may end amid its answers as well.
 
         :raises BadAnswer: the process of the runner has ended.
         """
@@ -535,11 +534,6 @@
         left_s = exchange.deadline_s - self.app.now_s()
         timeout_s = max(0.0, min(CONFIRM_S, left_s))
         runner = backend.instance
-        is_stopping = self.crashes.is_stopping(runner)
-        if is_stopping and not (
-            exchange.events_sent and self._may_go_on(exchange)
-        ):
-            return
         if await self.pool.refuses_connections(runner.address, timeout_s):
             raise errors.BadAnswer(
                 "the runner's process ended with its answer"
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1490,9 +1490,10 @@
         'return False', 'forwarding', 'drains and ends',
     ),
     Mutant(
-        'answers: streams of stopping runners are not resumed', 'forwarding',
-        'not (\n            exchange.events_sent and self._may_go_on(exchange)'
-        '\n        )', 'True', 'forwarding', 'drains and ends',
+        'answers: a stopping runner ends its answers as whole', 'forwarding',
+        'if reply.framing != lasthop.CLOSE:',
+        'if reply.framing != lasthop.CLOSE or self.crashes.is_stopping('
+        'backend.instance):', 'forwarding', 'drains and ends',
     ),
     Mutant(
         'last hop: the connection to a running runner is not kept', 'lasthop',
