A stream that two crashes break off after one event is not complete

The same counted as a success, which cleared the record of requests that crash their runners (10 requests crashed 20 runners).

Cause: a second end after the same event was taken for the evidence that no event is missing, without asking whether that runner had ended with it.

Change: the check is made for each of them; the second end only replaces the event that a stream must have.

Result: the scenario failed before. Both crashes are counted now (2, before 1).

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -140,6 +140,26 @@
       | streaming-once | closes after its last event, with no length | 200 and complete | 1    |
       | streaming      | ends between two events, with no length     | 200 and complete | 2    |
 
+  # Guards against planned ends that count against the requests they cut off.
+  Scenario Outline: The end of a runner that <state> counts as <count> crashes
+    Given two runners of which the first sends no length and crashes
+    When a request that may run once is sent and that runner <state>
+    Then <count> crashes have been counted
+
+    Examples:
+      | state           | count |
+      | starts to drain | 0     |
+      | stays ready     | 1     |
+
+  # Guards against streams that a request which crashes its runners ends as
+  # complete, which also clears the record of its crashes.
+  Scenario: A stream that two runners break off after the same event, as they crash
+    Given two runners of which the first ends between two events, with no length
+    And the second does the same
+    When a streaming request is sent
+    Then its answer is 200, 2 events, without an end
+    And 2 crashes have been counted
+
   # Guards against requests that crash a runner after it has sent a comment, and
   # are then taken for streams that have begun.
   Scenario: A comment does not begin a stream
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -290,12 +290,18 @@
             self.forwarder.handle, lambda: LIMITS, lambda: False
         )
         self.port = 0
+        #: Number of crashes of runners that were counted.
+        self.crashes = 0
+        self.forwarder.crashes.on_crash = self._count_crash
         #: Events that were counted as sent, by request.
         self.counted = []
         self.forwarder.crashes.record_success = lambda exchange: (
             self.counted.append(exchange.events_sent)
         )
 
+    async def _count_crash(self):
+        self.crashes += 1
+
     async def start(self, nursery):
         registered = []
         for number, runner in enumerate(self.runners):
@@ -573,6 +579,24 @@
     _run(context, script)
 
 
+@when('a request that may run once is sent and that runner {state}')
+def send_once(context, state):
+    if state == 'starts to drain':
+        send_to_draining(context, 'unsafe')
+    else:
+        send_request(context, 'unsafe')
+
+
+@given('the second does the same')
+def same_fault(context):
+    context.world.runners[1].fault = context.world.runners[0].fault
+
+
+@then('{count:d} crashes have been counted')
+def check_crashes(context, count):
+    assert context.world.crashes == count, context.world.crashes
+
+
 @when('a {kind} request is sent')
 def send_request(context, kind):
     async def script(world):
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -177,16 +177,16 @@
 ) -> None:
     """Check that a stream that ended with its connection is complete.
 
-    An empty one and a broken-off one end alike. Where two runners end after
-    the same numbered event, none is missing.
+    An empty one and a broken-off one end alike, unless another runner has
+    ended after the same numbered event. In each case the runner must not have
+    ended with the stream.
 
     :raises BadAnswer: it may be incomplete.
     """
     last = exchange.last_event_id
-    if last is not None and last == exchange.closed_after:
-        return
+    is_end_known = last is not None and last == exchange.closed_after
     exchange.closed_after = last
-    if not event_count:
+    if not event_count and not is_end_known:
         raise errors.BadAnswer('the stream ended before its first event')
     await confirm_end()
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1466,7 +1466,7 @@
     ),
     Mutant(
         'answers: a close ends a stream without events', 'routedanswers',
-        'if not event_count:', 'if False:', 'forwarding',
+        'if not event_count and not is_end_known:', 'if False:', 'forwarding',
         'before its first event, with no length',
     ),
     Mutant(
@@ -1487,7 +1487,7 @@
     Mutant(
         'answers: a planned stop is a crash', 'crashwatch',
         'return not is_ready or self._backoffs.is_leaving(runner)',
-        'return False', 'forwarding', 'drains and ends',
+        'return False', 'forwarding', 'counts as',
     ),
     Mutant(
         'answers: a stopping runner ends its answers as whole', 'forwarding',
