Stray bytes that name no request are no answer to the next one

Cause: an answer without an id was taken for that of the request in flight. For agents such answers were rejected already.

Change: where each answer names its request, one that names none is skipped like one to another request; one without a length ends the attempt at once, its outcome unknown.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -28,6 +28,9 @@
       | safe      | fails while running it              | 200 and complete        | 2    |
       | unsafe    | fails while running it              | 500 from the runner     | 1    |
       | unsafe    | first answers an earlier request    | 200 and complete        | 1    |
+      | unsafe    | first answers no request            | 200 and complete        | 1    |
+      | safe      | sends a head of no request          | 200 and complete        | 2    |
+      | unsafe    | sends a head of no request          | 502                     | 1    |
       | unsafe    | sends more data after its answer    | 200 and complete        | 1    |
       | unsafe    | sends no length and closes          | 200 and complete        | 1    |
       | safe      | sends no length and crashes         | 200 and complete        | 2    |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -214,6 +214,11 @@
             other = {b'x-request-id': b'other'}
             earlier = _answer_bytes(200, other, b'not this')
             return earlier + _answer_bytes(200, request, b'whole'), True
+        if fault == 'first answers no request':
+            stray = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray'
+            return stray + _answer_bytes(200, request, b'whole'), True
+        if fault == 'sends a head of no request':
+            return b'HTTP/1.1 200 OK\r\n\r\n', False
         if fault == 'sends more data after its answer':
             return (
                 _answer_bytes(200, request, b'whole') + b'HTTP/1.1 200',
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -181,8 +181,12 @@
         names: dialects.HeaderNames,
         now_s: typing.Callable[[], float],
         connect_s: float = CONNECT_S,
+        are_answers_named: bool = False,
     ):
         self._names = names
+        #: Whether each answer names its request, so that one without a name
+        #: belongs to no request.
+        self._are_answers_named = are_answers_named
         self._connect_s = connect_s
         self._now_s = now_s
         self._idle: dict[str, list[_Connection]] = {}
@@ -219,8 +223,9 @@
     ) -> typing.AsyncIterator[Reply]:
         """Send a request and yield its answer once the head is received.
 
-        Answers with an id other than ``request_id`` are skipped; if it is
-        None, the first answer is used. ``on_send`` is called just before the
+        Answers with an id other than ``request_id`` are skipped, and those
+        without one where answers are named; if it is None, the first answer
+        is used. ``on_send`` is called just before the
         request is sent; if it raises, nothing is sent.
 
         :raises NoRunner: no connection could be made; nothing was sent.
@@ -260,10 +265,12 @@
             head = dialects.read_reply_head(status, headers, self._names)
             framing = _framing(request.method, status, headers)
             reply = Reply(connection, head, headers, framing)
-            if None in (request_id, head.request_id):
+            if request_id is None or head.request_id == request_id:
                 return reply
-            if head.request_id == request_id:
+            if head.request_id is None and not self._are_answers_named:
                 return reply
+            if framing == CLOSE:
+                raise errors.OutcomeUnknown('the answer is to another request')
             await self._skip(reply)
             _expect_next_answer(connection, request, body)
         raise errors.OutcomeUnknown('received only answers to other requests')
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -105,7 +105,9 @@
         #: Set when the first routes have been loaded.
         self.routes_known = trio.Event()
         self.rng = random.Random(app.incarnation)
-        self.pool = lasthop.Pool(dialect.headers, app.now_s)
+        self.pool = lasthop.Pool(
+            dialect.headers, app.now_s, are_answers_named=True
+        )
         self._index = index
         self.budget = budget
         self.view = view or viewguards.unguarded()
