Events before a gap are sent, not only counted

Cause: the numbers of all events of a chunk were recorded before any was sent, and the gap was raised before sending.

Change: the events up to the gap are sent and counted; then the stream is resumed after them.

Result: the row failed before, with events 1 and 2 missing.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -25,6 +25,7 @@
       | unsafe    | truncates its answer                | 502                     | 1    |
       | streaming | truncates its answer                | 200 and complete        | 2    |
       | streaming | truncates an event                  | 200 and complete        | 2    |
+      | streaming | leaves out an event, in a length    | 200 and complete        | 2    |
       | safe      | fails while running it              | 200 and complete        | 2    |
       | unsafe    | fails while running it              | 500 from the runner     | 1    |
       | unsafe    | first answers an earlier request    | 200 and complete        | 1    |
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -87,6 +87,8 @@
         return _head(200, request, b'\r\n') + COMMENT + b'\n'
     if fault == 'closes after a retry time, with no length':
         return _head(200, request, b'\r\n') + RETRY_TIME + b'\n'
+    if 'leaves out' in fault and not first:
+        data = b''.join(EVENTS[:2] + EVENTS[3:])
     if 'comment' in fault:
         data += COMMENT
     if 'JSON' in fault:
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -151,9 +151,7 @@
         await responder.start(reply.head.status, headers)
     splitter = events.Splitter()
     async for chunk in reply.chunks():
-        new = [
-            event for event in splitter.feed(chunk) if _is_new(exchange, event)
-        ]
+        new, missing = _take_new(exchange, splitter.feed(chunk))
         count = sum(not event.is_empty for event in new)
         if len(splitter.remainder) > MAX_EVENT_BYTES:
             raise errors.BadAnswer(f'an event over {MAX_EVENT_BYTES} bytes')
@@ -161,6 +159,8 @@
             exchange.record_events(count, now_s())
         if new:
             await responder.send(b''.join(event.data for event in new))
+        if missing is not None:
+            raise missing
         if count:
             after_events()
     exchange.partial_event_bytes = len(splitter.remainder)
@@ -191,6 +191,20 @@
     await confirm_end()
 
 
+def _take_new(
+    exchange: Exchange, received: list[events.Event]
+) -> tuple[list[events.Event], errors.BadAnswer | None]:
+    """Return the new events, up to one before which an event is missing."""
+    new = []
+    for event in received:
+        try:
+            if _is_new(exchange, event):
+                new.append(event)
+        except errors.BadAnswer as problem:
+            return new, problem
+    return new, None
+
+
 def _is_new(exchange: Exchange, event: events.Event) -> bool:
     """Return whether an event is new to the caller; record its number.
 
