--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -263,6 +263,34 @@
         disk.close()
 
 
+@when(
+    'its journal is rotated at entry {at:d} while a snapshot is being written'
+)
+def rotate_beside(context, at):
+    part = context.folder / 'snapshot-9.part'
+    part.write_bytes(b'begun')
+    disk = storage.Storage(str(context.folder))
+    # Opening removes what a crash has left.
+    part.write_bytes(b'begun')
+    config = entries.Config({'c1.0': 'a'}, {})
+    snapshot = consensus.Snapshot(at, 1, config, b'data')
+    disk.write_snapshot(snapshot)
+    kept = [e for e in disk.contents.entries if e.index > at]
+    disk.rotate(snapshot, kept)
+    context.was_kept = part.exists()
+    disk.close()
+
+
+@then(
+    'the folder opens again at entry {at:d}, and the part was kept meanwhile'
+)
+def check_rotated(context, at):
+    assert context.was_kept
+    found = storage.read(str(context.folder))
+    assert found.snapshot.index == at, found
+    storage.Storage(str(context.folder)).close()
+
+
 @then('each file of a snapshot is synced before it is renamed')
 def synced_before_renamed(context):
     disk = storage.Storage(str(context.folder))
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -61,6 +61,12 @@
     Given a data folder with 5 synced frames
     Then each file of a snapshot is synced before it is renamed
 
+  # Guards against a process that ends as two snapshots are written at once.
+  Scenario: A journal is rotated while another snapshot is being written
+    Given a data folder with 5 synced frames
+    When its journal is rotated at entry 3 while a snapshot is being written
+    Then the folder opens again at entry 3, and the part was kept meanwhile
+
   Scenario: An existing folder is not initialized again
     Given a data folder with 5 synced frames
     Then initializing it again is refused with code 1700
--- a/mountridge/consensus/storage.py
+++ b/mountridge/consensus/storage.py
@@ -293,7 +293,8 @@
 
     def _remove_older(self, kind: str, number: int) -> None:
         for path in self._folder.glob(f'{kind}-*'):
-            if _file_number(path) < number:
+            # A part may be of a snapshot that is being written now.
+            if path.suffix != '.part' and _file_number(path) < number:
                 path.unlink()
 
     def save(
