--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -56,7 +56,7 @@
         yield types.SimpleNamespace(
             head=head,
             headers=[],
-            read_body=answers.read_body,
+            chunks=answers.chunks,
             framing=lasthop.LENGTH,
         )
 
--- a/features/worlds/answers.py
+++ b/features/worlds/answers.py
@@ -2,7 +2,7 @@
 
 """Stand-ins for a caller's responder and for the body of a runner's answer."""
 
-__all__ = ['Responder', 'read_body']
+__all__ = ['Responder', 'chunks']
 
 
 class Responder:
@@ -15,6 +15,6 @@
         self.status, self.headers, self.body = status, dict(headers), body
 
 
-async def read_body():
-    """Return the body that each simulated runner answers with."""
-    return b'whole'
+async def chunks():
+    """Yield the body that each simulated runner answers with."""
+    yield b'whole'
--- a/features/worlds/pauses.py
+++ b/features/worlds/pauses.py
@@ -70,7 +70,7 @@
         yield types.SimpleNamespace(
             head=head,
             headers=[],
-            read_body=answers.read_body,
+            chunks=answers.chunks,
             framing=lasthop.LENGTH,
         )
 
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -115,7 +115,7 @@
         yield types.SimpleNamespace(
             head=head,
             headers=headers,
-            read_body=answers.read_body,
+            chunks=answers.chunks,
             framing=lasthop.LENGTH,
         )
 
