Backoffs and departures outlast a registration that times out and returns

What callers saw: nothing; found by reading in the review and confirmed here. A runner that had announced its departure, or asked for a backoff, got requests again once its registration had timed out (18 s without a heartbeat) and come back, though the runner had lived on (DRAIN, BUDGET).

Cause: the incarnation was told by 'lives', which counts such a return. The limits that runners name were told apart by the start time already.

Change: the start time decides where there is one.

--- a/features/rests.feature
+++ b/features/rests.feature
@@ -30,6 +30,18 @@
     When a rank announces that it leaves and its registration is lost for 0.5 s
     Then no gateway has sent it any request later than 0.5 s after that
 
+  # Guards against departures and backoffs that are forgotten with a
+  # registration that times out and returns.
+  Scenario Outline: A runner that <announces> is registered anew, without a restart
+    Given 1 gateways and 2 ranks of one group
+    When a rank <announces>, and its registration times out and returns
+    Then that rank gets nothing more
+
+    Examples:
+      | announces                |
+      | announces that it leaves |
+      | requests a backoff       |
+
   Scenario Outline: All runners back off, the first for <left_s> s more
     Given 1 gateways and 2 ranks of one group
     When both request a backoff of <left_s> s and then accept requests, and one arrives
--- a/features/steps/rests_steps.py
+++ b/features/steps/rests_steps.py
@@ -126,6 +126,33 @@
     world.play(script)
 
 
+@when('a rank {announces}, and its registration times out and returns')
+def announce_and_return(context, announces):
+    world = context.world
+    runner = _runners(context)[0]
+    runner.instance = runner.instance._replace(born_ms=5)
+
+    async def script():
+        is_leaving = announces == 'announces that it leaves'
+        runner.answer = LEAVING if is_leaving else _backing_off(30.0)
+        while not runner.arrivals:
+            await world.ask('g0')
+        await _lose_registration(world, runner, 0.5)
+        lives = runner.instance.lives + 1
+        runner.instance = runner.instance._replace(lives=lives)
+        world.update_registrations()
+        context.before = len(runner.arrivals)
+        await world.load(20, 3)
+
+    world.play(script)
+
+
+@then('that rank gets nothing more')
+def check_nothing_more(context):
+    runner = _runners(context)[0]
+    assert len(runner.arrivals) == context.before, runner.arrivals
+
+
 @when(
     'a rank requests a backoff of {backoff_s:g} s and restarts'
     ' after {at_s:g} s'
--- a/mountridge/routing/backoffs.py
+++ b/mountridge/routing/backoffs.py
@@ -127,4 +127,7 @@
 
 
 def _incarnation(runner: instances.Instance) -> Incarnation:
-    return runner.instance_id, runner.lives, runner.born_ms
+    # `lives` also counts a registration that timed out and returned while the
+    # runner lived on; a start time tells incarnations apart.
+    lives = 0 if runner.born_ms else runner.lives
+    return runner.instance_id, lives, runner.born_ms
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -705,7 +705,7 @@
     ),
     Mutant(
         'backoffs: no separation by incarnation', 'backoffs',
-        'return runner.instance_id, runner.lives, runner.born_ms',
+        'return runner.instance_id, lives, runner.born_ms',
         'return runner.instance_id, 0, 0', 'rests',
     ),
     Mutant(
