A probe of a leaving runner waits for a process that ends slowly

Cause: a process that ends goes on accepting connections until its listening socket is closed; on a busy machine that takes longer than the 3 ms for which a connection had to stay open. Class: the kernel accepts, not the process.

Change: where the end of the runner is expected, the connection has to stay open for 50 ms. Price: answers without a length of such runners come 50 ms later.

Result: the row (a listening socket that is closed 20 ms later) failed before. Runners that crash unannounced keep 3 ms, as before.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -29,6 +29,8 @@
 LATE_REFUSAL = (
     'ends between two events, its listening socket last, with no length'
 )
+#: A process that accepts connections for a while as it ends.
+SLOW_END, SLOW_END_S = 'sends no length and ends 20 ms later', 0.02
 #: A stream that is whole, and whose runner's process ends with it.
 ALL_AND_ENDS = 'has all events, its process ends, no length'
 #: Events after which a stream is truncated; a half is within the next one.
@@ -149,6 +151,12 @@
             await trio.testing.wait_all_tasks_blocked()
             await _reset(stream)
             return
+        if self.fault == SLOW_END and self.connections > 1:
+            await trio.sleep(SLOW_END_S)
+            self.listening.cancel()
+            await trio.testing.wait_all_tasks_blocked()
+            await _reset(stream)
+            return
         request = await self._read(stream)
         while request is not None:
             self.received.append(request)
@@ -231,7 +239,7 @@
             'sends all with no length and crashes',
         ):
             return _head(200, request, b'\r\n') + b'whole', False
-        if fault == 'sends no length and crashes':
+        if fault in ('sends no length and crashes', SLOW_END):
             return _head(200, request, b'\r\n') + b'who', False
         return _answer_bytes(200, request, b'whole'), True
 
@@ -427,7 +435,9 @@
 def accept_none(context):
     pool = context.world.forwarder.pool
 
-    async def refuses_connections(address, timeout_s=lasthop.CONNECT_S):
+    async def refuses_connections(
+        address, timeout_s=lasthop.CONNECT_S, settle_s=0.0
+    ):
         await trio.sleep(timeout_s)
         return False
 
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -123,7 +123,7 @@
         if ended.is_set():
             raise errors.OutcomeUnknown('no answer: reset')
 
-    async def refuses_connections(self, address, timeout_s=None):
+    async def refuses_connections(self, address, *limits_s):
         await trio.sleep(LATENCY_S)
         return self.play.runners[address].is_down
 
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -19,7 +19,8 @@
 from mountridge.net import dialects
 
 __all__ = [
-    'CHUNKED', 'CLOSE', 'LENGTH', 'Pool', 'Reply',
+    'CHUNKED', 'CLOSE', 'EXPECTED_END_SETTLE_S', 'LENGTH', 'Pool', 'Reply',
+    'SETTLE_S',
 ]  # fmt: skip
 
 #: Framings of an answer, by what marks its end: a length in its head, its
@@ -51,8 +52,9 @@
 #: Connections opened to find out whether a process has ended.
 MAX_PROBES = 2
 #: How long a connection has to stay open to show that its process runs: longer
-#: than a process that is killed takes to close its sockets.
-SETTLE_S = 0.003
+#: than a process that is killed takes to close its sockets. Where the end is
+#: expected, the longer time also covers a box that is busy meanwhile.
+SETTLE_S, EXPECTED_END_SETTLE_S = 0.003, 0.05
 #: Most answers read for one request, including those to earlier requests, and
 #: most interim answers before each.
 MAX_ANSWERS = 4
@@ -329,21 +331,24 @@
         return True
 
     async def refuses_connections(
-        self, address: str, timeout_s: float | None = None
+        self,
+        address: str,
+        timeout_s: float | None = None,
+        settle_s: float = SETTLE_S,
     ) -> bool:
         """Return whether an address refuses a connection.
 
         False if it accepts one, which is kept for the next request, and if
         nothing answers in time: its box may be partitioned or suspended. A
         process that ends may accept one more, and resets it; the next one
-        shows whether it still listens.
+        shows whether it still listens. It has to stay open for ``settle_s``.
         """
         if timeout_s is None:
             timeout_s = self._connect_s
         with trio.move_on_after(timeout_s):
             for _ in range(MAX_PROBES):
                 try:
-                    if await self._probe(address):
+                    if await self._probe(address, settle_s):
                         return False
                 except ConnectionRefusedError:
                     return True
@@ -351,7 +356,7 @@
                     return False
         return False
 
-    async def _probe(self, address: str) -> bool:
+    async def _probe(self, address: str, settle_s: float) -> bool:
         """Return whether a connection is accepted and stays open; keep it.
 
         :raises OSError: no connection could be made.
@@ -361,7 +366,7 @@
         with contextlib.ExitStack() as opened:
             probe = opened.enter_context(trio.socket.socket())
             await probe.connect((host, int(port)))
-            with trio.move_on_after(SETTLE_S):
+            with trio.move_on_after(settle_s):
                 # A runner sends nothing before a request.
                 await trio.lowlevel.wait_readable(probe)
                 return False
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -536,7 +536,12 @@
         left_s = exchange.deadline_s - self.app.now_s()
         timeout_s = max(0.0, min(CONFIRM_S, left_s))
         runner = backend.instance
-        if await self.pool.refuses_connections(runner.address, timeout_s):
+        settle_s = lasthop.SETTLE_S
+        if self.crashes.is_stopping(runner):
+            settle_s = lasthop.EXPECTED_END_SETTLE_S
+        if await self.pool.refuses_connections(
+            runner.address, timeout_s, settle_s
+        ):
             raise errors.BadAnswer(
                 "the runner's process ended with its answer"
             )
