Bound the request bodies that a process holds

Cause: bodies were read whole, with a copy for each piece and another as they were sent, and nothing bounded their sum.

Change: a process holds 48 MB of bodies at most. Beyond that a request is refused before it runs (503, 1217, not run, Retry-After 1 s). Pieces are joined once; bodies over 64 KB are sent without a copy.

Result: three rows (callers that wait, leave and go on); before, nothing was ever refused.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -41,6 +41,19 @@
       | 10    | 4 MB in chunks              | 12      | whole             |
       | 10    | 4 MB with no length         | 12      | whole             |
 
+  # Guards against request bodies that take the memory of the process, and
+  # against bytes that are counted for ever.
+  Scenario Outline: Callers send bodies slowly, and <end>
+    Given a gateway that holds 4000 bytes of request bodies
+    When two callers have sent 1500 bytes of bodies with 1900, and <end>
+    Then a third such caller <third>, and a fourth one later gets 200
+
+    Examples:
+      | end                | third                        |
+      | wait               | gets 503 and the code 1217   |
+      | leave              | gets 200                     |
+      | send the rest      | gets 200                     |
+
   # Guards against a 200 with an empty or short body after half a head.
   Scenario Outline: A runner closes at any byte of a head framed by <framing>
     Given a runner that closes after each number of bytes of a head framed by <framing>
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -2,15 +2,17 @@
 
 """Steps for runners that send bytes without end, or stop within a head."""
 
+import contextlib
 import itertools
 import tracemalloc
 
-from behave import given, then
+from behave import given, then, when
 import trio
 
 from features.steps import brokenoff_steps as broken
 from features.steps import forwarding_steps as base
 from mountridge.documents import routes
+from mountridge.net import httpserver
 
 #: Bytes that a runner sends at a time.
 PIECE_BYTES = 16384
@@ -255,6 +257,63 @@
         assert size > LARGE_BYTES and end in (b'0\r\n\r\n', b'xxxxx'), size
 
 
+# Request bodies.
+
+
+@given('a gateway that holds {count:d} bytes of request bodies')
+def set_budget(context, count):
+    context.world = base.World('answers correctly')
+    budget = httpserver.BodyBudget(count)
+    context.world.server._bodies = budget
+
+
+async def _begin_body(world):
+    """Send the start of a request body; return the stream and the rest."""
+    stream = await world.open()
+    extra = b'Content-Length: 1900\r\n'
+    request = base._request(b'/safe/1', extra=extra, method=b'POST')
+    await stream.send_all(_closing(request) + _pad(1500))
+    return stream, _pad(400)
+
+
+async def _finish(stream, rest):
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(rest)
+    return await base._read_all(stream)
+
+
+@when(
+    'two callers have sent {part:d} bytes of bodies with {whole:d}, and {end}'
+)
+def send_bodies(context, part, whole, end):
+    async def script(world):
+        begun = [await _begin_body(world) for _ in range(2)]
+        await trio.sleep(0.1)
+        for stream, rest in begun:
+            if end == 'leave':
+                await stream.aclose()
+            elif end == 'send the rest':
+                await _finish(stream, rest)
+        await trio.sleep(0.05)
+        context.third = await _finish(*await _begin_body(world))
+        for stream, _ in begun:
+            await stream.aclose()
+        await trio.sleep(0.05)
+        context.fourth = await _finish(*await _begin_body(world))
+
+    base._run(context, script)
+
+
+@then('a third such caller {result}, and a fourth one later gets 200')
+def check_third(context, result):
+    status = context.third[9:12].decode()
+    assert f'gets {status}' in result, context.third
+    if 'code' in result:
+        assert b'"code": 1217' in context.third, context.third
+        assert b'"outcome": "not run"' in context.third, context.third
+    assert context.fourth.startswith(b'HTTP/1.1 200'), context.fourth
+
+
 # Heads that stop.
 
 
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     'BadAnswer',
+    'BodiesHeld',
     'BadHeartbeat',
     'BadMessage',
     'BadRequest',
@@ -322,6 +323,13 @@
     status = 503
 
 
+class BodiesHeld(MountridgeError):
+    """Too many bytes of request bodies are held at present."""
+
+    code = 1217
+    status = 503
+
+
 class TimedOut(MountridgeError):
     """The request timed out and may still be running."""
 
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -21,7 +21,7 @@
 from mountridge.net import listening
 
 __all__ = [
-    'Handler', 'Request', 'Responder', 'Server', 'metrics_task',
+    'BodyBudget', 'Handler', 'Request', 'Responder', 'Server', 'metrics_task',
     'send_error', 'send_json',
 ]  # fmt: skip
 
@@ -32,6 +32,12 @@
 #: Longest stream that is held for a caller of HTTP/1.0.
 MAX_HELD_BYTES = 4 << 20
 
+#: Most bytes of request bodies held at once by a process: a quarter of the
+#: memory of a small box.
+MAX_BODIES_BYTES = 48 << 20
+#: Retry-After where there are more: about as long as a body takes to arrive.
+BODIES_RETRY_S = 1.0
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -134,6 +140,30 @@
         self.finished = True
 
 
+class BodyBudget:
+    """The bytes of request bodies that a process holds for its callers."""
+
+    def __init__(self, max_bytes: int = MAX_BODIES_BYTES):
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+
+    def take(self, count: int) -> None:
+        """Count bytes that are held from now on.
+
+        :raises BodiesHeld: there would be too many; none are counted.
+        """
+        if self.held_bytes + count > self.max_bytes:
+            raise errors.BodiesHeld(
+                f'over {self.max_bytes} bytes of request bodies',
+                retry_after_s=BODIES_RETRY_S,
+            )
+        self.held_bytes += count
+
+    def release(self, count: int) -> None:
+        """Count bytes no longer."""
+        self.held_bytes -= count
+
+
 Handler = typing.Callable[[Request, Responder], typing.Awaitable[None]]
 
 
@@ -183,8 +213,10 @@
         handler: Handler,
         limits: typing.Callable[[], routes.Limits],
         closing: typing.Callable[[], bool],
+        bodies: BodyBudget | None = None,
     ):
         self._handler = handler
+        self._bodies = bodies or BodyBudget()
         self._limits = limits
         self._closing = closing
         self._idle: set[trio.CancelScope] = set()
@@ -243,6 +275,7 @@
                 await self._handle(http, stream, request, responder)
             finally:
                 self.open_requests -= 1
+                self._bodies.release(len(request.body))
             if not responder.finished or http.our_state is not h11.DONE:
                 return
             if http.their_state is not h11.DONE:
@@ -262,25 +295,39 @@
     ) -> Request | None:
         """Return the next complete request, None at the connection's end.
 
+        Its body counts as held until it is released.
+
         :raises BadRequest: the request is malformed, too large or too slow.
+        :raises BodiesHeld: too many bodies are held.
         """
         head = await self._read_head(http, stream, limits)
         if head is None:
             return None
-        body = b''
-        while True:
-            with trio.move_on_after(limits.idle_ms / 1000) as scope:
-                event = await self._next_event(http, stream)
-            if scope.cancelled_caught:
-                raise errors.TooSlow('time-out while reading the body')
-            if isinstance(event, h11.EndOfMessage):
-                break
-            body += event.data
-            if len(body) > limits.body_bytes:
-                raise errors.TooLarge(f'over {limits.body_bytes} bytes')
+        body = await self._read_body(http, stream, limits)
         headers = list(head.headers.raw_items())
         return Request(head.method, head.target, headers, body)
 
+    async def _read_body(
+        self, http: h11.Connection, stream, limits: routes.Limits
+    ) -> bytes:
+        parts, length = [], 0
+        try:
+            while True:
+                with trio.move_on_after(limits.idle_ms / 1000) as scope:
+                    event = await self._next_event(http, stream)
+                if scope.cancelled_caught:
+                    raise errors.TooSlow('time-out while reading the body')
+                if isinstance(event, h11.EndOfMessage):
+                    return b''.join(parts)
+                if length + len(event.data) > limits.body_bytes:
+                    raise errors.TooLarge(f'over {limits.body_bytes} bytes')
+                self._bodies.take(len(event.data))
+                length += len(event.data)
+                parts.append(bytes(event.data))
+        except BaseException:
+            self._bodies.release(length)
+            raise
+
     async def _read_head(
         self, http: h11.Connection, stream, limits: routes.Limits
     ) -> h11.Request | None:
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -30,6 +30,8 @@
 BODILESS_STATUSES = (204, 304)
 
 READ_BYTES = 65536
+#: Longest body that is sent in one write with the head of its request.
+MAX_COPIED_BYTES = 65536
 #: Idle connections kept to one runner by one gateway.
 MAX_IDLE = 8
 #: A runner on another box of the same region accepts within milliseconds. Past
@@ -245,9 +247,10 @@
     async def _send(
         self, connection: _Connection, request: h11.Request, body: bytes
     ) -> None:
-        data = _encode(connection.http, request, body)
+        parts = _encode(connection.http, request, body)
         try:
-            await connection.stream.send_all(data)
+            for part in parts:
+                await connection.stream.send_all(part)
         except (OSError, trio.BrokenResourceError) as problem:
             # The runner may have answered before it stopped reading.
             if not connection.http.trailing_data[0] and not body:
@@ -397,11 +400,17 @@
     return LENGTH if b'content-length' in names else CLOSE
 
 
-def _encode(http: h11.Connection, request: h11.Request, body: bytes) -> bytes:
-    data = http.send(request)
+def _encode(
+    http: h11.Connection, request: h11.Request, body: bytes
+) -> list[bytes]:
+    """Return the bytes of a request in parts; long bodies aren't copied."""
+    parts = [http.send(request)]
     if body:
-        data += http.send(h11.Data(body))
-    return data + http.send(h11.EndOfMessage())
+        parts += http.send_with_data_passthrough(h11.Data(body))
+    parts.append(http.send(h11.EndOfMessage()))
+    if len(body) <= MAX_COPIED_BYTES:
+        return [b''.join(parts)]
+    return [part for part in parts if part]
 
 
 def _expect_next_answer(
