A probe of a leaving runner outlasts connections that are reset

Cause: a connection that was reset as it was made, or two that were, ended the check with the verdict that the process runs. A process that ends accepts and resets connections until its listening socket is closed.

Change: where the end is expected, the probe goes on, each 5 ms, until a connection is refused or stays open for 50 ms, or the check times out. Elsewhere two connections as before, since overloaded runners reset new ones.

Result: the row with three resets failed before.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -31,6 +31,8 @@
 )
 #: A process that accepts connections for a while as it ends.
 SLOW_END, SLOW_END_S = 'sends no length and ends 20 ms later', 0.02
+#: A process that accepts and resets some connections as it ends.
+RESETTING_END, MOST_RESET = 'sends no length and resets 3 as it ends', 4
 #: A stream that is whole, and whose runner's process ends with it.
 ALL_AND_ENDS = 'has all events, its process ends, no length'
 #: Events after which a stream is truncated; a half is within the next one.
@@ -151,10 +153,12 @@
             await trio.testing.wait_all_tasks_blocked()
             await _reset(stream)
             return
-        if self.fault == SLOW_END and self.connections > 1:
-            await trio.sleep(SLOW_END_S)
-            self.listening.cancel()
-            await trio.testing.wait_all_tasks_blocked()
+        if self.fault in (SLOW_END, RESETTING_END) and self.connections > 1:
+            if self.fault == SLOW_END:
+                await trio.sleep(SLOW_END_S)
+            if self.fault == SLOW_END or self.connections > MOST_RESET:
+                self.listening.cancel()
+                await trio.testing.wait_all_tasks_blocked()
             await _reset(stream)
             return
         request = await self._read(stream)
@@ -239,7 +243,8 @@
             'sends all with no length and crashes',
         ):
             return _head(200, request, b'\r\n') + b'whole', False
-        if fault in ('sends no length and crashes', SLOW_END):
+        crashes = ('sends no length and crashes', SLOW_END, RESETTING_END)
+        if fault in crashes:
             return _head(200, request, b'\r\n') + b'who', False
         return _answer_bytes(200, request, b'whole'), True
 
@@ -436,7 +441,7 @@
     pool = context.world.forwarder.pool
 
     async def refuses_connections(
-        address, timeout_s=lasthop.CONNECT_S, settle_s=0.0
+        address, timeout_s=lasthop.CONNECT_S, probing=None
     ):
         await trio.sleep(timeout_s)
         return False
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -19,8 +19,8 @@
 from mountridge.net import dialects
 
 __all__ = [
-    'CHUNKED', 'CLOSE', 'EXPECTED_END_SETTLE_S', 'LENGTH', 'Pool', 'Reply',
-    'SETTLE_S',
+    'CHUNKED', 'CLOSE', 'EXPECTED_END', 'LENGTH', 'Pool', 'Probing', 'Reply',
+    'UNEXPECTED_END',
 ]  # fmt: skip
 
 #: Framings of an answer, by what marks its end: a length in its head, its
@@ -51,12 +51,6 @@
 USER_TIMEOUT_MS = 2500
 #: Addresses whose eviction times are kept: several times a whole fleet.
 MAX_EVICTED = 2000
-#: Connections opened to find out whether a process has ended.
-MAX_PROBES = 2
-#: How long a connection has to stay open to show that its process runs: longer
-#: than a process that is killed takes to close its sockets. Where the end is
-#: expected, the longer time also covers a box that is busy meanwhile.
-SETTLE_S, EXPECTED_END_SETTLE_S = 0.003, 0.05
 #: Most answers read for one request, including those to earlier requests, and
 #: most interim answers before each.
 MAX_ANSWERS = 4
@@ -65,6 +59,22 @@
 MAX_SKIPPED_BYTES = 1 << 20
 MAX_BODY_BYTES = 8 << 20
 
+
+class Probing(typing.NamedTuple):
+    """How to find out by connections whether a process has ended."""
+
+    count: int  # most connections
+    #: How long one has to stay open to show that the process runs: longer than
+    #: a process that is killed takes to close its sockets.
+    settle_s: float
+    pause_s: float  # after one that was closed
+
+
+#: Where a process may have crashed; an overloaded one resets connections too.
+UNEXPECTED_END = Probing(2, 0.003, 0.0)
+#: Where the end is expected; also on a box that is busy meanwhile.
+EXPECTED_END = Probing(16, 0.05, 0.005)
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -337,26 +347,29 @@
         self,
         address: str,
         timeout_s: float | None = None,
-        settle_s: float = SETTLE_S,
+        probing: Probing = UNEXPECTED_END,
     ) -> bool:
         """Return whether an address refuses a connection.
 
         False if it accepts one, which is kept for the next request, and if
         nothing answers in time: its box may be partitioned or suspended. A
-        process that ends may accept one more, and resets it; the next one
-        shows whether it still listens. It has to stay open for ``settle_s``.
+        process that ends may accept some more, and reset them; a later one
+        shows whether it still listens.
         """
         if timeout_s is None:
             timeout_s = self._connect_s
         with trio.move_on_after(timeout_s):
-            for _ in range(MAX_PROBES):
+            for _ in range(probing.count):
                 try:
-                    if await self._probe(address, settle_s):
+                    if await self._probe(address, probing.settle_s):
                         return False
                 except ConnectionRefusedError:
                     return True
+                except ConnectionResetError:
+                    pass  # closed as it was accepted
                 except OSError:
                     return False
+                await trio.sleep(probing.pause_s)
         return False
 
     async def _probe(self, address: str, settle_s: float) -> bool:
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -536,11 +536,11 @@
         left_s = exchange.deadline_s - self.app.now_s()
         timeout_s = max(0.0, min(CONFIRM_S, left_s))
         runner = backend.instance
-        settle_s = lasthop.SETTLE_S
+        probing = lasthop.UNEXPECTED_END
         if self.crashes.is_stopping(runner):
-            settle_s = lasthop.EXPECTED_END_SETTLE_S
+            probing = lasthop.EXPECTED_END
         if await self.pool.refuses_connections(
-            runner.address, timeout_s, settle_s
+            runner.address, timeout_s, probing
         ):
             raise errors.BadAnswer(
                 "the runner's process ended with its answer"
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1471,7 +1471,8 @@
     ),
     Mutant(
         'answers: a crash ends an answer without a length', 'forwarding',
-        'if await self.pool.refuses_connections(runner.address, timeout_s):',
+        'if await self.pool.refuses_connections(\n            runner.address,'
+        ' timeout_s, probing\n        ):',
         'if False:', 'forwarding', 'crashes|ends between',
     ),
     Mutant(
