--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -94,7 +94,8 @@
         return self.report.end({'passes': self.emulated.group.step, **counts})
 
     def _start_keepers(self, nursery: trio.Nursery) -> None:
-        sizes, rng = self.system.sizes, random.Random(self.seed)
+        # Another sequence than that of the other callers, whose ids it draws.
+        sizes, rng = self.system.sizes, random.Random(f'keepers {self.seed}')
         for front in self.system.fronts * sizes['keepers']:
             keeper = loads.Caller(
                 self.system, self.checker, random.Random(rng.random())
