--- a/features/endless.feature
+++ b/features/endless.feature
@@ -41,6 +41,12 @@
       | 10    | 4 MB in chunks              | 12      | whole             |
       | 10    | 4 MB with no length         | 12      | whole             |
 
+  # Guards against a second answer behind a part of the first one.
+  Scenario: A long answer that its runner breaks off is not sent again
+    When a safe request gets half of a body of 4 MB with a length
+    Then its caller gets a part of it that does not look complete
+    And no other runner gets the request
+
   # Guards against request bodies that take the memory of the process, and
   # against bytes that are counted for ever.
   Scenario Outline: Callers send bodies slowly, and <end>
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -257,6 +257,45 @@
         assert size > LARGE_BYTES and end in (b'0\r\n\r\n', b'xxxxx'), size
 
 
+class Half(base.Runner):
+    """A runner that closes in the middle of a large answer."""
+
+    async def serve(self, stream):
+        request = await self._read(stream)
+        if request is not None:
+            self.runs += 1
+            length = b'Content-Length: %d\r\n\r\n' % LARGE_BYTES
+            head = base._head(200, request, length)
+            await stream.send_all(head + _pad(LARGE_BYTES // 2))
+
+
+@when('a safe request gets half of a body of 4 MB with a length')
+def break_off_large(context):
+    async def script(world):
+        stream = await world.open()
+        await stream.send_all(_closing(base._request(b'/safe/1')))
+        size = 0
+        with contextlib.suppress(trio.BrokenResourceError):
+            while piece := await stream.receive_some(65536):
+                size += len(piece)
+        context.size = size
+
+    context.world = base.World('answers correctly', 'answers correctly')
+    context.world.runners[0] = Half('answers correctly')
+    base._run(context, script)
+
+
+@then('its caller gets a part of it that does not look complete')
+def check_part(context):
+    assert 1 << 18 < context.size < LARGE_BYTES, context.size
+
+
+@then('no other runner gets the request')
+def check_runs(context):
+    runs = [runner.runs for runner in context.world.runners]
+    assert runs == [1, 0], runs
+
+
 # Request bodies.
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1883,6 +1883,120 @@
         'maps: no limit on copies by the time between shifts', 'mapplans',
         'MAX_COPY_S = 0.25', 'MAX_COPY_S = 0.45', 'mapplans',
     ),
+    Mutant(
+        'pauses: the view is trusted after a pause', 'members',
+        'self._lease.distrust(self._app.now_s())', 'pass', 'pauses',
+    ),
+    Mutant(
+        'pauses: not detected', 'clocks', 'if paused_s > MIN_PAUSE_S:',
+        'if False:', 'pauses',
+    ),
+    Mutant(
+        'pauses: no check right before the send', 'forwarding',
+        'if exchange.pauses != self.view.pauses:\n            raise',
+        'if False:\n            raise', 'pauses', 'assigned before',
+    ),
+    Mutant(
+        'pauses: requests keep the route from before', 'forwarding',
+        'if exchange.pauses == self.view.pauses:', 'if True:', 'pauses',
+        'assigned before',
+    ),
+    Mutant(
+        'pauses: an entry stays ready', 'entry',
+        'return self._is_view_current()', 'return True', 'pauses',
+    ),
+    Mutant(
+        'pauses: an entry lists gateways of before', 'entry',
+        'if not self._is_view_current():', 'if False:', 'pauses',
+    ),
+    Mutant(
+        'pauses: requests wait for a renewal for ever', 'viewguards',
+        'trio.move_on_after(WAIT_S)', 'trio.move_on_after(100)', 'pauses',
+    ),
+    Mutant(
+        'pauses: a renewal sent before confirms the view', 'leases',
+        'return self.confirmed_s >= self._resumed_s',
+        'return self.confirmed_s > 0', 'pauses',
+    ),
+    Mutant(
+        'copies: too few voters acknowledge', 'copies',
+        'if not losses or count >= full_size(losses):', 'if True:', 'copies',
+    ),
+    Mutant(
+        'copies: no wait for voters that are joining', 'copies',
+        'and steady_s >= FORMING_S', '', 'copies',
+    ),
+    Mutant(
+        'copies: a missing voter is waited for without end', 'copies',
+        'steady_s >= FORMING_S', 'False', 'copies',
+    ),
+    Mutant(
+        'copies: a voter is removed before its replacement is one',
+        'formation', 'if not ready or (count == max_voters and not'
+        ' unresponsive):\n        return None',
+        'if not ready or (count == max_voters and not unresponsive):\n'
+        '        return None\n    if count == max_voters:\n'
+        '        return node.config.without(unresponsive[0])', 'copies',
+    ),
+    Mutant(
+        'answers: long ones are held', 'routedanswers',
+        'if length > READ_AHEAD_BYTES:', 'if False:', 'endless',
+        'callers read|body in chunks',
+    ),
+    Mutant(
+        'answers: events without end are held', 'routedanswers',
+        'if len(splitter.remainder) > MAX_EVENT_BYTES:', 'if False:',
+        'endless', 'body in chunks',
+    ),
+    Mutant(
+        'answers: a long one that is cut is sent again', 'forwarding',
+        'if exchange.is_body_begun:', 'if False:', 'endless',
+        'breaks off',
+    ),
+    Mutant(
+        'last hop: interim answers without end', 'lasthop',
+        'for _ in range(MAX_ANSWERS):\n                event',
+        'while True:\n                event', 'endless', 'interim',
+    ),
+    Mutant(
+        'last hop: skipped answers without end', 'lasthop',
+        'await reply.read_body(MAX_SKIPPED_BYTES)',
+        'await reply.read_body(1 << 60)', 'endless', 'to another',
+    ),
+    Mutant(
+        'last hop: answers that name no request are taken', 'lasthop',
+        'if head.request_id is None and not self._are_answers_named:',
+        'if head.request_id is None:', 'forwarding', 'no request',
+    ),
+    Mutant(
+        'server: bodies are not bounded', 'httpserver',
+        'if self.held_bytes + count > self.max_bytes:', 'if False:',
+        'endless', 'send bodies',
+    ),
+    Mutant(
+        'server: bodies of callers that leave stay counted', 'httpserver',
+        'self._bodies.release(length)', 'pass', 'endless', 'send bodies',
+    ),
+    Mutant(
+        'answers: events before a gap are dropped', 'routedanswers',
+        'return new, problem', 'return [], problem', 'forwarding',
+        'leaves out',
+    ),
+    Mutant(
+        'storage: parts of snapshots are taken for older ones', 'storage',
+        "path.suffix != '.part' and ", '', 'storage', 'rotated',
+    ),
+    Mutant(
+        'start: a change during the start is missed', 'settingswatch',
+        "applied = _reload(path, b'', apply)",
+        'applied = pathlib.Path(path).read_bytes()', 'start',
+        'change during',
+    ),
+    Mutant(
+        'start: a reload signal ends the process', 'startup',
+        'signal.signal(signal.SIGHUP, signal.SIG_IGN)', 'pass', 'start',
+        'SIGHUP',
+    ),
 )  # fmt: skip
 
 
