--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,6 +47,22 @@
     And each harmful part has crashed a runner
     And no process of the run remains
 
+  # Guards against changes that are late or come back, and against requests to
+  # runners that drain or leave, also where a process was not run for a while.
+  Scenario: A short run with changes, drains and pauses breaks no rule
+    When seed 209 is run for 36 s with changes, drains and pauses
+    Then no rule is broken, and these rules were checked
+      | rule                                         |
+      | changes are in force in time                 |
+      | entries never go back                        |
+      | only what a document allows                  |
+      | invalid changes are refused                  |
+      | routes are read as they were sent            |
+      | added routes are served                      |
+      | requests end with the timeout of their route |
+      | good service is back                         |
+    And no process of the run remains
+
   # Guards against draws that lack a break, or that no caller could notice.
   Scenario: Each framing is drawn with each break that can be noticed
     When the framings of 5000 streams and 5000 bodies are drawn
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -83,6 +83,11 @@
     _run_soak(context, seed, '0.4', 'parts.yaml')
 
 
+@when('seed {seed:d} is run for 36 s with changes, drains and pauses')
+def run_changes_soak(context, seed):
+    _run_soak(context, seed, '0.6', 'changes.yaml')
+
+
 @then('each harmful part has crashed a runner')
 def check_harmful_crashes(context):
     verdict = json.loads(context.completed.stdout)
--- a/tools/soak/documents.py
+++ b/tools/soak/documents.py
@@ -8,10 +8,12 @@
 from standins import engine
 from tools.soak import changerules, checks
 
-__all__ = ['Routes', 'invalid', 'key', 'make']
+__all__ = ['KEPT_EACH', 'Routes', 'added_route', 'invalid', 'key', 'make']
 
 #: Timeout of the route whose runners answer too late.
 PATIENCE_MS = 700.0
+#: Each such version adds a route that all later ones keep.
+KEPT_EACH = 5
 #: Number of newest versions whose keys are valid.
 KEPT_KEYS = 2
 
@@ -23,6 +25,11 @@
     meaning: changerules.Document
 
 
+def added_route(version: int) -> str:
+    """Return the newest route that a version has, and all later ones keep."""
+    return f'added-{version // KEPT_EACH}'
+
+
 def key(version: int) -> str:
     """Return the key that comes with a version."""
     return f'key-of-{version}'
@@ -44,7 +51,11 @@
 def _moving(version: int, variant: str) -> list[list]:
     """Return routes that change with each version, or by a variant."""
     is_other = bool(version % 2) != bool(variant)
-    return [
+    added = [
+        _route(added_route(n))
+        for n in range(KEPT_EACH, version + 1, KEPT_EACH)
+    ]
+    return added + [
         _route('moved', service='other' if is_other else 'plain'),
         _route('keyed', public=False),
         _route('patience', service='slow', ms=PATIENCE_MS),
--- a/tools/soak/keepers.py
+++ b/tools/soak/keepers.py
@@ -25,8 +25,11 @@
     return {**PROBE, 'name': name, 'is_probe': True, **fields}
 
 
-def _draw(caller: loads.Caller) -> dict:
-    """Return the kind of the next request."""
+def _draw(caller: loads.Caller, settled: int) -> dict:
+    """Return the kind of the next request.
+
+    ``settled`` is a version that is in force everywhere.
+    """
     rng, newest = caller.rng, caller.checker.sent_version
     if rng.random() < PATIENCE_SHARE and caller.system.sizes['slows']:
         return PATIENT
@@ -41,6 +44,7 @@
             _probe(f'at-{version}'),
             _probe(rng.choice(VOID_ROUTES)),
             _probe('read'),
+            _probe(documents.added_route(settled)),
         ]
     )
 
@@ -50,14 +54,18 @@
     changes = caller.checker.changes
     while True:
         await trio.sleep(every_s * (0.5 + caller.rng.random()))
-        kind, sent_s = _draw(caller), trio.current_time()
+        sent_s = trio.current_time()
         settled = changes.settled_version(sent_s)
+        kind = _draw(caller, max(settled, documents.KEPT_EACH))
         answer = await caller.ask(kind, front)
         entry = caller.system.names[caller.system.fronts.index(front)]
         seen = changerules.Seen(entry, 0, kind['name'], '', sent_s)
         took_s = trio.current_time() - sent_s
         if kind is PATIENT:
             changes.record_wait(seen, documents.PATIENCE_MS / 1000, took_s)
-        elif kind['name'] in ('read', f'at-{settled}'):
+        elif kind['name'] == 'read' or (
+            kind['name'] == documents.added_route(settled)
+            and settled >= documents.KEPT_EACH
+        ):
             is_served = answer.is_whole and answer.status == 200
             changes.record_outcome(seen, kind['name'] != 'read', is_served)
