Only processes that hold a lease watch for pauses

Sidecars have no view that could be outdated; four readings a second cost them wake-ups for nothing.

--- a/features/worlds/system.py
+++ b/features/worlds/system.py
@@ -115,7 +115,7 @@
         return made
 
     def system_tasks(self):
-        return [self._receive, self.watch_pauses]
+        return [self._receive] + [self.watch_pauses] * bool(self.on_pause)
 
     def close(self):
         pass
--- a/mountridge/application.py
+++ b/mountridge/application.py
@@ -263,12 +263,9 @@
         async def authenticate() -> None:
             await keys.serve_authentication(self.context, self.settings)
 
-        return [
-            authenticate,
-            self._receive,
-            self._watch_signals,
-            self.watch_pauses,
-        ]
+        tasks = [authenticate, self._receive, self._watch_signals]
+        # Only a process with knowledge that may become outdated needs it.
+        return tasks + [self.watch_pauses] * bool(self.on_pause)
 
     def close(self) -> None:
         """Close all sockets."""
