Wait for a restarted gateway until its former requests are over

Traced: the gateway that the scenario kills was back only after its lease had expired, since starts are slow then. The leader reserves the shares of such a gateway until the deadline of the requests that it may have started, 60 s by the sample table, so the lone gateway answers 429 (1200, concurrency share 0) for that long; the step waited for 15 s.

That is what the limits promise, and not what the scenario is about: what callers get as a process dies is checked as before. The step that goes on afterwards waits for the deadline and a start.

Open: a lone gateway without a share for a minute. The leader reserves all that was granted, as it does not know how much of it was in use.

--- a/features/steps/native_endings_steps.py
+++ b/features/steps/native_endings_steps.py
@@ -32,6 +32,8 @@
 #: Time for an event to reach the caller before what follows it.
 PAUSE_S = 0.3
 TIMEOUT_S = 10.0
+#: Deadline of requests of the row that is used, by the sample table.
+ROW_DEADLINE_S = 60.0
 
 
 class _Runner(socketserver.ThreadingTCPServer):
@@ -206,7 +208,9 @@
             answer = _ask(context, 'after its last event', 'HTTP/1.1')
             return _name(*answer) == 'complete'
 
-    cluster.wait_for(serves)
+    # One that was away for longer than its lease gets a share of the limits
+    # again once the requests that it may have started are over.
+    cluster.wait_for(serves, ROW_DEADLINE_S + cluster.TIMEOUT_S)
 
 
 @when('one runner breaks off its answers, and the other refuses all requests')
