Read ahead by one function; count what is held once

The loop that reads a body up to a bound stood twice (lasthop, routedanswers); bytes held for HTTP/1.0 were summed anew with each chunk; the longest logged age stood as a number beside its constant. BodyBudget and its constant said 'process': each server has its own, on purpose, which the text says now.

--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -32,8 +32,9 @@
 #: Longest stream that is held for a caller of HTTP/1.0.
 MAX_HELD_BYTES = 4 << 20
 
-#: Most bytes of request bodies held at once by a process: a quarter of the
-#: memory of a small box.
+#: Most bytes of request bodies held at once by a server: a quarter of the
+#: memory of a small box. The servers of one process do not share it, so that
+#: callers' bodies never keep heartbeats and operators out.
 MAX_BODIES_BYTES = 48 << 20
 #: Retry-After where there are more: about as long as a body takes to arrive.
 BODIES_RETRY_S = 1.0
@@ -91,6 +92,7 @@
         #: while the parser counts the response as complete.
         self.finished = False
         self._held: _HeldStream | None = None
+        self._held_bytes = 0
 
     def _persistence(self) -> Headers:
         if self._closing:
@@ -112,7 +114,8 @@
         """Send a chunk of the body."""
         if self._held is not None:
             self._held.parts.append(data)
-            if sum(map(len, self._held.parts)) > MAX_HELD_BYTES:
+            self._held_bytes += len(data)
+            if self._held_bytes > MAX_HELD_BYTES:
                 raise errors.BadAnswer('too long for a caller of HTTP/1.0')
             return
         await self._stream.send_all(self._http.send(h11.Data(data)))
@@ -141,7 +144,7 @@
 
 
 class BodyBudget:
-    """The bytes of request bodies that a process holds for its callers."""
+    """The bytes of request bodies that a server holds for its callers."""
 
     def __init__(self, max_bytes: int = MAX_BODIES_BYTES):
         self.max_bytes = max_bytes
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -20,7 +20,7 @@
 
 __all__ = [
     'CHUNKED', 'CLOSE', 'EXPECTED_END', 'LENGTH', 'Pool', 'Probing', 'Reply',
-    'UNEXPECTED_END',
+    'UNEXPECTED_END', 'read_ahead',
 ]  # fmt: skip
 
 #: Framings of an answer, by what marks its end: a length in its head, its
@@ -131,6 +131,23 @@
             self.http.receive_data(await self.stream.receive_some(READ_BYTES))
 
 
+async def read_ahead(
+    chunks: typing.AsyncIterator[bytes], max_bytes: int
+) -> tuple[bytes, bool]:
+    """Return a body, and whether it is whole.
+
+    Reading stops once it is over ``max_bytes``; what follows is still to come
+    from ``chunks``.
+    """
+    parts, length = [], 0
+    async for chunk in chunks:
+        parts.append(chunk)
+        length += len(chunk)
+        if length > max_bytes:
+            return b''.join(parts), False
+    return b''.join(parts), True
+
+
 class Reply:
     """A runner's answer: its head, and its body in chunks."""
 
@@ -178,13 +195,10 @@
 
         :raises BadAnswer: the body was truncated, or is too long.
         """
-        parts, length = [], 0
-        async for chunk in self.chunks():
-            parts.append(chunk)
-            length += len(chunk)
-            if length > max_bytes:
-                raise errors.BadAnswer(f'the body is over {max_bytes} bytes')
-        return b''.join(parts)
+        body, is_whole = await read_ahead(self.chunks(), max_bytes)
+        if not is_whole:
+            raise errors.BadAnswer(f'the body is over {max_bytes} bytes')
+        return body
 
 
 class Pool:
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -68,7 +68,7 @@
     confirm_end: Confirm,
 ) -> None:
     status, chunks = reply.head.status, reply.chunks()
-    body, is_all = await _read_ahead(chunks)
+    body, is_all = await lasthop.read_ahead(chunks, READ_AHEAD_BYTES)
     if is_all:
         await confirm_end()
     if exchange.responder.started:
@@ -88,19 +88,6 @@
     await send_answer(exchange, answer, now_s())
 
 
-async def _read_ahead(
-    chunks: typing.AsyncIterator[bytes],
-) -> tuple[bytes, bool]:
-    """Return the body, or its start, and whether that is all of it."""
-    parts, length = [], 0
-    async for chunk in chunks:
-        parts.append(chunk)
-        length += len(chunk)
-        if length > READ_AHEAD_BYTES:
-            return b''.join(parts), False
-    return b''.join(parts), True
-
-
 async def _forward_long(
     exchange: Exchange,
     reply: lasthop.Reply,
--- a/mountridge/routing/routedexchanges.py
+++ b/mountridge/routing/routedexchanges.py
@@ -10,7 +10,7 @@
 
 __all__ = ['Answer', 'Exchange', 'runner_fields', 'to_ms', 'view_fields']
 
-#: Longest age of a view in log lines; also stands for an unknown age.
+#: Longest age in log lines; also stands for an unknown one.
 MAX_LOGGED_AGE_S = 999.0
 
 
@@ -129,7 +129,7 @@
         'runner': backend.instance.instance_id,
         'cold': backend.instance.is_cold,
         'load': picked.load,
-        'load_age_ms': to_ms(min(picked.report_age_s, 999)),
+        'load_age_ms': to_ms(min(picked.report_age_s, MAX_LOGGED_AGE_S)),
         'among': picked.candidates,
     }
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1940,7 +1940,8 @@
     ),
     Mutant(
         'answers: long ones are held', 'routedanswers',
-        'if length > READ_AHEAD_BYTES:', 'if False:', 'endless',
+        'lasthop.read_ahead(chunks, READ_AHEAD_BYTES)',
+        'lasthop.read_ahead(chunks, 1 << 60)', 'endless',
         'callers read|body in chunks',
     ),
     Mutant(
