The guard of the view reads the clock itself

Found by reading the change again. Three callers read the clock first, with a comment, so that a pause that had just ended was noticed, and the entry had a second copy of the question. The guard does it in one place now; the entry asks the guard. The number of pauses is taken before the wait, so that a pause during it makes a request be routed again, as before. The public 'check' had no caller left outside and is gone.

--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -105,7 +105,9 @@
                 listening.PROCESS_START_S,
                 self.slack_shares.share,
             ),
-            viewguards.ViewGuard(self.lease, self.lease_renewer.confirm_view),
+            viewguards.ViewGuard(
+                self.lease, self.lease_renewer.confirm_view, app.now_s
+            ),
         )
         app.on_suspension.append(
             lambda gap_s: self.forwarder.cancel_overdue(app.now_s())
@@ -285,20 +287,15 @@
 
     def addresses(self) -> list[str]:
         """Return the addresses to which callers may send requests."""
-        if not self._is_view_current():
+        if not self.forwarder.view.is_current():
             return []
         return [member.http for member in self.gateways()]
 
-    def _is_view_current(self) -> bool:
-        """Return whether the view is not from before a pause."""
-        self.app.now_s()  # detects a pause that has just ended
-        return self.lease.is_current()
-
     def is_ready(self) -> bool:
         """Return whether this process can serve requests."""
         if self.index is None or self.draining:
             return False
-        return self._is_view_current()
+        return self.forwarder.view.is_current()
 
     async def put_routes(self, source: bytes) -> int:
         """Submit a routes document; return the version stored afterwards.
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -110,7 +110,7 @@
         )
         self._index = index
         self.budget = budget
-        self.view = view or viewguards.unguarded()
+        self.view = view or viewguards.unguarded(app.now_s)
         self.picker = picking.Picker(
             app, index, backends, gateway_count, self.rng
         )
@@ -228,12 +228,10 @@
 
         :raises NoLease: there is none.
         """
-        self.app.now_s()  # detects a pause that has just ended
-        await self.view.wait()
-        exchange.pauses = self.view.pauses
+        exchange.pauses = await self.view.wait()
         for apply_filter in self.filters:
             apply_filter(exchange, self.app.now_s())
-        exchange.routed_view_age_s = self.view.age_s(self.app.now_s())
+        exchange.routed_view_age_s = self.view.age_s()
 
     async def _follow_view(self, exchange: Exchange) -> None:
         """Route a request again that was routed before a pause.
@@ -243,12 +241,10 @@
 
         :raises NoLease: there is no such view.
         """
-        self.app.now_s()  # detects a pause that has just ended
-        if exchange.pauses == self.view.pauses:
+        if exchange.pauses == self.view.pauses():
             return
         if exchange.is_sent:
-            await self.view.wait()
-            exchange.pauses = self.view.pauses
+            exchange.pauses = await self.view.wait()
         else:
             await self._apply_filters(exchange)
 
@@ -428,11 +424,11 @@
         now_s = self.app.now_s()
         if now_s >= exchange.deadline_s:
             raise errors.DeadlinePassed()
-        if exchange.pauses != self.view.pauses:
+        if exchange.pauses != self.view.pauses():
             raise errors.NoLease('not run since its runner was selected')
         self.crashes.check_parts(exchange)
         sends.check(now_s)
-        exchange.sent_view_age_s = self.view.age_s(now_s)
+        exchange.sent_view_age_s = self.view.age_s()
         sends.mark_sent(now_s)
         exchange.is_sent = True
         if exchange.retry is not None:
--- a/mountridge/routing/viewguards.py
+++ b/mountridge/routing/viewguards.py
@@ -23,6 +23,7 @@
 #: better choice for the caller.
 WAIT_S = 0.6
 
+Clock = typing.Callable[[], float]
 Confirm = typing.Callable[[], typing.Awaitable[None]]
 
 
@@ -30,45 +31,52 @@
     """Holds back requests while the view may be outdated.
 
     ``confirm`` returns once the lease has been renewed since the last pause.
+    ``now_s`` reads the clock, which detects a pause that has just ended.
     """
 
-    def __init__(self, lease: leases.HeldLease, confirm: Confirm):
+    def __init__(
+        self, lease: leases.HeldLease, confirm: Confirm, now_s: Clock
+    ):
         self._lease = lease
         self._confirm = confirm
+        self._now_s = now_s
 
-    @property
     def pauses(self) -> int:
-        """The number of pauses so far; state of earlier ones is outdated."""
+        """Return the number of pauses; state of earlier ones is outdated."""
+        self._now_s()
         return self._lease.pauses
 
-    def age_s(self, now_s: float) -> float:
-        """Return how long ago the view was known to be up to date."""
-        return now_s - self._lease.confirmed_s
-
-    def check(self) -> None:
-        """Check that the view is not from before a pause.
+    def is_current(self) -> bool:
+        """Return whether the view is not from before a pause."""
+        self._now_s()
+        return self._lease.is_current()
 
-        :raises NoLease: it is.
-        """
-        if not self._lease.is_current():
-            raise errors.NoLease('not run for a while, the view is outdated')
+    def age_s(self) -> float:
+        """Return how long ago the view was known to be up to date."""
+        return self._now_s() - self._lease.confirmed_s
 
-    async def wait(self) -> None:
+    async def wait(self) -> int:
         """Wait until the view is not from before a pause.
 
+        Returns the number of pauses as it was called, so that one that comes
+        later makes a difference.
+
         :raises NoLease: it was not confirmed in time.
         """
+        pauses = self.pauses()
         if self._lease.is_current():
-            return
+            return pauses
         with trio.move_on_after(WAIT_S):
             await self._confirm()
-        self.check()
+        if not self.is_current():
+            raise errors.NoLease('not run for a while, the view is outdated')
+        return pauses
 
 
 async def _confirm_nothing() -> None:
     """Return at once, where no lease is held."""
 
 
-def unguarded() -> ViewGuard:
+def unguarded(now_s: Clock) -> ViewGuard:
     """Return the guard of a process without pauses."""
-    return ViewGuard(leases.HeldLease(), _confirm_nothing)
+    return ViewGuard(leases.HeldLease(), _confirm_nothing, now_s)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1893,21 +1893,21 @@
     ),
     Mutant(
         'pauses: no check right before the send', 'forwarding',
-        'if exchange.pauses != self.view.pauses:\n            raise',
+        'if exchange.pauses != self.view.pauses():\n            raise',
         'if False:\n            raise', 'pauses', 'assigned before',
     ),
     Mutant(
         'pauses: requests keep the route from before', 'forwarding',
-        'if exchange.pauses == self.view.pauses:', 'if True:', 'pauses',
+        'if exchange.pauses == self.view.pauses():', 'if True:', 'pauses',
         'assigned before',
     ),
     Mutant(
         'pauses: an entry stays ready', 'entry',
-        'return self._is_view_current()', 'return True', 'pauses',
+        'return self.forwarder.view.is_current()', 'return True', 'pauses',
     ),
     Mutant(
         'pauses: an entry lists gateways of before', 'entry',
-        'if not self._is_view_current():', 'if False:', 'pauses',
+        'if not self.forwarder.view.is_current():', 'if False:', 'pauses',
     ),
     Mutant(
         'pauses: requests wait for a renewal for ever', 'viewguards',
