Observing the set of controllers is a step of its own

Found by reading the change again: the leader's check called a question for its side effect, that the time of a change is recorded. No behaviour changes; copies and losses pass.

--- a/mountridge/control/formation.py
+++ b/mountridge/control/formation.py
@@ -196,10 +196,16 @@
 
     def _has_enough_voters(self) -> bool:
         """Return whether what is committed now survives the losses."""
-        now_s, node = self.app.now_s(), self.replica.node
-        if node.config_index != self._config_index:
-            self._config_index, self._changed_s = node.config_index, now_s
-        return copies.has_enough(node, self._losses, now_s - self._changed_s)
+        now_s = self.app.now_s()
+        self._observe_config(now_s)
+        steady_s = now_s - self._changed_s
+        return copies.has_enough(self.replica.node, self._losses, steady_s)
+
+    def _observe_config(self, now_s: float) -> None:
+        """Record when the set of controllers was first seen as it is."""
+        index = self.replica.node.config_index
+        if index != self._config_index:
+            self._config_index, self._changed_s = index, now_s
 
     def _update_leader(self, sender: typing.Any, address: str) -> None:
         """Send the calls of this process to a new leader without a search."""
@@ -291,7 +297,7 @@
             if not self.replica.lease_valid():
                 self._reported = None
                 continue
-            self._has_enough_voters()
+            self._observe_config(self.app.now_s())
             self._report_placement()
             config = self._desired_config()
             if config is None or self._joining:
