The line of a committed change counts the holders that were not sent it

Found by reading the change again: 'behind' counted the holders that had not acknowledged the change yet, which right after its commit is each of them, so it could distinguish nothing. 'unsent' counts those to which it could not be sent. The start of a leader's leases is derived from when they are quiet, instead of being kept beside it.

--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -329,13 +329,12 @@
         self.push()
         now_s = self.app.now_s()
         index = self.machine.view.index
-        behind = self.leases.waiting_for(index, now_s)
         logger.info(
             'routes document committed',
             version=put.version,
             index=index,
             holders=len(self.leases.holders),
-            behind=len(behind),
+            unsent=self.leases.count_unsent(index),
             term_age_ms=round(self.leases.age_s(now_s) * 1000),
         )
         return reply
--- a/mountridge/state/leases.py
+++ b/mountridge/state/leases.py
@@ -125,7 +125,6 @@
     """
 
     def __init__(self, started_s: float, lease_s: float):
-        self._started_s = started_s
         self.quiet_until_s = started_s + lease_s
         self.lease_s = lease_s
         self.holders: dict[str, Holder] = {}
@@ -134,7 +133,7 @@
 
     def age_s(self, now_s: float) -> float:
         """Return for how long this leader has granted leases."""
-        return now_s - self._started_s
+        return now_s - (self.quiet_until_s - self.lease_s)
 
     def renew(
         self, route: bytes, renew: messages.Renew, index: int, now_s: float
@@ -165,6 +164,10 @@
         holder = self.holders[name]
         self.holders[name] = holder._replace(sent_index=index)
 
+    def count_unsent(self, index: int) -> int:
+        """Return how many holders were not sent the changes up to there."""
+        return sum(h.sent_index < index for h in self.holders.values())
+
     def waiting_for(self, index: int, now_s: float) -> list[str]:
         """Return the holders that may act on a view older than ``index``."""
         names = [
