The installed command ignores SIGHUP at its start as well

What operators saw: not seen; found by reading the change again. The command that pip installs enters the command line directly, not through the module that ignores the signal first, so a daemon started by it was still ended by a SIGHUP during its imports.

Change: the command enters by the same module.

Result: the row failed before (the process ended by the signal).

--- a/features/start.feature
+++ b/features/start.feature
@@ -32,6 +32,7 @@
       | platform sidecar  | mountridge.logs   |
       | mountridge entry  | mountridge.cli    |
       | mountridge entry  | mountridge.entry  |
+      | script entry      | mountridge.cli    |
 
   # Guards against a change of settings that is missed during a start.
   Scenario: Settings that change during a start are applied
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -181,13 +181,25 @@
 
 
 sys.meta_path.insert(0, Finder())
-if program == 'mountridge':
+if program == 'script':
+    # As the installed command does it.
+    sys.path.insert(0, '')
+    import importlib, tomllib
+
+    with open('pyproject.toml', 'rb') as file:
+        target = tomllib.load(file)['project']['scripts']['mountridge']
+    name, _, function = target.partition(':')
+    getattr(importlib.import_module(name), function)()
+elif program == 'mountridge':
     sys.path.insert(0, '')
     runpy.run_module('mountridge', run_name='__main__', alter_sys=True)
 sys.path.insert(0, os.path.dirname(program))
 runpy.run_path(program, run_name='__main__')
 """
-PROGRAMS = {'platform': 'platform/serve.py', 'mountridge': 'mountridge'}
+PROGRAMS = {
+    'platform': 'platform/serve.py', 'mountridge': 'mountridge',
+    'script': 'script',
+}  # fmt: skip
 
 
 @when(
@@ -197,7 +209,7 @@
 def signal_start(context, program, role, module):
     path = '/no/such/file'
     args = [module, PROGRAMS[program], role]
-    args += [path] if program == 'mountridge' else []
+    args += [] if program == 'platform' else [path]
     context.ended = subprocess.run(
         [sys.executable, '-c', SIGNALLED, *args],
         env={**os.environ, 'MOUNTRIDGE_NODE_FILE': path},
--- a/mountridge/__main__.py
+++ b/mountridge/__main__.py
@@ -1,6 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""``python -m mountridge`` is the ``mountridge`` command."""
+"""``python -m mountridge`` and the ``mountridge`` command."""
 
 from mountridge import startup
 
@@ -8,5 +8,13 @@
 
 from mountridge import cli  # noqa: E402
 
-if __name__ == '__main__':
+__all__ = ['main']
+
+
+def main() -> None:
+    """Run the command line."""
     cli.main(prog_name='mountridge')
+
+
+if __name__ == '__main__':
+    main()
