--- a/features/endings.feature
+++ b/features/endings.feature
@@ -72,6 +72,7 @@
       | /v1/services/plain   | before its first event | its close | broken off |
       | /v1/services/plain   | before its first event | chunks    | complete   |
       | /v1/services/plain   | as its runner crashes  | its close | broken off |
+      | /v1/services/plain   | as it leaves, slowly   | its close | broken off |
 
   # Guards against a surplus answer on a connection that an agent takes for that
   # of its next request.
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -3,6 +3,7 @@
 """Steps on the evidence by which answers and streams count as complete."""
 
 import contextlib
+import itertools
 import socket
 import struct
 
@@ -31,7 +32,10 @@
     'between two events': BODY,
     'before its first event': b'',
     'as its runner crashes': BODY,
+    'as it leaves, slowly': BODY,
 }
+#: For so long a process that ends slowly accepts connections.
+SLOW_END_S = 0.02
 #: Bodies of an entry's answers to operators.
 DOCUMENT = b'{"version": 3, "halls": []}'
 ERROR = b'{"error": {"code": 1404, "message": "changed"}}'
@@ -181,6 +185,8 @@
         data = data.replace(b'\n', b'\r\n')
     is_reset = where == 'by a reset'
     head = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    if where.startswith('as it leaves'):
+        head += b'X-Leaving: 1\r\n'
     if framing == 'its length':
         length = len(data) + is_reset
         return head + b'Content-Length: %d\r\n\r\n' % length + data, is_reset
@@ -193,15 +199,20 @@
 
 
 @contextlib.asynccontextmanager
-async def _answering(data, is_reset, crashes=False):
+async def _answering(data, is_reset, crashes=False, ends_slowly=False):
     """Run a server that answers one request with ``data``; yield its address.
 
     It closes the connection then, or resets it once ``data`` has arrived. If
-    ``data`` is None, it never answers. If it crashes, it stops listening.
+    ``data`` is None, it never answers. If it crashes, it stops listening, or
+    soon after it has closed the connection if it ends slowly.
     """
-    listening = trio.CancelScope()
+    listening, connections = trio.CancelScope(), itertools.count()
 
     async def serve(stream):
+        if next(connections) and ends_slowly:
+            await trio.sleep(SLOW_END_S)
+            listening.cancel()
+            return
         await stream.receive_some(65536)
         if data is None:
             await trio.sleep_forever()
@@ -241,7 +252,8 @@
     async def read():
         crashes = where == 'as its runner crashes'
         answer = _framed(where, framing)
-        async with _answering(*answer, crashes) as address:
+        ends_slowly = where == 'as it leaves, slowly'
+        async with _answering(*answer, crashes, ends_slowly) as address:
             upstream = upstreams.Upstream(f'http://{address}')
             async with upstream.request(path, [], b'{}') as response:
                 try:
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -28,11 +28,11 @@
         self,
         path: str,
         reply: lasthop.Reply,
-        has_crashed: typing.Callable[[], typing.Awaitable[bool]],
+        has_ended: typing.Callable[[lasthop.Probing], typing.Awaitable[bool]],
     ):
         self._path = path
         self._reply = reply
-        self._has_crashed = has_crashed
+        self._has_ended = has_ended
         self.head = reply.head
 
     async def pieces(self) -> typing.AsyncIterator[bytes]:
@@ -50,8 +50,11 @@
             end.check(self._path, self._reply.framing)
         if self._reply.framing != lasthop.CLOSE:
             return
-        if await self._has_crashed():
-            raise errors.BadAnswer('the runner crashed as its answer ended')
+        probing = lasthop.UNEXPECTED_END
+        if self.head.is_leaving:
+            probing = lasthop.EXPECTED_END
+        if await self._has_ended(probing):
+            raise errors.BadAnswer('the runner ended with its answer')
 
 
 class Upstream:
@@ -87,8 +90,13 @@
         async with self._pool.request(
             self._address, b'POST', path.encode(), encoded, body, request_id
         ) as reply:
-            yield Response(path, reply, self.has_crashed)
+            yield Response(path, reply, self._has_ended)
 
     async def has_crashed(self) -> bool:
         """Return whether the runner's address refuses connections."""
-        return await self._pool.refuses_connections(self._address, CONFIRM_S)
+        return await self._has_ended(lasthop.UNEXPECTED_END)
+
+    async def _has_ended(self, probing: lasthop.Probing) -> bool:
+        return await self._pool.refuses_connections(
+            self._address, CONFIRM_S, probing
+        )
