--- a/features/steps/halls_steps.py
+++ b/features/steps/halls_steps.py
@@ -18,7 +18,7 @@
 from mountridge.control import hallmanager
 from mountridge.documents import halls, instances, routes
 from mountridge import errors, messages, metrics
-from mountridge.net import dialects, httpserver, lasthop
+from mountridge.net import httpserver
 from mountridge.routing import entryapi, hallorders
 from mountridge.state import commands, statemachine
 
@@ -52,13 +52,7 @@
         now_s = trio.current_time()
         self.play.sent.append((now_s, self.name, hall))
         await trio.sleep(0.01)
-        head = dialects.ReplyHead(200, None, False, None, None, None)
-        yield types.SimpleNamespace(
-            head=head,
-            headers=[],
-            chunks=answers.chunks,
-            framing=lasthop.LENGTH,
-        )
+        yield answers.reply()
 
     async def evict(self, address):
         pass
--- a/features/steps/pauses_steps.py
+++ b/features/steps/pauses_steps.py
@@ -53,7 +53,7 @@
 async def _ask_all(context, play, request):
     """Send the requests of a scenario, and record their outcomes."""
     path, key = REQUESTS[request]
-    context.outcomes, play.arrivals = [], []
+    context.outcomes, play.reached = [], []
 
     async def ask(key):
         context.outcomes.append(await play.ask(ENTRY, path, key))
@@ -61,7 +61,7 @@
     async with trio.open_nursery() as nursery:
         for _ in range(COUNT):
             nursery.start_soon(ask, key)
-    context.runners = {each.runner for each in play.arrivals}
+    context.runners = set(play.reached)
 
 
 def _record_state(context, play):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -424,7 +424,7 @@
 @when('{age_s:g} s after an acknowledged change its route is refused')
 def refuse_changed(context, age_s):
     _put(context, [1, 2], age_s)
-    context.checker.changes.record_denied(_seen('at-2'), 404, NOW_S)
+    context.checker.changes.record_denied(_seen('at-2'), 404)
 
 
 @when('{age_s:g} s after an acknowledged change a dropped key is taken')
@@ -439,7 +439,7 @@
     changes = context.checker.changes
     _put(context, [1, 2], 0.5)
     changes.record_run(_seen('at-2'), 'plain', NOW_S - age_s)
-    changes.record_denied(_seen('at-2'), 404, NOW_S)
+    changes.record_denied(_seen('at-2'), 404)
 
 
 @when('a route of a refused change is run')
--- a/features/worlds/answers.py
+++ b/features/worlds/answers.py
@@ -1,8 +1,15 @@
 # SPDX-License-Identifier: Apache-2.0
 
-"""Stand-ins for a caller's responder and for the body of a runner's answer."""
+"""Stand-ins for a caller's responder and for a runner's answer."""
 
-__all__ = ['Responder', 'chunks']
+import types
+
+from mountridge.net import dialects, lasthop
+
+__all__ = ['Responder', 'reply']
+
+#: Head of an answer that has nothing to announce.
+HEAD = dialects.ReplyHead(200, None, False, None, None, None)
 
 
 class Responder:
@@ -15,6 +22,15 @@
         self.status, self.headers, self.body = status, dict(headers), body
 
 
-async def chunks():
-    """Yield the body that each simulated runner answers with."""
+async def _chunks():
     yield b'whole'
+
+
+def reply(head=HEAD, headers=()):
+    """Return the whole answer of a simulated runner."""
+    return types.SimpleNamespace(
+        head=head,
+        headers=list(headers),
+        chunks=_chunks,
+        framing=lasthop.LENGTH,
+    )
--- a/features/worlds/crashes.py
+++ b/features/worlds/crashes.py
@@ -11,7 +11,6 @@
 
 import contextlib
 import json
-import types
 
 import msgspec
 import trio
@@ -19,7 +18,7 @@
 from features.worlds import answers, system
 from mountridge.documents import instances, routes
 from mountridge import errors, messages
-from mountridge.net import dialects, httpserver, lasthop
+from mountridge.net import httpserver
 
 __all__ = ['Play', 'play']
 
@@ -97,13 +96,7 @@
             await self._run(runner, body, parts)
         finally:
             runner.open -= 1
-        head = dialects.ReplyHead(200, None, False, None, None, None)
-        yield types.SimpleNamespace(
-            head=head,
-            headers=[],
-            chunks=answers.chunks,
-            framing=lasthop.LENGTH,
-        )
+        yield answers.reply()
 
     async def _run(self, runner, body, parts):
         """Run a request until its end, or that of its runner or group."""
--- a/features/worlds/pauses.py
+++ b/features/worlds/pauses.py
@@ -9,7 +9,6 @@
 
 import contextlib
 import json
-import types
 
 import msgspec
 import trio
@@ -17,9 +16,9 @@
 from features.worlds import answers, system
 from mountridge.documents import instances, routes
 from mountridge import messages
-from mountridge.net import dialects, httpserver, lasthop
+from mountridge.net import httpserver
 
-__all__ = ['Arrival', 'Play', 'document', 'play']
+__all__ = ['Play', 'play']
 
 HOST = (b'Host', b'a.example')
 LATENCY_S = 0.005
@@ -27,10 +26,6 @@
 RUNNERS = {'s-1': 's', 's-2': 's', 't-1': 't'}
 
 
-class Arrival(types.SimpleNamespace):
-    """A request that reached a runner: ``at_s``, ``runner`` and ``path``."""
-
-
 def _route(name, service, public=True):
     return routes.Route(
         name, 'a.example', f'/{name}/', routes.SAFE, 3000.0, 100.0, 1,
@@ -38,13 +33,17 @@
     )  # fmt: skip
 
 
-def document(version, moved='s', dropped=True, key='old'):
+def _document(version):
     """Return a routes document; version 2 changes all that can change."""
-    listed = [_route('moved', moved), _route('kept', 's')]
-    listed.append(_route('keyed', 's', public=False))
-    listed += [_route('dropped', 's')] if dropped else [_route('added', 's')]
+    is_new = version > 1
+    listed = [
+        _route('moved', 't' if is_new else 's'),
+        _route('kept', 's'),
+        _route('keyed', 's', public=False),
+        _route('added' if is_new else 'dropped', 's'),
+    ]
     services = [routes.Service(name, '/h', 8, None) for name in 'st']
-    teams = [routes.Team('team', [key], None)]
+    teams = [routes.Team('team', ['new' if is_new else 'old'], None)]
     table = routes.RouteTable(
         version, listed, services, routes.Limits(), teams
     )
@@ -58,21 +57,12 @@
         self.play, self.name = play, name
 
     @contextlib.asynccontextmanager
-    async def request(self, address, _, target, __, ___, ____, on_send):
-        play, runner = self.play, address.partition(':')[0]
-        await play.connect(self.name)
+    async def request(self, address, _, __, ___, ____, _____, on_send):
+        await self.play.connect(self.name)
         on_send()
         await trio.sleep(LATENCY_S)
-        now_s = trio.current_time()
-        path = target.decode()
-        play.arrivals.append(Arrival(at_s=now_s, runner=runner, path=path))
-        head = dialects.ReplyHead(200, None, False, None, None, None)
-        yield types.SimpleNamespace(
-            head=head,
-            headers=[],
-            chunks=answers.chunks,
-            framing=lasthop.LENGTH,
-        )
+        self.play.reached.append(address.partition(':')[0])
+        yield answers.reply()
 
     async def evict(self, address):
         pass
@@ -84,7 +74,7 @@
     def __init__(self, world):
         self.world = world
         self.states = dict.fromkeys(RUNNERS, instances.READY)
-        self.arrivals = []
+        self.reached = []  # runners that requests reached
         #: Entry whose connections are made once its pause has ended.
         self.connecting = ''
 
@@ -101,13 +91,13 @@
         await trio.sleep(0.01)
         self.world.elect()
         await trio.sleep(4)
-        await self.world.daemons['e2'].put_routes(document(1))
+        await self.world.daemons['e2'].put_routes(_document(1))
         await self.send_heartbeats()
         await trio.sleep(2)
 
     async def send_heartbeats(self, only=None):
         """Send a heartbeat of each runner to the second entry."""
-        for number, (name, service) in enumerate(RUNNERS.items()):
+        for name, service in RUNNERS.items():
             if only in (None, name):
                 reported = instances.Instance(
                     name, service, f'{name}:1', 'north', 'v', 4,
@@ -119,9 +109,7 @@
 
     async def change(self):
         """Change all routes, and drain a runner; return once acknowledged."""
-        await self.world.daemons['e2'].put_routes(
-            document(2, 't', dropped=False, key='new')
-        )
+        await self.world.daemons['e2'].put_routes(_document(2))
         self.states['s-1'] = 'draining'
         await self.send_heartbeats('s-1')
 
--- a/features/worlds/rests.py
+++ b/features/worlds/rests.py
@@ -16,7 +16,7 @@
 from features.worlds import answers
 from mountridge.documents import instances, routes
 from mountridge import messages, metrics
-from mountridge.net import dialects, httpserver, lasthop
+from mountridge.net import dialects, httpserver
 from mountridge.routing import backends, budgets, forwarding
 
 __all__ = ['Answer', 'Arrival', 'Runner', 'World']
@@ -112,12 +112,7 @@
         await trio.sleep(runner.latency_s)
         headers = [(NAMES.request_id, request_id.encode()), *answer.headers]
         head = dialects.read_reply_head(answer.status, headers, NAMES)
-        yield types.SimpleNamespace(
-            head=head,
-            headers=headers,
-            chunks=answers.chunks,
-            framing=lasthop.LENGTH,
-        )
+        yield answers.reply(head, headers)
 
 
 class World:
--- a/tools/soak/changerules.py
+++ b/tools/soak/changerules.py
@@ -57,7 +57,7 @@
 class ChangeRules:
     """Records the documents of a run, and judges how requests are handled.
 
-    ``check`` and ``note`` are those of the run's report.
+    ``check`` is that of the run's report.
     """
 
     def __init__(
@@ -65,13 +65,11 @@
         sizes: dict,
         contact: touch.Touch,
         check: typing.Callable,
-        note: typing.Callable,
     ):
         self._rollback_s = sizes['rollback_s']
         self._settle_s = sizes['apply_s'] + sizes['outer_s']
         self._contact = contact
         self._check = check
-        self._note = note
         self._sent: list[Document] = []
         #: Documents that must never be in force: refused, invalid, or sent
         #: with other content under an acknowledged version.
@@ -121,28 +119,28 @@
 
     def record_run(self, seen: Seen, service: str, now_s: float) -> None:
         """Judge the arrival of a request at a runner."""
-        versions = [
-            each.version
-            for each in self._sent
-            if each.runs(seen.route, seen.key, service)
-        ]
-        self._judge(seen, versions, f'run by {service}', now_s)
+        versions = self._versions(
+            lambda each: each.runs(seen.route, seen.key, service)
+        )
+        self._judge(seen, versions, f'run by {service}')
         if versions:
             effects = self._effects[seen.entry, seen.incarnation]
             effects.append((now_s, min(versions)))
 
-    def record_denied(self, seen: Seen, status: int, now_s: float) -> None:
+    def record_denied(self, seen: Seen, status: int) -> None:
         """Judge a refusal with 401, 403 or 404."""
-        versions = [
-            each.version
-            for each in self._sent
-            if each.denies(seen.route, seen.key, status)
-        ]
-        self._judge(seen, versions, f'refused with {status}', now_s)
-
-    def _judge(
-        self, seen: Seen, versions: list[int], how: str, now_s: float
-    ) -> None:
+        versions = self._versions(
+            lambda each: each.denies(seen.route, seen.key, status)
+        )
+        self._judge(seen, versions, f'refused with {status}')
+
+    def _versions(
+        self, allows: typing.Callable[[Document], bool]
+    ) -> list[int]:
+        """Return the versions that may be in force and allow something."""
+        return [each.version for each in self._sent if allows(each)]
+
+    def _judge(self, seen: Seen, versions: list[int], how: str) -> None:
         fields = {'seen': seen, 'how': how, 'versions': versions[-3:]}
         rule = 'only what a document allows'
         self._check(rule, bool(versions), **fields)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -104,9 +104,7 @@
         #: once an entry has passed it on.
         self._departures: dict[str, typing.Any] = {}
         self.touch = touch.Touch(sizes, controllers)
-        self.changes = changerules.ChangeRules(
-            sizes, self.touch, self.check, self.note
-        )
+        self.changes = changerules.ChangeRules(sizes, self.touch, self.check)
         #: When runners that drain were acknowledged by entries in touch.
         self.draining_s: dict[str, float] = {}
         #: Times of crashes caused by the request that crashes runners.
@@ -157,7 +155,7 @@
         elif answer.is_whole:
             self._check_refusal(request, answer)
             if request.is_probe and answer.status in ROUTE_DENIALS:
-                self.changes.record_denied(request.seen, answer.status, now_s)
+                self.changes.record_denied(request.seen, answer.status)
         if not answer.is_abandoned:
             self._check_stop(request, answer, now_s)
             self._check_delivery(request, answer, now_s)
