Agents end an answer that has no end

What callers saw: not seen; found by reading the change again: bytes without end had been bounded at entries alone. An agent read such a body for as long as it came and passed it on, and the gateway collected it until the deadline.

Cause: as at entries; the other side decided the memory.

Result: three of eight rows had no end before; heads, interim and skipped answers were bounded already by the last hop that both share.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -29,6 +29,24 @@
       | the size of a chunk                    | whole | 0.4    | 502    | whole   | 0.4      |
       | the trailer of a last chunk            | whole | 0.4    | 502    | whole   | 0.4      |
 
+  # Guards against answers that an agent passes on for as long as they come, and
+  # that its gateway collects.
+  Scenario Outline: An agent's runner sends <bytes> without end
+    When an agent reads from a runner that sends <bytes> without end
+    Then it ends with <error> after at most <most_mb> MB, within 5 s
+    And the runner has been closed each time
+
+    Examples:
+      | bytes                             | error          | most_mb |
+      | what is no answer                 | OutcomeUnknown | 0       |
+      | lines of a head                   | OutcomeUnknown | 0       |
+      | interim answers                   | OutcomeUnknown | 0       |
+      | the body of an answer to another  | OutcomeUnknown | 0       |
+      | a body in chunks                  | BadAnswer      | 33      |
+      | a body with no length             | BadAnswer      | 33      |
+      | a body with a length of 1 TB      | BadAnswer      | 33      |
+      | the trailer of a last chunk       | BadAnswer      | 0       |
+
   # Guards against a caller that reads slowly, for whom an answer is held.
   Scenario Outline: <count> callers read <what> slowly
     Given a runner that sends <what>, and <count> callers that read nothing for 1500 ms
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -11,7 +11,9 @@
 
 from features.steps import brokenoff_steps as broken
 from features.steps import forwarding_steps as base
+from mountridge.dispatch import upstreams
 from mountridge.documents import routes
+from mountridge import errors
 from mountridge.net import httpserver
 
 #: Bytes that a runner sends at a time.
@@ -173,6 +175,47 @@
     assert all(runner.closed.is_set() for runner in context.runners)
 
 
+@when('an agent reads from a runner that sends {what} without end')
+def read_as_agent(context, what):
+    runner = Endless(what)
+    context.runners, context.read_bytes = [runner], 0
+
+    async def read(address):
+        upstream = upstreams.Upstream(f'http://{address}')
+        path = '/v1/services/plain'
+        headers = [('x-request-id', 'mine')]
+        try:
+            async with upstream.request(path, headers, b'', 'mine') as answer:
+                async for data in answer.pieces():
+                    context.read_bytes += len(data)
+        except errors.MountridgeError as problem:
+            context.problem = problem
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            (listener,) = await trio.open_tcp_listeners(0, host=base.HOST)
+            nursery.start_soon(runner.listen, listener, nursery)
+            port = listener.socket.getsockname()[1]
+            begun_s, context.problem = trio.current_time(), None
+            with trio.move_on_after(10):
+                await read(f'{base.HOST}:{port}')
+            context.took_s = trio.current_time() - begun_s
+            with trio.move_on_after(1):
+                await runner.closed.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then(
+    'it ends with {error} after at most {most_mb:d} MB, within {limit_s:g} s'
+)
+def check_agent(context, error, most_mb, limit_s):
+    assert type(context.problem).__name__ == error, context.problem
+    assert context.read_bytes <= most_mb << 20, context.read_bytes
+    assert context.took_s < limit_s, context.took_s
+
+
 # Callers that read slowly.
 
 
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -17,6 +17,9 @@
 
 #: Short, since the runner is on the agent's own box or next to it.
 CONNECT_TIMEOUT_S = 2.0
+#: Longest answer: agents pass on what arrives without waiting for its reader,
+#: and gateways hold a plain answer until it is whole.
+MAX_ANSWER_BYTES = 32 << 20
 #: How long an answer waits for the check that its runner has not crashed.
 CONFIRM_S = 0.1
 
@@ -38,12 +41,15 @@
     async def pieces(self) -> typing.AsyncIterator[bytes]:
         """Yield the body in pieces, up to its explicit end.
 
-        :raises BadAnswer: the body was truncated, or is a stream that ends
-            within or before its last event, or has ended with the process of
-            the runner.
+        :raises BadAnswer: the body was truncated, is too long, or is a stream
+            that ends within or before its last event, or has ended with the
+            process of the runner.
         """
-        end = streamends.StreamEnd()
+        end, length = streamends.StreamEnd(), 0
         async for data in self._reply.chunks():
+            length += len(data)
+            if length > MAX_ANSWER_BYTES:
+                raise errors.BadAnswer(f'over {MAX_ANSWER_BYTES} bytes')
             end.feed(data)
             yield data
         if dialects.media_type(self._reply.headers) == events.MEDIA_TYPE:
