A map is only planned from reports and routes that fit each other

Cause: the number of experts comes from the routes, the map and the counts from the engines, and the ranks of a group report one after the other. `mapplans.plan` took them to be of one model and indexed beyond its lists. It now raises InconsistentGroup (1405), which the planner treats as any other reason to plan nothing now.

Seen failing before: seven rows of features/mapplans.feature (six IndexErrors, one plan from wrong counts) and the scenario of features/manyranks.feature in which a leader goes on.

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -68,6 +68,11 @@
       | 4     | -1   |
       | -1    | -1   |
 
+  Scenario: A leader whose routes are for another model than its reports goes on
+    Given a leader that 192 ranks have reported to
+    When the routes name twice as many experts as are reported
+    Then reports are answered for 1 s, and no change begins
+
   Scenario: A shift of demand during a search makes its plan outdated
     Given a leader that 192 ranks have reported to
     When demand shifts during the search for a plan
--- a/features/mapplans.feature
+++ b/features/mapplans.feature
@@ -71,6 +71,22 @@
     Then at most 6 experts are new to a rank over all sets
     And the most loaded rank has at most 1.4 times the mean load
 
+  Scenario Outline: No map is planned where <fault>
+    Given a group of 16 ranks with 64 experts in 4 sets, 5 slots and 2 new per change
+    And some experts are selected far more often than others
+    When a map is planned although <fault>
+    Then planning is refused with code 1405
+
+    Examples: reports and routes are of different models, or a rank is missing
+      | fault                                     |
+      | the routes name twice as many experts     |
+      | the routes name half as many experts      |
+      | the counts are of one set less            |
+      | the counts are of one set more            |
+      | a rank holds an expert beyond the counts  |
+      | a rank has not reported its experts       |
+      | no rank has reported                      |
+
   Scenario: Requests avoid a slow runner while another is available
     Given 3 gateways and 4 runners of 6 slots
     And the first runner takes 5 times its usual time
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -355,6 +355,43 @@
     assert context.group.outdated and context.group.accepts_new_change
 
 
+@when('the routes name twice as many experts as are reported')
+def routes_of_another_model(context):
+    group = context.leader.groups.by_name['g']
+    states = [report.state for report, _ in group.reports.values()]
+    for state in states:
+        report = messages.RankReport(
+            f'i-{state.rank}',
+            state,
+            [by_rank[state.rank] for by_rank in _first_map()],
+            demand.NO_COUNTS,
+            ranks.NO_VERSION,
+        )
+        group.record_report(report, context.leader.at_s)
+    group.demand.mean = [100.0] * (SETS * EXPERTS)
+    context.searches = 0
+
+    async def search(function, *args):
+        context.searches += 1
+        return function(*args)
+
+    planner = context.leader.groups.planner
+    planner.offload = search
+    planner._engine_parameters = lambda _: mapplans.EngineParameters(
+        PLACES, 2, 2 * EXPERTS
+    )
+
+
+@then('reports are answered for 1 s, and no change begins')
+def check_goes_on(context):
+    for number in range(200):
+        context.leader.at_s += 0.005
+        reply = context.leader.report(number % context.size, context.size)
+        assert reply is not None
+    assert context.searches > 0
+    assert context.leader.groups.by_name['g'].change is None
+
+
 @when('searches find no better map during 1 s of reports, 0.005 s apart')
 def search_without_result(context):
     context.searches = 0
--- a/features/steps/mapplans_steps.py
+++ b/features/steps/mapplans_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from mountridge import errors
 from mountridge.experts import mapplans, maps
 
 RANKS, EXPERTS, SETS = 16, 64, 4
@@ -142,6 +143,37 @@
     _plan(context)
 
 
+@when('a map is planned although {fault}')
+def plan_inconsistent(context, fault):
+    experts = context.parameters.experts
+    if fault == 'the routes name twice as many experts':
+        experts *= 2
+    elif fault == 'the routes name half as many experts':
+        experts //= 2
+    elif fault == 'the counts are of one set less':
+        del context.counts[-EXPERTS:]
+    elif fault == 'the counts are of one set more':
+        context.counts += context.counts[:EXPERTS]
+    elif fault == 'a rank holds an expert beyond the counts':
+        context.placement[-1][-1].append(EXPERTS)
+    elif fault == 'a rank has not reported its experts':
+        context.placement = [by_rank[:-1] for by_rank in context.placement]
+    else:
+        assert fault == 'no rank has reported', fault
+        context.placement = []
+    context.parameters = context.parameters._replace(experts=experts)
+    context.problem = None
+    try:
+        _plan(context)
+    except errors.MountridgeError as problem:
+        context.problem = problem
+
+
+@then('planning is refused with code {code:d}')
+def check_plan_refused(context, code):
+    assert context.problem is not None and context.problem.code == code
+
+
 @then('it is a complete map within the limits of slots and new experts')
 def check_complete(context):
     for before, after in zip(context.before, context.placement):
--- a/mountridge/errors.py
+++ b/mountridge/errors.py
@@ -26,6 +26,7 @@
     'DeadlinePassed',
     'Draining',
     'KeyRequired',
+    'InconsistentGroup',
     'LimitReached',
     'MountridgeError',
     'NoController',
@@ -400,6 +401,13 @@
     status = 503
 
 
+class InconsistentGroup(MountridgeError):
+    """The reports of a group's ranks do not fit each other or the routes."""
+
+    code = 1405
+    status = 503
+
+
 class BadSheet(MountridgeError):
     """The sheet has errors and was not applied."""
 
--- a/mountridge/experts/mapplans.py
+++ b/mountridge/experts/mapplans.py
@@ -12,6 +12,7 @@
 import math
 import typing
 
+from mountridge import errors
 from mountridge.experts import maps, mapsearch, ranks
 
 __all__ = ['EngineParameters', 'MapPlan', 'plan']
@@ -73,7 +74,12 @@
 
     ``counts`` has the selection counts of all experts, set by set;
     ``slowdowns`` the ratio of current to usual step time of each rank.
+
+    :raises InconsistentGroup: the arguments do not fit each other. The map
+        and the counts are reported by engines, the parameters come from the
+        routes, and each may already be those of the next model.
     """
+    _check_dimensions(placement, counts, slowdowns, parameters)
     load = [
         counts[first : first + parameters.experts]
         for first in range(
@@ -105,6 +111,29 @@
     )
 
 
+def _check_dimensions(
+    placement: Placement,
+    counts: list[float],
+    slowdowns: list[float],
+    parameters: EngineParameters,
+) -> None:
+    if not placement or any(len(each) != len(slowdowns) for each in placement):
+        raise errors.InconsistentGroup('the map of a rank is not known')
+    expected = len(placement) * parameters.experts
+    if len(counts) != expected:
+        raise errors.InconsistentGroup(
+            f'counts of {len(counts)} experts, expected {expected}'
+        )
+    held = (
+        expert for by_rank in placement for each in by_rank for expert in each
+    )
+    largest = max(held, default=0)
+    if largest >= parameters.experts:
+        raise errors.InconsistentGroup(
+            f'a rank holds expert {largest} of {parameters.experts}'
+        )
+
+
 def _describe_slow_ranks(slowdowns: list[float]) -> str:
     slow = [
         f'{rank} at {ratio:.1f}'
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -536,6 +536,11 @@
         'base = known_map if known_map in group.maps else ranks.NO_VERSION',
         'base = ranks.NO_VERSION', 'manyranks', '',
     ),
+    Mutant(
+        'maps: no check that reports and routes fit', 'mapplans',
+        'parameters)\n    load =', 'parameters) if None else None\n    load =',
+        'mapplans', 'No map is planned',
+    ),
     Mutant(
         'maps: no limit on the ranks that count choices', 'rankgroups',
         'return rank % math.ceil(max(1, self.size) / MAX_COUNTING_RANKS) == 0',
