A map is not packed against one with other dimensions

A map of more sets or ranks than the new one ended the leader with an OverflowError; one of fewer was refused by each sidecar for as long as it named it. The whole map is sent instead.

Seen failing before: both rows of features/manyranks.feature, with the OverflowError.

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -68,6 +68,18 @@
       | 4     | -1   |
       | -1    | -1   |
 
+  Scenario Outline: A map is not packed against one with other <dimension>
+    Given a leader that 192 ranks have reported to
+    And maps 9 and 11 of which 11 is to be prepared
+    And map 9 is of a former model with other <dimension>
+    When rank 5 reports that it knows map 9
+    Then the map that it receives is packed against -1
+
+    Examples:
+      | dimension |
+      | sets      |
+      | ranks     |
+
   Scenario: A leader whose routes are for another model than its reports goes on
     Given a leader that 192 ranks have reported to
     When the routes name twice as many experts as are reported
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -304,6 +304,15 @@
     group.progress = mapchanges.Progress(change, states)
 
 
+@given('map 9 is of a former model with other {dimension}')
+def make_former_map(context, dimension):
+    maps = context.leader.groups.by_name['g'].maps
+    if dimension == 'sets':
+        maps[9] = 2 * maps[9]
+    else:
+        maps[9] = [2 * by_rank for by_rank in maps[9]]
+
+
 @when('rank {rank:d} reports that it knows map {known:d}')
 def report_known(context, rank, known):
     context.reply = context.leader.report(rank, context.size, known)
--- a/mountridge/experts/mapdeltas.py
+++ b/mountridge/experts/mapdeltas.py
@@ -16,7 +16,7 @@
 from mountridge import errors
 from mountridge.experts import ranks
 
-__all__ = ['NO_MAP', 'PackedMap', 'pack', 'unpack']
+__all__ = ['NO_MAP', 'PackedMap', 'have_same_dimensions', 'pack', 'unpack']
 
 #: Marks an empty slot; larger than the number of any expert.
 EMPTY = 0xFFFF
@@ -39,12 +39,20 @@
 NO_MAP = PackedMap(ranks.NO_VERSION, 0, 0, 0, b'')
 
 
+def have_same_dimensions(one: ranks.Placement, other: ranks.Placement) -> bool:
+    """Return whether two maps have the same numbers of sets and ranks."""
+    return [len(by_rank) for by_rank in one] == [
+        len(by_rank) for by_rank in other
+    ]
+
+
 def pack(
     placement: ranks.Placement, base: int, base_map: ranks.Placement
 ) -> PackedMap:
     """Return ``placement`` as a difference to ``base_map``, version ``base``.
 
-    If the receiver has no map, ``base_map`` is [] and ``base`` is NO_VERSION.
+    ``base_map`` has the same dimensions. If the receiver has no map, or one
+    with others, it is [] and ``base`` is NO_VERSION.
     """
     slots = max(len(experts) for by_rank in placement for experts in by_rank)
     data = _serialize(placement, slots)
@@ -77,7 +85,7 @@
             f'expert map has the wrong length: {len(data)} of {size} bytes'
         )
     if base_map:
-        if (len(base_map), len(base_map[0])) != (packed.sets, packed.ranks):
+        if [len(each) for each in base_map] != packed.sets * [packed.ranks]:
             raise errors.BadMessage(
                 'expert map does not match the dimensions of the known map'
             )
--- a/mountridge/groups/groups.py
+++ b/mountridge/groups/groups.py
@@ -303,16 +303,17 @@
     ) -> mapdeltas.PackedMap:
         """Return the map of an order, packed against ``known_map``.
 
-        The complete map is packed if this leader does not have that version.
+        The complete map is packed if this leader does not have that version,
+        or if the group has formed with other dimensions since.
         """
         if order is None or order.kind != ranks.PREPARE:
             return mapdeltas.NO_MAP
-        base = known_map if known_map in group.maps else ranks.NO_VERSION
+        base, base_map = known_map, group.maps.get(known_map, [])
+        if not mapdeltas.have_same_dimensions(base_map, order.placed):
+            base, base_map = ranks.NO_VERSION, []
         key = (order.version, base)
         if key not in self._packed:
             while len(self._packed) >= KEPT_PACKED:
                 del self._packed[next(iter(self._packed))]
-            self._packed[key] = mapdeltas.pack(
-                order.placed, base, group.maps.get(base, [])
-            )
+            self._packed[key] = mapdeltas.pack(order.placed, base, base_map)
         return self._packed[key]
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -533,8 +533,13 @@
     ),
     Mutant(
         'maps: no delta encoding of maps', 'groups',
-        'base = known_map if known_map in group.maps else ranks.NO_VERSION',
-        'base = ranks.NO_VERSION', 'manyranks', '',
+        'base, base_map = known_map, group.maps.get(known_map, [])',
+        'base, base_map = ranks.NO_VERSION, []', 'manyranks', '',
+    ),
+    Mutant(
+        'maps: no check of the dimensions of a base', 'groups',
+        'if not mapdeltas.have_same_dimensions(base_map, order.placed):',
+        'if not base_map:', 'manyranks', 'other',
     ),
     Mutant(
         'maps: no check that reports and routes fit', 'mapplans',
