An answer without a length is checked as long wherever its runner stands

Cause: the answer counted as whole if a connection to its runner stayed open for 3 ms. A process that ends closes its sockets one after the other, the listening one among the last, which takes longer with many connections or on a busy box. Runners that drain or leave were already probed until a connection has stayed open for 50 ms; whether an end is planned has no influence on how long a process takes to close its sockets. Entries and agents now probe in this way after each such answer, which comes 50 ms later for it. The search for the cause of a broken connection is as before.

Seen failing before: three rows of features/forwarding.feature, one of features/endings.feature.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -73,6 +73,7 @@
       | /v1/services/plain   | before its first event | chunks    | complete   |
       | /v1/services/plain   | as its runner crashes  | its close | broken off |
       | /v1/services/plain   | as it leaves, slowly   | its close | broken off |
+      | /v1/services/plain   | as it crashes, slowly  | its close | broken off |
 
   # Guards against a surplus answer on a connection that an agent takes for that
   # of its next request.
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -36,6 +36,9 @@
       | unsafe    | sends no length and closes          | 200 and complete        | 1    |
       | safe      | sends no length and crashes         | 200 and complete        | 2    |
       | unsafe    | sends no length and crashes         | 502                     | 1    |
+      | unsafe    | sends no length and ends 20 ms later    | 502              | 1    |
+      | unsafe    | sends no length and resets 3 as it ends | 502              | 1    |
+      | safe      | sends no length and ends 20 ms later    | 200 and complete | 2    |
       | unsafe    | sends a length and crashes          | 200 and complete        | 1    |
       | unsafe    | cannot be reached                   | 200 and complete        | 1    |
       | safe      | never answers                       | 504 and outcome unknown | 1    |
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -33,6 +33,7 @@
     'before its first event': b'',
     'as its runner crashes': BODY,
     'as it leaves, slowly': BODY,
+    'as it crashes, slowly': BODY,
 }
 #: For so long a process that ends slowly accepts connections.
 SLOW_END_S = 0.02
@@ -252,7 +253,7 @@
     async def read():
         crashes = where == 'as its runner crashes'
         answer = _framed(where, framing)
-        ends_slowly = where == 'as it leaves, slowly'
+        ends_slowly = where.endswith(', slowly')
         async with _answering(*answer, crashes, ends_slowly) as address:
             upstream = upstreams.Upstream(f'http://{address}')
             async with upstream.request(path, [], b'{}') as response:
--- a/mountridge/dispatch/upstreams.py
+++ b/mountridge/dispatch/upstreams.py
@@ -56,10 +56,7 @@
             end.check(self._path, self._reply.framing)
         if self._reply.framing != lasthop.CLOSE:
             return
-        probing = lasthop.UNEXPECTED_END
-        if self.head.is_leaving:
-            probing = lasthop.EXPECTED_END
-        if await self._has_ended(probing):
+        if await self._has_ended(lasthop.END_OF_ANSWER):
             raise errors.BadAnswer('the runner ended with its answer')
 
 
@@ -100,7 +97,7 @@
 
     async def has_crashed(self) -> bool:
         """Return whether the runner's address refuses connections."""
-        return await self._has_ended(lasthop.UNEXPECTED_END)
+        return await self._has_ended(lasthop.BROKEN_CONNECTION)
 
     async def _has_ended(self, probing: lasthop.Probing) -> bool:
         return await self._pool.refuses_connections(
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -19,8 +19,8 @@
 from mountridge.net import dialects
 
 __all__ = [
-    'CHUNKED', 'CLOSE', 'EXPECTED_END', 'LENGTH', 'Pool', 'Probing', 'Reply',
-    'UNEXPECTED_END', 'read_ahead',
+    'BROKEN_CONNECTION', 'CHUNKED', 'CLOSE', 'END_OF_ANSWER', 'LENGTH', 'Pool',
+    'Probing', 'Reply', 'read_ahead',
 ]  # fmt: skip
 
 #: Framings of an answer, by what marks its end: a length in its head, its
@@ -70,10 +70,13 @@
     pause_s: float  # after one that was closed
 
 
-#: Where a process may have crashed; an overloaded one resets connections too.
-UNEXPECTED_END = Probing(2, 0.003, 0.0)
-#: Where the end is expected; also on a box that is busy meanwhile.
-EXPECTED_END = Probing(16, 0.05, 0.005)
+#: After a connection that broke, to find the cause; an overloaded process
+#: resets connections too.
+BROKEN_CONNECTION = Probing(2, 0.003, 0.0)
+#: After an answer that may be whole. A process that ends closes its sockets
+#: one after the other, and its listening socket may be the last: with many
+#: connections, or on a busy box, that takes some 10 ms.
+END_OF_ANSWER = Probing(16, 0.05, 0.005)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -361,7 +364,7 @@
         self,
         address: str,
         timeout_s: float | None = None,
-        probing: Probing = UNEXPECTED_END,
+        probing: Probing = BROKEN_CONNECTION,
     ) -> bool:
         """Return whether an address refuses a connection.
 
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -522,8 +522,7 @@
         """Check that an answer did not end because its runner crashed.
 
         An answer that ends with its connection looks the same in both cases.
-        Where the check takes too long, the answer is delivered. A runner that
-        drains or leaves may end amid its answers as well.
+        Where the check takes too long, the answer is delivered.
 
         :raises BadAnswer: the process of the runner has ended.
         """
@@ -531,12 +530,8 @@
             return
         left_s = exchange.deadline_s - self.app.now_s()
         timeout_s = max(0.0, min(CONFIRM_S, left_s))
-        runner = backend.instance
-        probing = lasthop.UNEXPECTED_END
-        if self.crashes.is_stopping(runner):
-            probing = lasthop.EXPECTED_END
         if await self.pool.refuses_connections(
-            runner.address, timeout_s, probing
+            backend.instance.address, timeout_s, lasthop.END_OF_ANSWER
         ):
             raise errors.BadAnswer(
                 "the runner's process ended with its answer"
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1481,8 +1481,10 @@
     ),
     Mutant(
         'answers: a crash ends an answer without a length', 'forwarding',
-        'if await self.pool.refuses_connections(\n            runner.address,'
-        ' timeout_s, probing\n        ):',
+        'if await self.pool.refuses_connections(\n'
+        '            backend.instance.address, timeout_s, '
+        'lasthop.END_OF_ANSWER\n'
+        '        ):',
         'if False:', 'forwarding', 'crashes|ends between',
     ),
     Mutant(
@@ -1506,6 +1508,12 @@
         'if reply.framing != lasthop.CLOSE or self.crashes.is_stopping('
         'backend.instance):', 'forwarding', 'drains and ends',
     ),
+    Mutant(
+        'answers: a process that still ends is taken to run', 'lasthop',
+        'END_OF_ANSWER = Probing(16, 0.05, 0.005)',
+        'END_OF_ANSWER = Probing(16, 0.003, 0.005)', 'forwarding',
+        'ends 20 ms later',
+    ),
     Mutant(
         'last hop: the connection to a running runner is not kept', 'lasthop',
         'if self._keep(address, connection):\n                # It',
