Small parts of an answer or a body leave other tasks their turn

Causes: a task yields when it needs more bytes, and one read brings 10,000 such chunks. Each was handed on alone, and the splitter of events copied the unfinished event for each. The same held for callers' bodies, which the server also kept as one object for each part.

Second, the server marked a response as started before its first checkpoint. Where the deadline had passed by then, nothing was sent, no error either, and the connection was closed. It is marked once the send is not cancelled, so the caller gets 504.

Seen failing before: four rows of features/endless.feature.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -29,6 +29,29 @@
       | the size of a chunk                    | whole | 0.4    | 502    | whole   | 0.4      |
       | the trailer of a last chunk            | whole | 0.4    | 502    | whole   | 0.4      |
 
+  # Guards against small parts that are parsed, or joined, for so long that the
+  # requests of others, elections among them, wait.
+  Scenario Outline: <what> of 9000 chunks of one byte arrives at once
+    When <what> of 9000 chunks of one byte arrives at once
+    Then other tasks have run at least 200 times meanwhile
+    And it is handed on in at most <pieces> pieces
+
+    Examples:
+      | what           | pieces |
+      | An answer      | 2      |
+      | A request body | 1      |
+
+  # Guards against an answer that is dropped without another one where the
+  # process was busy as its deadline passed.
+  Scenario Outline: A process is busy past the deadline as the <what> of an answer has arrived
+    When a <kind> request is sent, and the process is busy past its deadline before it sends the <what>
+    Then its caller gets 504
+
+    Examples:
+      | kind      | what  |
+      | unsafe    | whole |
+      | streaming | head  |
+
   # Guards against answers that an agent passes on for as long as they come, and
   # that its gateway collects.
   Scenario Outline: An agent's runner sends <bytes> without end
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import itertools
+import time
 import tracemalloc
 
 from behave import given, then, when
+import h11
 import trio
 
 from features.steps import brokenoff_steps as broken
@@ -14,7 +16,8 @@
 from mountridge.dispatch import upstreams
 from mountridge.documents import routes
 from mountridge import errors
-from mountridge.net import httpserver
+from mountridge.net import httpserver, lasthop
+from mountridge.routing import routedanswers
 
 #: Bytes that a runner sends at a time.
 PIECE_BYTES = 16384
@@ -26,6 +29,8 @@
 #: Positions within a head that are tried at once.
 BATCH = 40
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+TINY_CHUNK = b'1\r\nx\r\n'
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 def _pad(count=PIECE_BYTES):
@@ -447,3 +452,107 @@
         got = broken._outcome(data, path)
         may_repeat = path in ('safe', 'streaming')
         assert got == ('whole' if may_repeat else '502'), (position, path, got)
+
+
+class _Arrived:
+    """A stream of which all bytes have arrived, and that is then closed."""
+
+    def __init__(self, data):
+        self._data = data
+
+    def setsockopt(self, *_):
+        """Ignore options."""
+
+    async def receive_some(self, _max_bytes):
+        await trio.lowlevel.checkpoint()
+        data, self._data = self._data, b''
+        return data
+
+
+async def _read_answer(data):
+    connection = lasthop._Connection(_Arrived(data), 0.0)
+    request = h11.Request(
+        method=b'GET', target=b'/', headers=[(b'Host', b'a')]
+    )
+    lasthop._encode(connection.http, request, b'')
+    await connection.next_event()
+    reply = lasthop.Reply(connection, None, [], lasthop.CHUNKED)
+    return [piece async for piece in reply.chunks()]
+
+
+async def _read_request(data):
+    server = httpserver.Server(None, routes.Limits, lambda: False)
+    http = h11.Connection(h11.SERVER)
+    request = await server._read(http, _Arrived(data), routes.Limits())
+    return [request.body]
+
+
+@when('{what} of {count:d} chunks of one byte arrives at once')
+def tiny_chunks(context, what, count):
+    body = TINY_CHUNK * count + LAST_CHUNK
+    context.turns = 0
+
+    async def count_turns():
+        while True:
+            await trio.lowlevel.checkpoint()
+            context.turns += 1
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count_turns)
+            if what == 'An answer':
+                answer = b'HTTP/1.1 200 OK\r\n' + CHUNKED + body
+                context.pieces = await _read_answer(answer)
+            else:
+                head = b'POST / HTTP/1.1\r\nHost: a\r\n' + CHUNKED
+                context.pieces = await _read_request(head + body)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert b''.join(context.pieces) == count * b'x'
+
+
+@then('other tasks have run at least {least:d} times meanwhile')
+def check_turns(context, least):
+    assert context.turns >= least, context.turns
+
+
+@then('it is handed on in at most {most:d} pieces')
+def check_pieces(context, most):
+    assert len(context.pieces) <= most, len(context.pieces)
+
+
+@when(
+    'a {kind} request is sent, and the process is busy past its deadline'
+    ' before it sends the {what}'
+)
+def busy_past_deadline(context, kind, what):
+    forward = routedanswers.forward
+
+    async def forward_late(exchange, *args):
+        time.sleep(max(0.0, exchange.deadline_s - trio.current_time()) + 0.1)
+        # What arrived is read after the deadline has been noticed.
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        await forward(exchange, *args)
+
+    async def main():
+        world = base.World('answers correctly')
+        async with trio.open_nursery() as nursery:
+            await world.start(nursery)
+            stream = await world.open()
+            request = base._request(b'/%s/1' % kind.encode())
+            request = request.replace(b'2500', b'%d' % broken.DEADLINE_MS)
+            await stream.send_all(_closing(request))
+            context.data = await _read_dropping(stream)
+            nursery.cancel_scope.cancel()
+
+    routedanswers.forward = forward_late
+    try:
+        trio.run(main)
+    finally:
+        routedanswers.forward = forward
+
+
+@then('its caller gets {status:d}')
+def check_status(context, status):
+    assert context.data.startswith(b'HTTP/1.1 %d ' % status), context.data[:80]
--- a/mountridge/gateway.py
+++ b/mountridge/gateway.py
@@ -339,7 +339,7 @@
             if whole:
                 yield b''.join(event.data for event in whole)
         if splitter.remainder:
-            yield splitter.remainder
+            yield bytes(splitter.remainder)
     except errors.MountridgeError as problem:
         body = json.dumps(error_body(problem, exchange.request_id))
         yield b'event: error\ndata: %b\n\n' % body.encode()
--- a/mountridge/net/events.py
+++ b/mountridge/net/events.py
@@ -56,19 +56,21 @@
 
     def __init__(self) -> None:
         #: Bytes of the last, incomplete event.
-        self.remainder = b''
+        self.remainder = bytearray()
         self.event_count = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that ``data`` completes."""
         # A blank line may have begun in the bytes that were searched before.
         search_from = max(0, len(self.remainder) - BLANK_LINE_BYTES)
-        received = self.remainder + data
+        self.remainder += data
+        blank_lines = _BLANK_LINE.finditer(self.remainder, search_from)
         found, start = [], 0
-        for blank_line in _BLANK_LINE.finditer(received, search_from):
-            found.append(_event(received[start : blank_line.end()]))
-            start = blank_line.end()
-        self.remainder = received[start:]
+        for end in [blank_line.end() for blank_line in blank_lines]:
+            found.append(_event(bytes(self.remainder[start:end])))
+            start = end
+        # The iterator blocks changes of the size until it is gone.
+        del blank_lines, self.remainder[:start]
         self.event_count += sum(not event.is_empty for event in found)
         return found
 
@@ -79,4 +81,4 @@
         """
         if not _has_only_comments(self.remainder):
             raise errors.BadAnswer('the stream ended within an event')
-        return self.remainder
+        return bytes(self.remainder)
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -18,7 +18,7 @@
 from mountridge.documents import routes
 from mountridge import errors
 from mountridge.logs import logger
-from mountridge.net import listening
+from mountridge.net import listening, turns
 
 __all__ = [
     'BodyBudget', 'Handler', 'Request', 'Responder', 'Server', 'metrics_task',
@@ -99,9 +99,18 @@
             return [(b'Connection', b'close')]
         return [(b'Keep-Alive', b'timeout=%d' % self._idle_s)]
 
+    async def _begin(self) -> None:
+        """Record that the response has started, unless it is cancelled.
+
+        A send that was cancelled before would not send a byte, and another
+        response could not follow.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.started = True
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head; ``headers`` determine the framing of the body."""
-        self.started = True
+        await self._begin()
         is_framed = any(n.lower() == b'content-length' for n, _ in headers)
         if self._http.their_http_version < b'1.1' and not is_framed:
             self._held = _HeldStream(status, headers, [])
@@ -133,7 +142,7 @@
         self, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send a complete response in one write."""
-        self.started = True
+        await self._begin()
         length = (b'Content-Length', b'%d' % len(body))
         fields = headers + [length] + self._persistence()
         head = h11.Response(status_code=status, headers=fields)
@@ -223,6 +232,7 @@
         self._limits = limits
         self._closing = closing
         self._idle: set[trio.CancelScope] = set()
+        self._turns = turns.Turns()
         self.open_requests = 0
 
     async def run(
@@ -313,7 +323,7 @@
     async def _read_body(
         self, http: h11.Connection, stream, limits: routes.Limits
     ) -> bytes:
-        parts, length = [], 0
+        body, length = bytearray(), 0
         try:
             while True:
                 with trio.move_on_after(limits.idle_ms / 1000) as scope:
@@ -321,12 +331,12 @@
                 if scope.cancelled_caught:
                     raise errors.TooSlow('time-out while reading the body')
                 if isinstance(event, h11.EndOfMessage):
-                    return b''.join(parts)
+                    return bytes(body)
                 if length + len(event.data) > limits.body_bytes:
                     raise errors.TooLarge(f'over {limits.body_bytes} bytes')
                 self._bodies.take(len(event.data))
                 length += len(event.data)
-                parts.append(bytes(event.data))
+                body += event.data
         except BaseException:
             self._bodies.release(length)
             raise
@@ -367,6 +377,7 @@
         """Return the next event of the current request."""
         try:
             while True:
+                await self._turns.count_part()
                 event = http.next_event()
                 if event is not h11.NEED_DATA:
                     break
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -16,7 +16,7 @@
 import trio
 
 from mountridge import errors
-from mountridge.net import dialects
+from mountridge.net import dialects, turns
 
 __all__ = [
     'BROKEN_CONNECTION', 'CHUNKED', 'CLOSE', 'END_OF_ANSWER', 'LENGTH', 'Pool',
@@ -64,8 +64,7 @@
     """How to find out by connections whether a process has ended."""
 
     count: int  # most connections
-    #: How long one has to stay open to show that the process runs: longer than
-    #: a process that is killed takes to close its sockets.
+    #: How long one has to stay open to show that the process runs.
     settle_s: float
     pause_s: float  # after one that was closed
 
@@ -97,6 +96,7 @@
         self.idle_since_s = 0.0
         #: For how long it may stay idle.
         self.idle_s = IDLE_TIMEOUT_S
+        self._turns = turns.Turns()
 
     def update_idle_timeout(self, headers: Headers) -> None:
         """Apply the idle timeout that an answer announces."""
@@ -127,11 +127,18 @@
 
     async def next_event(self) -> typing.Any:
         """Return the next event of the answer."""
-        while True:
-            event = self.http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self.http.receive_data(await self.stream.receive_some(READ_BYTES))
+        while (event := await self.arrived_event()) is h11.NEED_DATA:
+            await self.receive()
+        return event
+
+    async def arrived_event(self) -> typing.Any:
+        """Return the next event that has arrived, NEED_DATA if none has."""
+        await self._turns.count_part()
+        return self.http.next_event()
+
+    async def receive(self) -> None:
+        """Wait for more bytes of the answer, or its end."""
+        self.http.receive_data(await self.stream.receive_some(READ_BYTES))
 
 
 async def read_ahead(
@@ -170,20 +177,26 @@
     async def chunks(self) -> typing.AsyncIterator[bytes]:
         """Yield the body; return only at the end that its framing marks.
 
-        With `CLOSE` that is the end of the connection, which does not show
-        that the body is complete.
+        What has arrived together is yielded as one, in however small parts it
+        was sent. With `CLOSE` the end is that of the connection, which does
+        not show that the body is complete.
 
         :raises BadAnswer: the body was truncated.
         """
+        connection = self._connection
         try:
             while True:
-                event = await self._connection.next_event()
-                if isinstance(event, h11.Data):
-                    yield bytes(event.data)
+                data, event = await self._read_arrived()
+                if data:
+                    yield data
+                if event is h11.NEED_DATA:
+                    await connection.receive()
                 elif isinstance(event, h11.EndOfMessage):
-                    if self.framing == CLOSE and self._connection.send_failed:
+                    if self.framing == CLOSE and connection.send_failed:
                         raise errors.BadAnswer('the connection was reset')
                     return
+                elif isinstance(event, h11.RemoteProtocolError):
+                    raise event
                 else:
                     raise errors.BadAnswer(
                         'the connection was closed within the answer'
@@ -193,6 +206,21 @@
         except trio.BrokenResourceError as problem:
             raise errors.BadAnswer(str(problem))
 
+    async def _read_arrived(self) -> tuple[bytes, typing.Any]:
+        """Return the part of the body that has arrived, and what follows it.
+
+        That is an event, NEED_DATA or the error of the parser.
+        """
+        parts = []
+        try:
+            while True:
+                event = await self._connection.arrived_event()
+                if not isinstance(event, h11.Data):
+                    return b''.join(parts), event
+                parts.append(bytes(event.data))
+        except h11.RemoteProtocolError as problem:
+            return b''.join(parts), problem
+
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the complete body.
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1967,6 +1967,21 @@
         'if len(splitter.remainder) > MAX_EVENT_BYTES:', 'if False:',
         'endless', 'body in chunks',
     ),
+    Mutant(
+        'turns: parts are parsed without a yield', 'turns',
+        'if self._parts >= PARTS_PER_TURN:', 'if False:', 'endless',
+        'arrives at once',
+    ),
+    Mutant(
+        'last hop: each part of a body is handed on alone', 'lasthop',
+        'parts.append(bytes(event.data))',
+        'return bytes(event.data), None', 'endless', 'arrives at once',
+    ),
+    Mutant(
+        'server: a response that is cancelled before a byte has started',
+        'httpserver', 'await trio.lowlevel.checkpoint_if_cancelled()', 'pass',
+        'endless', 'busy past the deadline',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
