Fewer stopped heads are tried at once

Traced: the message of each answer shows a connection to a runner that was not made within its 0.3 s, so that another runner, which had not failed, answered. 40 gateways in one process take that long for one batch. Now 4 at a time, and a failure shows the answer; what is checked, and each bound, is unchanged.

--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -26,8 +26,9 @@
 #: Deadline of requests for large answers.
 LARGE_DEADLINE_MS = 30000
 LARGE_BYTES = 4_000_000
-#: Positions within a head that are tried at once.
-BATCH = 40
+#: Positions within a head that are tried at once. With ten times as many the
+#: process is so busy beside load that connections to its runners time out.
+BATCH = 4
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 TINY_CHUNK = b'1\r\nx\r\n'
 LAST_CHUNK = b'0\r\n\r\n'
@@ -451,7 +452,8 @@
     for (position, path), (data,) in context.got.items():
         got = broken._outcome(data, path)
         may_repeat = path in ('safe', 'streaming')
-        assert got == ('whole' if may_repeat else '502'), (position, path, got)
+        expected = 'whole' if may_repeat else '502'
+        assert got == expected, (position, path, got, data)
 
 
 class _Arrived:
