Limits for callers do not bound operators, runners and the platform

Callers saw: a configuration of 12 KB with `max-body-bytes` of 8192 was acknowledged, and refused with 413 when it was sent again, as its answer was lost.

Cause: the servers of the control calls and of readiness were made with the limits of the routes in force. Those have their own now, of which 16 MiB for a body is the only one that differs from the defaults. The directory keeps the callers' limits, since callers ask it.

Seen failing before: the scenario of features/entry.feature, on processes (431 from each of four entries).

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -134,6 +134,13 @@
     When an entry is killed, its disk is emptied, and it restarts
     Then it is a voter within 15 s, with a new identity
 
+  # Guards against limits for callers that lock operators and runners out.
+  Scenario: Limits for callers do not bound operators and runners
+    Given 4 entries of which 3 have a disk, with routes in force
+    When routes that limit callers to 64 bytes are in force
+    Then the same routes are accepted again at each entry
+    And so are newer ones, and the heartbeat of a runner
+
   Scenario: An unanswered call does not delay other calls to the leader
     Given a leader, and an unresponsive controller that is called first
     When 12 calls begin 0.1 s apart
--- a/features/steps/entry_process_steps.py
+++ b/features/steps/entry_process_steps.py
@@ -88,3 +88,50 @@
 
     _wait_for(joined, limit_s)
     _wait_for(_all_ready, limit_s)
+
+
+def _post(number, path, content):
+    url = f'http://{lab.NETWORK}{number}:8002{path}'
+    return httpx.post(url, content=content, timeout=5).status_code
+
+
+def _limited_routes(context, version):
+    """Return routes that limit callers' heads and bodies to 64 bytes."""
+    document = json.loads(context.lab.document())
+    document[0], document[3] = version, [64, 64, 3000.0, 15000.0]
+    return json.dumps(document)
+
+
+@when('routes that limit callers to 64 bytes are in force')
+def put_limits(context):
+    content = _limited_routes(context, 2)
+    assert _post(1, '/v1/routes/put', content) == 200
+
+    def are_in_force():
+        url = f'http://{lab.NETWORK}{{}}:8000/'
+        return all(
+            httpx.get(url.format(number), timeout=1).status_code == 431
+            for number in range(1, 5)
+        )
+
+    _wait_for(are_in_force, 5)
+
+
+@then('the same routes are accepted again at each entry')
+def put_again(context):
+    content = _limited_routes(context, 2)
+    found = [_post(n, '/v1/routes/put', content) for n in range(1, 5)]
+    assert found == 4 * [200], found
+
+
+@then('so are newer ones, and the heartbeat of a runner')
+def put_newer(context):
+    content = _limited_routes(context, 3)
+    heartbeat = {
+        'service': 'plain', 'address': '127.0.0.1:9', 'hall': 'north',
+        'seq': 1, 'slots': 4, 'state': 'ready', 'software': 64 * 'v',
+    }  # fmt: skip
+    for number in range(1, 5):
+        assert _post(number, '/v1/routes/put', content) == 200
+        path = f'/v1/instances/i-{number}/heartbeat'
+        assert _post(number, path, json.dumps(heartbeat)) == 200
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -38,6 +38,9 @@
 DRAIN_POLL_S = 0.05
 #: Bytes of the id in a malformed message that are logged.
 LOGGED_BYTES = 64
+#: Limits for operators, runners and the platform. Those of the routes are for
+#: callers; a document could otherwise lock out the one that replaces it.
+CONTROL_LIMITS = routes.Limits(body_bytes=16 << 20)
 #: Time reserved for the shutdown within the time of a planned stop.
 SHUTDOWN_RESERVE_S = 0.5
 
@@ -125,16 +128,20 @@
         crashes.part_gate.on_probe = self.crash_reporter.take_probe
         self.draining = False
         self._drain_began_s = 0.0
-        self.front = self.make_server(self.forwarder.handle)
+        self.front = self.make_server(self.forwarder.handle, self.limits)
         self._view_revision = -1
         self._cold_count = 0
 
-    def make_server(self, handler: httpserver.Handler) -> httpserver.Server:
-        """Return a server with the limits and drain state of this process."""
-        return httpserver.Server(handler, self.limits, lambda: self.draining)
+    def make_server(
+        self,
+        handler: httpserver.Handler,
+        limits: typing.Callable[[], routes.Limits],
+    ) -> httpserver.Server:
+        """Return a server with the drain state of this process."""
+        return httpserver.Server(handler, limits, lambda: self.draining)
 
     def limits(self) -> routes.Limits:
-        """Return the limits for requests, by the routes in force."""
+        """Return the limits for callers, by the routes in force."""
         return self.index.table.limits if self.index else routes.Limits()
 
     # Lease, and state derived from the view.
@@ -530,9 +537,17 @@
 
     return [
         listener('front', entry.front, listening_socket),
-        listener('readiness', entry.make_server(handlers.readiness)),
-        listener('control', entry.make_server(handlers.control)),
-        listener('directory', entry.make_server(handlers.directory)),
+        listener(
+            'readiness',
+            entry.make_server(handlers.readiness, lambda: CONTROL_LIMITS),
+        ),
+        listener(
+            'control',
+            entry.make_server(handlers.control, lambda: CONTROL_LIMITS),
+        ),
+        listener(
+            'directory', entry.make_server(handlers.directory, entry.limits)
+        ),
     ]
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1982,6 +1982,12 @@
         'httpserver', 'await trio.lowlevel.checkpoint_if_cancelled()', 'pass',
         'endless', 'busy past the deadline',
     ),
+    Mutant(
+        'entry: limits for callers bound operators', 'entry',
+        'entry.make_server(handlers.control, lambda: CONTROL_LIMITS)',
+        'entry.make_server(handlers.control, entry.limits)', 'entry',
+        'Limits for callers',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
