A configuration that is not UTF-8 is refused

Cause: the decoder skips the values of unknown fields without checking their encoding. Heartbeats were checked for it, configurations were not. The check is made where one is put, not where one is loaded: a document that an older build has accepted has to stay readable.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -141,6 +141,18 @@
     Then the same routes are accepted again at each entry
     And so are newer ones, and the heartbeat of a runner
 
+  # Guards against documents that no reader of JSON accepts and that are in force.
+  Scenario Outline: A configuration with bytes that are not UTF-8 in <where> is refused
+    Given an entry that takes configurations of the platform
+    When it gets a configuration with bytes that are not UTF-8 in <where>
+    Then it refuses it with code 1502, and sends nothing to the leader
+
+    Examples:
+      | where                       |
+      | a value that it does not use |
+      | a name that it does not use  |
+      | a value that it uses         |
+
   Scenario: An unanswered call does not delay other calls to the leader
     Given a leader, and an unresponsive controller that is called first
     When 12 calls begin 0.1 s apart
--- a/features/steps/entry_process_steps.py
+++ b/features/steps/entry_process_steps.py
@@ -3,15 +3,23 @@
 """Steps on entry processes over the loopback interface."""
 
 import json
+import pathlib
 import shutil
+import sys
 import tempfile
 import time
+import types
 
 from behave import given, then, when
 import httpx
+import trio
 
+from mountridge import entry, errors, messages
 from standins import lab
 
+sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / 'platform'))
+from adapter import wire  # noqa: E402,H306
+
 LOAD = {'seed': 1, 'kinds': [], 'entries': 4, 'ranks': 0}
 
 
@@ -135,3 +143,47 @@
         assert _post(number, '/v1/routes/put', content) == 200
         path = f'/v1/instances/i-{number}/heartbeat'
         assert _post(number, path, json.dumps(heartbeat)) == 200
+
+
+#: A configuration of the platform, by where a text stands in it.
+CONFIGURATIONS = {
+    'a value that it does not use': b'"services": [{"name": "s", "tls": "X"}]',
+    'a name that it does not use': b'"services": [{"name": "s"}], "X": 1',
+    'a value that it uses': b'"services": [{"name": "X"}]',
+}
+
+
+@given('an entry that takes configurations of the platform')
+def platform_entry(context):
+    context.calls = []
+
+    async def call(message, _timeout_s):
+        context.calls.append(message)
+        return messages.RoutesReply(message.version, b'')
+
+    context.entry = types.SimpleNamespace(
+        dialect=wire.DIALECT, leader=types.SimpleNamespace(call=call)
+    )
+
+
+def _put(context, where, text):
+    source = CONFIGURATIONS[where].replace(b'X', text)
+    source = b'{"version": 7, "routes": [], %s}' % source
+    return trio.run(entry.Entry.put_routes, context.entry, source)
+
+
+@when('it gets a configuration with bytes that are not UTF-8 in {where}')
+def put_damaged(context, where):
+    assert _put(context, where, b'caf\xc3\xa9') == 7
+    context.calls.clear()
+    context.problem = None
+    try:
+        _put(context, where, b'caf\xc3')
+    except errors.MountridgeError as problem:
+        context.problem = problem
+
+
+@then('it refuses it with code {code:d}, and sends nothing to the leader')
+def check_damaged(context, code):
+    assert context.problem is not None and context.problem.code == code
+    assert not context.calls, context.calls
--- a/mountridge/documents/routes.py
+++ b/mountridge/documents/routes.py
@@ -18,7 +18,8 @@
 __all__ = [
     'Engine', 'Limits', 'Route', 'RouteTable', 'SAFE',
     'STREAMING', 'Service', 'Share', 'Team', 'UNSAFE', 'check',
-    'choose_service', 'compress', 'decode', 'decompress', 'index',
+    'check_encoding', 'choose_service', 'compress', 'decode', 'decompress',
+    'index',
 ]  # fmt: skip
 
 #: Kinds of route: whether requests may be repeated, and whether responses
@@ -139,6 +140,20 @@
     return table
 
 
+def check_encoding(source: bytes) -> None:
+    """Check that a document that is put is UTF-8.
+
+    Decoders skip unknown fields without checking their encoding. Documents
+    that are in force already are not checked.
+
+    :raises BadRoutes: it is not.
+    """
+    try:
+        source.decode()
+    except UnicodeDecodeError as problem:
+        raise errors.BadRoutes(str(problem))
+
+
 def compress(source: bytes) -> bytes:
     """Return a document in the form that is stored and replicated."""
     return zlib.compress(source, COMPRESS_LEVEL)
--- a/mountridge/entry.py
+++ b/mountridge/entry.py
@@ -310,6 +310,7 @@
         :raises BadRoutes: the document has errors.
         :raises NoController: it may have been stored, or not.
         """
+        routes.check_encoding(source)
         table = self.dialect.decode_routes(source)
         put = messages.PutRoutes(table.version, routes.compress(source))
         reply = await self.leader.call(put, PUT_TIMEOUT_S)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1988,6 +1988,10 @@
         'entry.make_server(handlers.control, entry.limits)', 'entry',
         'Limits for callers',
     ),
+    Mutant(
+        'entry: configurations that are not UTF-8 are taken', 'entry',
+        'routes.check_encoding(source)', 'pass', 'entry', 'not UTF-8',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
