HEAD requests get the entry's own answers

Cause: `send_response` gave the parser a body, which it refuses for HEAD. The length is stated and the body left out.

Seen failing before: three rows of features/forwarding.feature; the fourth, of an answer of the runner, passed.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -292,6 +292,20 @@
       | sends half a head and waits     | 408    |
       | sends an invalid request        | 400    |
 
+  # Guards against errors with a body in answer to HEAD, which the protocol does
+  # not allow: the connection was closed without an answer.
+  Scenario Outline: A HEAD request that <does> is answered with <status>
+    Given two runners of which the first answers correctly
+    When a HEAD request <does>, and a GET request follows on its connection
+    Then they are answered with <status> without a body and with 200
+
+    Examples:
+      | does                            | status |
+      | sends no key                    | 401    |
+      | requests a path without a route | 404    |
+      | gets no answer in time          | 504    |
+      | is answered                     | 200    |
+
   # Guards against events that are passed on only at the end of their stream.
   Scenario Outline: A stream whose lines end with <line_end> is split into its events
     When a stream of 5 events whose lines end with <line_end> arrives in pieces of <size> bytes
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -25,6 +25,7 @@
 #: Streams that may not be resumed.
 ONCE = 'streaming-once'
 PAUSES = 'pauses after 2 events'
+SILENT = 'never answers'
 #: A crash whose listening socket is closed after the connections.
 LATE_REFUSAL = (
     'ends between two events, its listening socket last, with no length'
@@ -197,6 +198,7 @@
         lines = [x.partition(b': ') for x in head.split(b'\r\n')[1:]]
         found = {name.lower(): value for name, _, value in lines}
         found[b'streams'] = b'/streaming' in head
+        found[b'is_head'] = head.startswith(b'HEAD ')
         return found
 
     def _answer(self, request):
@@ -209,7 +211,14 @@
         if fault == 'reports that it is another instance':
             return _answer_bytes(421, request, b''), True
         self.runs += 1
-        if fault == 'never answers':
+        if request[b'is_head']:
+            length = b'Content-Length: 5\r\n\r\n'
+            return (
+                (None, False)
+                if fault == SILENT
+                else (_head(200, request, length), True)
+            )
+        if fault == SILENT:
             return None, False
         if fault == 'closes without an answer':
             return b'', False
@@ -788,6 +797,40 @@
     assert not any(runner.runs for runner in context.world.runners)
 
 
+HEADS = {
+    **INVALID,
+    'gets no answer in time': _request(b'/safe/1').replace(b'2500', b'200'),
+    'is answered': _request(b'/safe/1'),
+}
+
+
+@when('a HEAD request {does}, and a GET request follows on its connection')
+def send_head(context, does):
+    async def script(world):
+        if does == 'gets no answer in time':
+            world.runners[0].fault = SILENT
+        stream = await world.open()
+        await stream.send_all(HEADS[does].replace(b'GET', b'HEAD', 1))
+        context.head = b''
+        while b'\r\n\r\n' not in context.head:
+            more = await stream.receive_some(65536)
+            assert more, context.head
+            context.head += more
+        world.runners[0].fault = 'answers correctly'
+        await stream.send_all(_request(b'/safe/2'))
+        context.data = await _read_all(stream)
+
+    _run(context, script)
+
+
+@then('they are answered with {status:d} without a body and with 200')
+def check_head(context, status):
+    assert context.head.startswith(b'HTTP/1.1 %d ' % status), context.head
+    assert context.head.endswith(b'\r\n\r\n'), context.head
+    assert context.data.startswith(b'HTTP/1.1 200 '), context.data
+    assert context.data.endswith(b'whole'), context.data
+
+
 @when(
     'a stream of {count:d} events whose lines end with {line_end} arrives in'
     ' pieces of {size:d} bytes'
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -82,8 +82,17 @@
     `MAX_HELD_BYTES`.
     """
 
-    def __init__(self, http: h11.Connection, stream, closing: bool, idle_s):
+    def __init__(
+        self,
+        http: h11.Connection,
+        stream,
+        closing: bool,
+        idle_s: float,
+        method: bytes = b'',
+    ):
         self._http = http
+        #: Whether the request is for the head of a response alone.
+        self._without_body = method == b'HEAD'
         self._stream = stream
         self._closing = closing
         self._idle_s = idle_s
@@ -146,7 +155,9 @@
         length = (b'Content-Length', b'%d' % len(body))
         fields = headers + [length] + self._persistence()
         head = h11.Response(status_code=status, headers=fields)
-        data = self._http.send(head) + self._http.send(h11.Data(body))
+        data = self._http.send(head)
+        if not self._without_body:
+            data += self._http.send(h11.Data(body))
         data += self._http.send(h11.EndOfMessage())
         await self._stream.send_all(data)
         self.finished = True
@@ -282,7 +293,9 @@
                 return
             if request is None:
                 return
-            responder = Responder(http, stream, self._closing(), idle_s)
+            responder = Responder(
+                http, stream, self._closing(), idle_s, request.method
+            )
             self.open_requests += 1
             try:
                 await self._handle(http, stream, request, responder)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1982,6 +1982,10 @@
         'httpserver', 'await trio.lowlevel.checkpoint_if_cancelled()', 'pass',
         'endless', 'busy past the deadline',
     ),
+    Mutant(
+        'server: a HEAD request gets a body', 'httpserver',
+        "method == b'HEAD'", 'False', 'forwarding', 'A HEAD request',
+    ),
     Mutant(
         'entry: limits for callers bound operators', 'entry',
         'entry.make_server(handlers.control, lambda: CONTROL_LIMITS)',
