A kept connection follows the limits in force

Cause: the parser, which has the limit, was made once for a connection, and the limits were read before the connection waited for its next request. Each request has a parser of its own, made once its first bytes are there.

Seen failing before: a row of features/forwarding.feature; its other two, with a limit left and one lowered, passed.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -306,6 +306,18 @@
       | gets no answer in time          | 504    |
       | is answered                     | 200    |
 
+  # Guards against requests that are refused by limits which are in force no more.
+  Scenario Outline: A kept connection waits while the limit of heads is <change>
+    Given two runners of which the first answers correctly
+    When a connection has served a request, and the limit of heads is then <change>
+    Then a head of 12000 bytes that comes in two parts is answered with <status>
+
+    Examples:
+      | change          | status |
+      | raised to 16000 | 200    |
+      | left at 8192    | 431    |
+      | lowered to 4000 | 431    |
+
   # Guards against events that are passed on only at the end of their stream.
   Scenario Outline: A stream whose lines end with <line_end> is split into its events
     When a stream of 5 events whose lines end with <line_end> arrives in pieces of <size> bytes
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -831,6 +831,36 @@
     assert context.data.endswith(b'whole'), context.data
 
 
+@when(
+    'a connection has served a request, and the limit of heads is then'
+    ' {change}'
+)
+def change_limit(context, change):
+    async def script(world):
+        stream = await world.open()
+        await stream.send_all(_request(b'/safe/1'))
+        assert (await _read_all(stream)).startswith(b'HTTP/1.1 200 ')
+        # The server waits for the next request by now.
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        header_bytes = int(change.rpartition(' ')[2])
+        limits = LIMITS._replace(header_bytes=header_bytes)
+        world.server._limits = lambda: limits
+        head = _request(b'/safe/2', extra=b'X-A: ' + b'x' * 12000 + b'\r\n')
+        for part in (head[:10000], head[10000:]):
+            await stream.send_all(part)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+        context.data = await _read_all(stream)
+
+    _run(context, script)
+
+
+@then(
+    'a head of 12000 bytes that comes in two parts is answered with {status:d}'
+)
+def check_long_head(context, status):
+    assert context.data.startswith(b'HTTP/1.1 %d ' % status), context.data
+
+
 @when(
     'a stream of {count:d} events whose lines end with {line_end} arrives in'
     ' pieces of {size:d} bytes'
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -279,13 +279,18 @@
             await trio.aclose_forcefully(stream)
 
     async def _serve_requests(self, stream: trio.SocketStream) -> None:
-        limits = self._limits()
-        http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        data = b''
         while True:
+            data = data or await self._wait_for_bytes(stream)
+            if not data:
+                return
+            # Those in force now, and not when the connection became idle.
             limits = self._limits()
             idle_s = limits.idle_ms / 1000
+            http = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limits.header_bytes
+            )
+            http.receive_data(data)
             try:
                 request = await self._read(http, stream, limits)
             except errors.MountridgeError as problem:
@@ -306,7 +311,9 @@
                 return
             if http.their_state is not h11.DONE:
                 return
-            http.start_next_cycle()
+            data, is_closed = http.trailing_data
+            if is_closed and not data:
+                return
 
     async def _reject_unread(self, http, stream, problem) -> None:
         responder = Responder(http, stream, True, 0)
@@ -357,10 +364,6 @@
     async def _read_head(
         self, http: h11.Connection, stream, limits: routes.Limits
     ) -> h11.Request | None:
-        if not http.trailing_data[0] and not await self._wait_for_bytes(
-            http, stream, limits.idle_ms / 1000
-        ):
-            return None
         with trio.move_on_after(limits.header_ms / 1000) as scope:
             event = await self._next_event(http, stream)
         if scope.cancelled_caught:
@@ -372,19 +375,16 @@
             raise errors.HeadTooLarge(f'over {limits.header_bytes} bytes')
         return event
 
-    async def _wait_for_bytes(self, http, stream, idle_s: float) -> bool:
-        """Return whether data arrived before a timeout or the end."""
+    async def _wait_for_bytes(self, stream) -> bytes:
+        """Return the next bytes, b'' after a timeout or at the end."""
         data = b''
-        with trio.move_on_after(idle_s) as scope:
+        with trio.move_on_after(self._limits().idle_ms / 1000) as scope:
             self._idle.add(scope)
             try:
                 data = await stream.receive_some(READ_BYTES)
             finally:
                 self._idle.discard(scope)
-        if not data:
-            return False
-        http.receive_data(data)
-        return True
+        return data
 
     async def _next_event(self, http: h11.Connection, stream) -> typing.Any:
         """Return the next event of the current request."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1982,6 +1982,12 @@
         'httpserver', 'await trio.lowlevel.checkpoint_if_cancelled()', 'pass',
         'endless', 'busy past the deadline',
     ),
+    Mutant(
+        'server: the limits of an idle connection are kept', 'httpserver',
+        'limits = self._limits()\n            idle_s',
+        'limits = first = locals().get("first") or self._limits()\n'
+        '            idle_s', 'forwarding', 'A kept connection waits',
+    ),
     Mutant(
         'server: a HEAD request gets a body', 'httpserver',
         "method == b'HEAD'", 'False', 'forwarding', 'A HEAD request',
