Soak: a request that crashes each runner may be held back

Its trace: all 36 requests refused as quarantined were of the kind `killer`, which crashes each runner that starts one, and which the check took for sound, since it knows of harmful parts alone. Requests that are sound count as before; the rows show a sound kind, one with a harmful part, and this one, whose row failed before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -113,6 +113,18 @@
       | requests held beyond the timeout        | 8 of 20 requests wait 0.6 s beyond the timeout of their route   | requests end with the timeout of their route |
       | a request to a draining runner          | it arrives 2.1 s after the drain of its runner was acknowledged | who drains gets nothing                   |
 
+  # Guards against a run that fails as requests are held back which should be.
+  Scenario Outline: A request of the kind <kind> that is held back <breaks>
+    Given a checker that knows of a request of the kind <kind>
+    When it is answered with 502 and the code of a quarantined part
+    Then the rule on sound requests <breaks>
+
+    Examples:
+      | kind   | breaks |
+      | killer | holds  |
+      | poison | holds  |
+      | read   | breaks |
+
   # Guards against bounds that excuse too much, or hold where they may not.
   Scenario Outline: A change must be in force within <bound_s> s after <faults>
     When the checker knows of <faults>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,6 +25,9 @@
 CHAT = next(k for k in SIZES['kinds'] if k['name'] == 'chat')
 ORDER = next(k for k in SIZES['kinds'] if k['name'] == 'order')
 ENDED = framings.ENDS_PROCESS
+#: Sizes with requests that crash runners.
+WITH_CRASHES = ('words', 'parts')
+SOUND_RULE = 'sound requests are not held back'
 #: Time of the scenarios of the checker.
 NOW_S = 1000.0
 
@@ -188,6 +191,23 @@
     )
 
 
+@given('a checker that knows of a request of the kind {name}')
+def make_checker_of_kind(context, name):
+    make_checker(context)
+    texts = [(HERE / f'{sizes}.yaml').read_text() for sizes in WITH_CRASHES]
+    kinds = [kind for text in texts for kind in yaml.safe_load(text)['kinds']]
+    kind = next(kind for kind in kinds if kind['name'] == name)
+    harmful = {'harmful': ['bad-read'], 'calm_s': 0}
+    context.checker.harmful_parts = harmfulparts.HarmfulParts(harmful)
+    context.request = _record_sent(context, kind, 'order-1')
+
+
+@then('the rule on sound requests {breaks}')
+def check_sound(context, breaks):
+    expected = {SOUND_RULE} if breaks == 'breaks' else set()
+    assert set(context.report.broken) == expected, context.report.broken
+
+
 def _record_sent(context, kind, request_id):
     asked = checks.SentRequest(request_id, kind, 'entry-1', NOW_S)
     context.checker.sent_requests[request_id] = asked
--- a/tools/soak/harmfulparts.py
+++ b/tools/soak/harmfulparts.py
@@ -10,7 +10,10 @@
 
 from mountridge.net import dialects
 
-__all__ = ['HarmfulParts', 'QUARANTINED_CODE', 'header']
+__all__ = ['CRASHING_KIND', 'HarmfulParts', 'QUARANTINED_CODE', 'header']
+
+#: Kind whose requests, all alike, crash each runner that starts one.
+CRASHING_KIND = 'killer'
 
 #: Crashes until a part has to be known, and requests that may reach runners
 #: once this is so everywhere.
@@ -51,7 +54,9 @@
         return None
 
     def is_harmful(self, kind: dict) -> bool:
-        """Return whether requests of a kind have a harmful part."""
+        """Return whether requests of a kind crash runners."""
+        if kind['name'] == CRASHING_KIND:
+            return True
         names = {name.encode() for name in kind.get('parts', ())}
         return not self._harmful.isdisjoint(names)
 
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -10,7 +10,8 @@
 
 from mountridge.net import dialects, httpserver
 from standins import engine, engineserver
-from tools.soak import announcements, checks, fleet, framings, links
+from tools.soak import announcements, checks, fleet, framings
+from tools.soak import harmfulparts, links
 
 __all__ = ['EmulatedRunners', 'Runner', 'build']
 
@@ -21,7 +22,7 @@
 #: Longer than any request waits.
 SLOW_WORK_S = 60.0
 #: Path prefix of requests that crash the runner that starts them.
-CRASHING_PATH = b'/killer/'
+CRASHING_PATH = b'/%s/' % harmfulparts.CRASHING_KIND.encode()
 CRASH_DOWN_S = 2.0
 #: How long a request with a harmful part runs until its runner crashes.
 BEGIN_S = (0.01, 0.12)
