A leader outlasts parts that are released while it looks at them

Shown now: a report of a success and, after it, a crash of a part that is being probed ended the leader with a KeyError, and so did a success that was reported as a probe expired. The gateway repeats its report, so the next leader would end as well. The entries are read again after each commit.

Seen failing before: a row and a scenario of features/partevidence.feature, both with the KeyError. The snippet of one mutant has moved.

--- a/features/partevidence.feature
+++ b/features/partevidence.feature
@@ -49,6 +49,7 @@
       | crashes its runner            | it is held, and not probed for 8 minutes      |
       | has no result                 | it is held again after 45 s, and not probed   |
       | is granted as the leader ends | the next leader grants none before its result |
+      | succeeds, and a runner crashes later, in one report | it is held no longer    |
 
   Scenario Outline: Of parts quarantined together, <what> are probed by <request>
     Given a leader of gateways that report crashes of runners
@@ -63,6 +64,15 @@
       | one of them | bad           | granted | crashes   | bad:red                   |
       | all of them | bad,first,mid | refused | -         | bad:red first:red mid:red |
 
+  # Guards against a leader that ends as a part is released while another is
+  # being quarantined.
+  Scenario: Two probes without a result, of which one succeeds as the other expires
+    Given a leader of gateways that report crashes of runners
+    When gateways report 1:red/r1/bad,first,mid 2:red/r2/bad,first,mid
+    And 6 s later a request with the parts first,mid asks for a probe
+    And 46 s later the probes expire while a success of mid is reported
+    Then the parts held are bad:red first:red
+
   Scenario: A part that is held for a team and for all is probed as one
     Given a leader of gateways that report crashes of runners
     When gateways report 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad
--- a/features/steps/partevidence_steps.py
+++ b/features/steps/partevidence_steps.py
@@ -15,6 +15,8 @@
 from mountridge.state import partevidence, statemachine
 
 ALL = promptparts.ALL_TEAMS
+#: Time for the commit of a change, in which others begin.
+COMMIT_S = 0.005
 
 
 def part(name):
@@ -51,6 +53,7 @@
         self.crashes, self.grants_s = [], []
 
     async def _propose(self, payload):
+        await trio.sleep(COMMIT_S)
         self.index += 1
         return self.machine.apply_payload(self.index, payload)
 
@@ -174,6 +177,13 @@
     leader.now_s += 1
     if end == 'succeeds':
         leader.report([], ['bad'])
+    elif end == 'succeeds, and a runner crashes later, in one report':
+        leader.now_s += 1
+        crash = promptparts.PartCrash(
+            part('bad'), team('red'), b'r3', 'i-3', 1, 0, 0.0
+        )
+        aged = [crash], [(part('bad'), 1.0)]
+        run(leader.parts.on_report, None, messages.PartReport(*aged))
     elif end == 'crashes its runner':
         leader.crash(3, 'red/r3/bad')
     elif end == 'is granted as the leader ends':
@@ -270,6 +280,25 @@
     context.is_granted = leader.take_probe(*keys)
 
 
+@when(
+    '{after_s:d} s later the probes expire while a success of {name} is'
+    ' reported'
+)
+def expire_beside_report(context, after_s, name):
+    leader = context.leader
+    assert context.is_granted
+    leader.now_s += after_s
+    report = messages.PartReport([], [(part(name), 0.0)])
+
+    async def both():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader.parts.on_report, None, report)
+            await trio.sleep(COMMIT_S / 2)
+            nursery.start_soon(leader.parts.expire)
+
+    run(both)
+
+
 @then('it is {granted}, and if it {end} the parts held are {held}')
 def check_grant(context, granted, end, held):
     leader = context.leader
--- a/mountridge/control/partquarantine.py
+++ b/mountridge/control/partquarantine.py
@@ -80,6 +80,9 @@
         ]
         for key in released:
             await self._release(key, 'succeeded')
+        # Others may have been released or quarantined meanwhile.
+        entries = self._entries()
+        self._refresh(entries, now_s)
         again, is_new = set(), False
         for crash in report.crashes:
             crashed_s = now_s - crash.age_s
@@ -253,12 +256,16 @@
     async def expire(self) -> None:
         """Quarantine parts again whose probe has had no result."""
         now_s = self._app.now_s()
-        entries = self._entries()
-        self._refresh(entries, now_s)
-        for key, entry in entries.items():
-            is_late = now_s - self._since[key][1] >= PROBE_RESULT_S
-            if not entry.is_held and is_late and key not in self._changing:
-                try:
-                    await self._quarantine(key, 0, self._app.wall_s())
-                except errors.MountridgeError as problem:
-                    logger.debug('part not held', reason=str(problem))
+        self._refresh(self._entries(), now_s)
+        for key in list(self._since):
+            if key in self._changing or not self._is_overdue(key, now_s):
+                continue
+            try:
+                await self._quarantine(key, 0, self._app.wall_s())
+            except errors.MountridgeError as problem:
+                logger.debug('part not held', reason=str(problem))
+
+    def _is_overdue(self, key: bytes, now_s: float) -> bool:
+        """Return whether a part's probe is still without a result."""
+        is_held, since_s = self._since.get(key, (True, now_s))
+        return not is_held and now_s - since_s >= PROBE_RESULT_S
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -956,8 +956,8 @@
     ),
     Mutant(
         'parts: a probe without a result is never ended', 'partquarantine',
-        'if not entry.is_held and is_late and key not in self._changing:',
-        'if False:', 'partevidence',
+        'if key in self._changing or not self._is_overdue(key, now_s):',
+        'if True:', 'partevidence',
     ),
     Mutant(
         'parts: no release after a success', 'partquarantine',
@@ -2002,6 +2002,18 @@
         'entry: configurations that are not UTF-8 are taken', 'entry',
         'routes.check_encoding(source)', 'pass', 'entry', 'not UTF-8',
     ),
+    Mutant(
+        'parts: a report reads what was quarantined before its releases',
+        'partquarantine',
+        'entries = self._entries()\n'
+        '        self._refresh(entries, now_s)\n        again', 'again',
+        'partevidence', 'in one report',
+    ),
+    Mutant(
+        'parts: one that is gone is looked up', 'partquarantine',
+        'self._since.get(key, (True, now_s))', 'self._since[key]',
+        'partevidence', 'as the other expires',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
