--- a/features/consensus.feature
+++ b/features/consensus.feature
@@ -182,6 +182,15 @@
       | its former identity     | c1.old | that it is not the leader |
       | no other box's identity | c2.old | none                      |
 
+  # Guards against callers that wait for ever: a leader that was cut off for long
+  # gets a snapshot in place of the entries that would decide its proposals.
+  Scenario: Proposals that a snapshot overtakes are answered
+    Given a replica on box "c1" with a new identity
+    And it waits for the entries 5, 9 and 12 that it proposed
+    When it gets a snapshot up to entry 9 from the leader
+    Then those who proposed 5 and 9 are told that it does not lead
+    And the one who proposed 12 still waits
+
   Scenario: Random schedules of faults keep the log consistent
     Given 40 random schedules of faults over 3 and 5 controllers
     Then no acknowledged command is lost, duplicated or reordered
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import Phase, settings, strategies
+import trio
 
 from features.worlds.consensus import holds_lease, World
 from mountridge.consensus import consensus, entries, replicas, storage
@@ -768,6 +769,38 @@
     context.replica.on_raft(peer, message)
 
 
+@given('it waits for the entries 5, 9 and 12 that it proposed')
+def wait_for_entries(context):
+    context.answers = {}
+    for index in (5, 9, 12):
+        sender, context.answers[index] = trio.open_memory_channel(1)
+        context.replica._pending_commands[index] = (1, sender)
+
+
+@when('it gets a snapshot up to entry {index:d} from the leader')
+def get_snapshot(context, index):
+    replica = context.replica
+    replica.machine = types.SimpleNamespace(restore=lambda data: None)
+    config = entries.Config({}, {})
+    snapshot = consensus.Snapshot(index, 2, config, b'state')
+    replica._restore_snapshot(consensus.SaveSnapshot(snapshot, True))
+
+
+@then('those who proposed 5 and 9 are told that it does not lead')
+def check_overtaken(context):
+    for index in (5, 9):
+        answer = context.answers[index].receive_nowait()
+        assert isinstance(answer, errors.NotLeader), answer
+
+
+@then('the one who proposed 12 still waits')
+def check_waiting(context):
+    statistics = context.answers[12].statistics()
+    assert not statistics.current_buffer_used
+    assert statistics.open_send_channels == 1
+    assert list(context.replica._pending_commands) == [12]
+
+
 @then('the reply is that it is not the leader')
 def former_identity_replied(context):
     (message,) = context.sent
--- a/mountridge/consensus/replicas.py
+++ b/mountridge/consensus/replicas.py
@@ -404,6 +404,11 @@
             self.machine.restore(effect.snapshot.data)
             self.applied = effect.snapshot.index
             logger.info('snapshot installed', index=self.applied)
+            # It does not tell what became of its own proposals up to there.
+            for index in sorted(self._pending_commands):
+                if index <= self.applied:
+                    _, waiter = self._pending_commands.pop(index)
+                    _send(waiter, errors.NotLeader())
 
     def _send(self, effect: consensus.Send, sender: str = '') -> None:
         address = self.node.config.addresses().get(effect.to)
--- a/mountridge/controller.py
+++ b/mountridge/controller.py
@@ -185,7 +185,9 @@
                     nursery.start_soon(self._remove_member, name)
 
     async def _remove_member(self, name: str) -> None:
-        member = self.machine.members_by_name[name]
+        member = self.machine.members_by_name.get(name)
+        if member is None:
+            return
         logger.info('member changed', member=name, state='gone')
         removed = member._replace(state='gone')
         try:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -2014,6 +2014,11 @@
         'self._since.get(key, (True, now_s))', 'self._since[key]',
         'partevidence', 'as the other expires',
     ),
+    Mutant(
+        'replicas: proposals wait beyond a snapshot', 'replicas',
+        '_send(waiter, errors.NotLeader())\n\n', 'pass\n\n', 'consensus',
+        'a snapshot overtakes',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
