The answers that a process holds for slow callers are bounded together

Up to 256 KB of an answer are held so that a broken one can be asked for elsewhere, and were copied once more as they were sent.

All answers together now take 48 MB; beyond that those of over 16 KB are forwarded as they come.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -82,6 +82,19 @@
       | 10    | 4 MB in chunks              | 12      | whole             |
       | 10    | 4 MB with no length         | 12      | whole             |
 
+  # Guards against memory that grows with the number of slow callers.
+  Scenario Outline: <count> callers read 4 MB <framing> slowly, for whom 2 MB are held
+    Given a process that holds 2 MB of answers for all callers
+    And a runner that sends 4 MB <framing>, and <count> callers that read nothing for 1500 ms
+    Then the process holds under <held_mb> MB for them meanwhile
+    And they get whole
+
+    Examples: 2 MB, and for each a read that is being parsed and sent
+      | count | framing     | held_mb |
+      | 80    | with a length  | 16   |
+      | 80    | in chunks      | 16   |
+      | 80    | with no length | 16   |
+
   # Guards against a second answer behind a part of the first one.
   Scenario: A long answer that its runner breaks off is not sent again
     When a safe request gets half of a body of 4 MB with a length
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -104,6 +104,19 @@
     When a streaming-once request is sent
     Then its answer is 200, 2 events, without an end
 
+  # Guards against answers that count for ever, so that later ones are not held.
+  Scenario Outline: An answer of a runner that <fault> counts nothing once it is sent
+    Given two runners of which the first <fault>
+    When a safe request is sent
+    Then no bytes of answers are held
+
+    Examples:
+      | fault                       |
+      | answers correctly           |
+      | truncates its answer        |
+      | fails while running it      |
+      | sends no length and crashes |
+
   # Guards against streams that never end for a caller that has all events.
   Scenario Outline: A stream <first> is complete if the next runner has no more events
     Given two runners of which the first <first>
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -248,6 +248,11 @@
             self.closed.set()
 
 
+@given('a process that holds {held_mb:d} MB of answers for all callers')
+def bound_held(context, held_mb):
+    context.held_answers = routedanswers.HeldAnswers(held_mb << 20)
+
+
 @given(
     'a runner that sends 4 MB {framing}, and {count:d} callers that read'
     ' nothing for {wait_ms:d} ms'
@@ -272,6 +277,8 @@
     async def main():
         world = base.World('answers correctly')
         world.runners[0] = Large(framing)
+        if 'held_answers' in context:
+            world.forwarder.held_answers = context.held_answers
         table = world.index.table
         listed = [
             route._replace(timeout_ms=LARGE_DEADLINE_MS)
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -797,6 +797,12 @@
     assert not any(runner.runs for runner in context.world.runners)
 
 
+@then('no bytes of answers are held')
+def check_none_held(context):
+    held = context.world.forwarder.held_answers
+    assert held.held_bytes == 0, held.held_bytes
+
+
 HEADS = {
     **INVALID,
     'gets no answer in time': _request(b'/safe/1').replace(b'2500', b'200'),
--- a/mountridge/net/httpserver.py
+++ b/mountridge/net/httpserver.py
@@ -29,6 +29,9 @@
 #: Bytes that a caller may pipeline while a response is being sent.
 PIPELINE_BYTES = 1 << 20
 
+#: Longest body that is sent in one write with the head of its response.
+MAX_COPIED_BYTES = 16384
+
 #: Longest stream that is held for a caller of HTTP/1.0.
 MAX_HELD_BYTES = 4 << 20
 
@@ -150,16 +153,21 @@
     async def send_response(
         self, status: int, headers: Headers, body: bytes
     ) -> None:
-        """Send a complete response in one write."""
+        """Send a complete response, a short one in one write."""
         await self._begin()
         length = (b'Content-Length', b'%d' % len(body))
         fields = headers + [length] + self._persistence()
         head = h11.Response(status_code=status, headers=fields)
-        data = self._http.send(head)
-        if not self._without_body:
-            data += self._http.send(h11.Data(body))
-        data += self._http.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
+        parts = [self._http.send(head)]
+        if body and not self._without_body:
+            # Bodies are not copied by the parser.
+            parts += self._http.send_with_data_passthrough(h11.Data(body))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        if len(body) <= MAX_COPIED_BYTES:
+            parts = [b''.join(parts)]
+        for part in parts:
+            if part:
+                await self._stream.send_all(part)
         self.finished = True
 
 
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -142,18 +142,19 @@
 
 
 async def read_ahead(
-    chunks: typing.AsyncIterator[bytes], max_bytes: int
+    chunks: typing.AsyncIterator[bytes],
+    may_hold: typing.Callable[[int], bool],
 ) -> tuple[bytes, bool]:
     """Return a body, and whether it is whole.
 
-    Reading stops once it is over ``max_bytes``; what follows is still to come
-    from ``chunks``.
+    Reading stops once no more than the length so far may be held; what follows
+    is still to come from ``chunks``.
     """
     parts, length = [], 0
     async for chunk in chunks:
         parts.append(chunk)
         length += len(chunk)
-        if length > max_bytes:
+        if not may_hold(length):
             return b''.join(parts), False
     return b''.join(parts), True
 
@@ -226,7 +227,9 @@
 
         :raises BadAnswer: the body was truncated, or is too long.
         """
-        body, is_whole = await read_ahead(self.chunks(), max_bytes)
+        body, is_whole = await read_ahead(
+            self.chunks(), lambda length: length <= max_bytes
+        )
         if not is_whole:
             raise errors.BadAnswer(f'the body is over {max_bytes} bytes')
         return body
--- a/mountridge/routing/forwarding.py
+++ b/mountridge/routing/forwarding.py
@@ -108,6 +108,7 @@
         self.pool = lasthop.Pool(
             dialect.headers, app.now_s, are_answers_named=True
         )
+        self.held_answers = routedanswers.HeldAnswers()
         self._index = index
         self.budget = budget
         self.view = view or viewguards.unguarded(app.now_s)
@@ -509,6 +510,7 @@
             self.app.now_s,
             lambda: self._after_events(exchange, backend),
             lambda: self._confirm_end(exchange, reply, backend),
+            self.held_answers,
         )
         backend.record_success()
         self.crashes.record_success(exchange)
--- a/mountridge/routing/routedanswers.py
+++ b/mountridge/routing/routedanswers.py
@@ -9,6 +9,7 @@
 (`_check_closed`).
 """
 
+import contextlib
 import typing
 
 from mountridge.documents import routes
@@ -16,12 +17,20 @@
 from mountridge.net import dialects, events, lasthop
 from mountridge.routing import routedexchanges
 
-__all__ = ['forward', 'send_answer']
+__all__ = ['HeldAnswers', 'forward', 'send_answer']
 
 Answer, Exchange = routedexchanges.Answer, routedexchanges.Exchange
 #: A longer body is forwarded as it comes, at the pace of its caller: a body
 #: that is held takes memory, and one that has begun can't be retried.
 READ_AHEAD_BYTES = 256 << 10
+#: Size of the parts in which the start of such a body is sent, each of which
+#: is copied.
+PIECE_BYTES = 64 << 10
+#: Answers up to this are held whatever others take.
+MIN_HELD_BYTES = 16 << 10
+#: Most bytes of longer answers held at once: a quarter of the memory of a
+#: small box.
+MAX_HELD_BYTES = 48 << 20
 #: Longest event of a stream.
 MAX_EVENT_BYTES = 1 << 20
 
@@ -29,16 +38,52 @@
 Confirm = typing.Callable[[], typing.Awaitable[None]]
 
 
+class HeldAnswers:
+    """The bytes of answers that a process holds for all of its callers.
+
+    One is held until it is whole and its caller has read it. With many slow
+    callers, long answers are forwarded as they come instead.
+    """
+
+    def __init__(self, max_bytes: int = MAX_HELD_BYTES):
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+
+    @contextlib.contextmanager
+    def hold(self) -> typing.Iterator[typing.Callable[[int], bool]]:
+        """Count one answer; yield a function that updates its length.
+
+        It returns whether more of that answer may be held.
+        """
+        counted = 0
+
+        def may_hold(length: int) -> bool:
+            nonlocal counted
+            self.held_bytes += length - counted
+            counted = length
+            if length <= MIN_HELD_BYTES:
+                return True
+            is_room = self.held_bytes <= self.max_bytes
+            return is_room and length <= READ_AHEAD_BYTES
+
+        try:
+            yield may_hold
+        finally:
+            self.held_bytes -= counted
+
+
 async def forward(
     exchange: Exchange,
     reply: lasthop.Reply,
     now_s: Clock,
     after_events: typing.Callable[[], None],
     confirm_end: Confirm,
+    held: HeldAnswers,
 ) -> None:
     """Forward an answer; ``after_events`` may end a stream by raising.
 
-    ``confirm_end`` raises if what has been received may not be all of it.
+    ``held`` bounds what is held of it. ``confirm_end`` raises if what has been
+    received may not be all of it.
 
     :raises RunnerFailed: the runner failed; its answer is kept in the
         exchange unless a stream has been started.
@@ -50,7 +95,10 @@
             exchange, reply, now_s, after_events, confirm_end
         )
     else:
-        await _forward_complete(exchange, reply, now_s, confirm_end)
+        with held.hold() as may_hold:
+            await _forward_complete(
+                exchange, reply, now_s, confirm_end, may_hold
+            )
 
 
 def _is_stream(exchange: Exchange, reply: lasthop.Reply) -> bool:
@@ -66,9 +114,10 @@
     reply: lasthop.Reply,
     now_s: Clock,
     confirm_end: Confirm,
+    may_hold: typing.Callable[[int], bool],
 ) -> None:
     status, chunks = reply.head.status, reply.chunks()
-    body, is_all = await lasthop.read_ahead(chunks, READ_AHEAD_BYTES)
+    body, is_all = await lasthop.read_ahead(chunks, may_hold)
     if is_all:
         await confirm_end()
     if exchange.responder.started:
@@ -78,7 +127,9 @@
     if not is_all:
         if status >= 500:
             raise errors.RunnerFailed(f'the runner answered {status}')
-        await _forward_long(exchange, reply, body, chunks, now_s, confirm_end)
+        parts = _with_start(body, chunks, may_hold)
+        del body
+        await _forward_long(exchange, reply, parts, now_s, confirm_end)
         return
     headers = dialects.reply_headers(reply.headers, False)
     answer = Answer(status, headers, body)
@@ -88,11 +139,24 @@
     await send_answer(exchange, answer, now_s())
 
 
+async def _with_start(
+    start: bytes,
+    chunks: typing.AsyncIterator[bytes],
+    may_hold: typing.Callable[[int], bool],
+) -> typing.AsyncIterator[bytes]:
+    """Yield the start of a body, which then is not held, and the rest."""
+    for first in range(0, len(start), PIECE_BYTES):
+        yield start[first : first + PIECE_BYTES]
+    del start
+    may_hold(0)
+    async for chunk in chunks:
+        yield chunk
+
+
 async def _forward_long(
     exchange: Exchange,
     reply: lasthop.Reply,
-    start: bytes,
-    chunks: typing.AsyncIterator[bytes],
+    parts: typing.AsyncIterator[bytes],
     now_s: Clock,
     confirm_end: Confirm,
 ) -> None:
@@ -107,9 +171,8 @@
     has_length = reply.framing == lasthop.LENGTH
     headers = dialects.reply_headers(reply.headers, has_length)
     await responder.start(reply.head.status, headers)
-    await responder.send(start)
-    async for chunk in chunks:
-        await responder.send(chunk)
+    async for part in parts:
+        await responder.send(part)
     await confirm_end()
     await responder.finish()
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1958,9 +1958,18 @@
     ),
     Mutant(
         'answers: long ones are held', 'routedanswers',
-        'lasthop.read_ahead(chunks, READ_AHEAD_BYTES)',
-        'lasthop.read_ahead(chunks, 1 << 60)', 'endless',
-        'callers read|body in chunks',
+        'return is_room and length <= READ_AHEAD_BYTES', 'return True',
+        'endless', 'callers read|body in chunks',
+    ),
+    Mutant(
+        'answers: as many are held as there are callers', 'routedanswers',
+        'return is_room and length', 'return length', 'endless',
+        'for whom 2 MB are held',
+    ),
+    Mutant(
+        'answers: those that are sent count as held', 'routedanswers',
+        'self.held_bytes -= counted', 'pass', 'forwarding',
+        'counts nothing once',
     ),
     Mutant(
         'answers: events without end are held', 'routedanswers',
