--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,6 +47,18 @@
     And each harmful part has crashed a runner
     And no process of the run remains
 
+  # Guards against memory that is taken for slow callers, against runners that
+  # keep entries busy, and against a disk that is lost as the system forms.
+  Scenario: A short run with slow callers and endless answers breaks no rule
+    When seed 3 is run for 30 s with slow callers and endless answers
+    Then no rule is broken, and these rules were checked
+      | rule                              |
+      | processes stay within their memory |
+      | acknowledged routes are kept      |
+      | whole and right answers           |
+      | good service is back              |
+    And no process of the run remains
+
   # Guards against changes that are late or come back, and against requests to
   # runners that drain or leave, also where a process was not run for a while.
   Scenario: A short run with changes, drains and pauses breaks no rule
@@ -99,6 +111,7 @@
       | a part that crashes too many runners    | a part crashes 5 runners, and reaches 4 more 5 s later          | parts that crash runners are held back    |
       | a sound request that is held back       | it is answered with 502 and the code of a quarantined part      | sound requests are not held back          |
       | two maps in a forward pass              | a forward pass runs with two maps                               | one map a pass                            |
+      | a process that takes too much memory    | a process takes 100.1 MB of 100                                 | processes stay within their memory        |
       | a process that ends unexpectedly        | a process ends unexpectedly                                     | no process ends by itself                 |
       | a message that cannot be decoded        | the metrics of an entry count a malformed message               | processes read all messages               |
       | a process of another build              | a process starts on the old build instead of the new one        | processes run their build                 |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -91,6 +91,11 @@
     _run_soak(context, seed, '0.6', 'changes.yaml')
 
 
+@when('seed {seed:d} is run for 30 s with slow callers and endless answers')
+def run_slow_soak(context, seed):
+    _run_soak(context, seed, '0.5', 'slow.yaml')
+
+
 @then('each harmful part has crashed a runner')
 def check_harmful_crashes(context):
     verdict = json.loads(context.completed.stdout)
@@ -385,6 +390,13 @@
     context.checker.sweep(NOW_S, 1, [])
 
 
+@when('a process takes {taken_mb:g} MB of {most_mb:g}')
+def take_memory(context, taken_mb, most_mb):
+    context.checker.record_memory('entry-1', most_mb, most_mb)
+    assert not context.report.broken, context.report.broken
+    context.checker.record_memory('entry-1', taken_mb, most_mb)
+
+
 @when('a process ends unexpectedly')
 def end_process(context):
     context.checker.sweep(NOW_S, 0, ['entry-1'])
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -436,6 +436,11 @@
 
     # Periodically, and at the end.
 
+    def record_memory(self, name: str, taken_mb: float, most_mb: float):
+        """Check the memory that a process takes."""
+        rule = 'processes stay within their memory'
+        self.check(rule, taken_mb <= most_mb, name=name, taken_mb=taken_mb)
+
     def sweep(self, now_s: float, mixed_passes: int, ended: list[str]) -> None:
         """Check the rules that span several events."""
         self.check('one map a pass', mixed_passes == 0, mixed=mixed_passes)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -158,6 +158,11 @@
         else:
             await self._kill([name], fault.span_s, is_wiped)
 
+    async def wipe_founder(self) -> None:
+        """Let the first seed lose its disk, as routes were acknowledged."""
+        names = self.system.names[:1]
+        await self._kill(names, REPLACE_S, is_wiped=True)
+
     async def _entries(self, fault: Fault) -> None:
         await self._kill(self.system.names, fault.span_s)
 
@@ -260,7 +265,8 @@
             runner.state = 'ready'
             self.checker.end_drain(runner)
         else:
-            target = runner if fault_name == 'garbled' else runner.faults
+            is_own = fault_name in ('garbled', 'endless')
+            target = runner if is_own else runner.faults
             with self._mark_faulted(f'link-{runner.name}'):
                 setattr(target, fault_name, fault.strength)
                 await trio.sleep(fault.span_s)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -3,6 +3,7 @@
 """The real processes of a run, and the links in front of them."""
 
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -150,6 +151,16 @@
             await trio.sleep(0.05)
         return trio.current_time() - started_s
 
+    def memory_mb(self, name: str) -> float:
+        """Return the memory that a process has taken, 0 if it has ended."""
+        try:
+            pid = self.by_name[name].pid
+            status = pathlib.Path(f'/proc/{pid}/status').read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r'VmRSS:\s*(\d+) kB', status)
+        return int(found[1]) / 1024 if found else 0.0
+
     def ended(self) -> list[str]:
         """Return the processes that have ended by themselves."""
         expected = [name for name in self.by_name if name not in self.stopped]
--- a/tools/soak/loads.py
+++ b/tools/soak/loads.py
@@ -126,6 +126,8 @@
                     named = {k.lower(): v for k, v in reply.headers}
                     async for piece in reply.chunks():
                         pieces.append(piece)
+                        if 'read_per_s' in kind:
+                            await trio.sleep(len(piece) / kind['read_per_s'])
                     is_whole = True
             except errors.MountridgeError:
                 pass  # what was received until the failure is checked
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -26,6 +26,8 @@
 
 #: Sizes with backoffs, leaving runners and a request that crashes runners.
 ANNOUNCEMENT_SIZES = 'tools/soak/words.yaml'
+#: Sizes with slow callers, and a disk that is lost as the system forms.
+SLOW_SIZES = 'tools/soak/slow.yaml'
 
 MUTANTS = {
     'forwarding: no refusal to repeat unsafe requests': Expectation(
@@ -54,6 +56,12 @@
     'events: a stream may end within an event': Expectation(
         'whole and right answers', 'tools/soak/framings.yaml'
     ),
+    'answers: long ones are held': Expectation(
+        'processes stay within their memory', SLOW_SIZES
+    ),
+    'copies: too few voters acknowledge': Expectation(
+        'routes are in force', SLOW_SIZES
+    ),
     'quarantine: no count of crashes': Expectation(
         'requests that crash runners are held back', ANNOUNCEMENT_SIZES
     ),
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -2,6 +2,7 @@
 
 """Emulated runners that can restart, each behind its own link."""
 
+import contextlib
 import random
 import time
 import typing
@@ -31,6 +32,8 @@
 MAX_WAIT_S = 8.0
 #: Bytes that are not a valid HTTP response.
 GARBLED = b'\x00\x17 not an answer \r\n\r\n'
+#: Chunks of one byte, sent at a time by a runner that never ends an answer.
+TINY_CHUNKS = 2000 * b'1\r\nx\r\n'
 
 
 class Runner:
@@ -51,6 +54,9 @@
         self.link = links.Link(address)
         self.handler, self.faults = stand_in
         self.garbled = 0.0  # share of requests with an invalid response
+        self.endless = 0.0  # share of requests answered without end
+        #: Size of the answers by kind, where it is not the usual one.
+        self.large_bytes: dict[bytes, int] = {}
         self.state = 'ready'
         self.backoff_s = 0.0  # if set, refuses requests and asks for it
         self.is_leaving = False  # announced in all its answers
@@ -158,6 +164,13 @@
                 if rng.random() < self.garbled:
                     await responder._stream.send_all(GARBLED)
                     return
+                if self.endless and rng.random() < self.endless:
+                    await self._send_endless(request_id, responder._stream)
+                    return
+                large = self.large_bytes.get(request.path.split(b'/')[1])
+                if large is not None:
+                    await self._send_large(request, responder, large)
+                    return
             await self.handler(request, responder)
             if frames and responder.started and not responder.finished:
                 # Without a length, a stream that closes would look complete.
@@ -165,6 +178,28 @@
 
         return handle
 
+    async def _send_endless(
+        self, request_id: bytes, stream: trio.SocketStream
+    ) -> None:
+        """Send chunks of one byte until the caller closes."""
+        named = NAMES.request_id + b': ' + request_id
+        head = [b'HTTP/1.1 200 X', named, b'Transfer-Encoding: chunked']
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(b'\r\n'.join([*head, b'', b'']))
+            while True:
+                await stream.send_all(TINY_CHUNKS)
+
+    async def _send_large(
+        self,
+        request: httpserver.Request,
+        responder: httpserver.Responder,
+        count: int,
+    ) -> None:
+        request_id = request.header(NAMES.request_id) or b''
+        body = {'path': request.path.decode(), 'padding': count * 'x'}
+        named = [(NAMES.request_id, request_id)]
+        await httpserver.send_json(responder, 200, body, named)
+
     def _leaving(
         self,
         request_id: bytes,
@@ -295,4 +330,10 @@
             plain = engineserver.PlainRunner(n, work_s, rng)
             checker.run_counts.append(plain.runs)
             add(f'{prefix}-{n}', service, host + n, plain.handle, plain.faults)
+    for runner in created:
+        runner.large_bytes = {
+            kind['name'].encode(): kind['bytes']
+            for kind in sizes['kinds']
+            if 'bytes' in kind
+        }
     return EmulatedRunners(created, group, ranks)
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import signal
+import time
 import typing
 
 import trio
@@ -19,6 +20,8 @@
 START_S = 30.0
 #: Delay from the first acknowledged routes to the first callers.
 SETTLE_S = 2.5
+#: How long a founder that is to be lost runs before the others are started.
+ALONE_S = 1.0
 CHECK_INTERVAL_S = 1.0
 PROBES = 3
 PROGRESS_INTERVAL_S = 10.0
@@ -70,6 +73,8 @@
                 nursery.start_soon(runner.run, self.system, self.checker)
             with trio.fail_after(START_S):
                 await self.operator.put_first_routes()
+            if self.system.sizes.get('wipes_founder'):
+                nursery.start_soon(self.faults.wipe_founder)
             await trio.sleep(SETTLE_S)
             self.report.started_s = trio.current_time()
             kinds = self.system.sizes['kinds']
@@ -148,6 +153,7 @@
         reported_s = trio.current_time()
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
+            self._check_memory()
             now_s, ended = trio.current_time(), self.system.ended()
             self.checker.sweep(now_s, self.emulated.group.mixed_passes, ended)
             for name in ended:
@@ -158,6 +164,14 @@
                     '%d asked, %d served' % self._counts()
                 )
 
+    def _check_memory(self) -> None:
+        most_mb = self.system.sizes.get('memory_mb')
+        if most_mb is None:
+            return
+        for name in self.system.names:
+            taken_mb = self.system.memory_mb(name)
+            self.checker.record_memory(name, taken_mb, most_mb)
+
     async def _probe(self) -> None:
         while True:
             for name in self.system.names:
@@ -166,6 +180,18 @@
                 await trio.sleep(CHECK_INTERVAL_S / 2)
 
 
+def _start(system: fleet.Fleet) -> None:
+    """Start all processes; the founder alone first if it is to be lost."""
+    numbers = range(system.sizes['entries'])
+    if system.sizes.get('wipes_founder'):
+        system.start_entry(0, founding=True)
+        time.sleep(ALONE_S)
+        numbers = numbers[1:]
+    for number in numbers:
+        system.start_entry(number, founding=True)
+    system.start_sidecars()
+
+
 def execute(
     seed: int,
     span_s: float,
@@ -204,8 +230,7 @@
     # Stop all processes also when this one receives SIGTERM.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        system.start_entries(founding=True)
-        system.start_sidecars()
+        _start(system)
         return {'seed': seed, 'span_s': span_s, **trio.run(run)}
     finally:
         system.stop_all()
