Sidecars use the seeds of a settings file that changes

Sidecars now watch it like entries do.

The scenario of features/start.feature fails without the watch (mutant).

--- a/features/start.feature
+++ b/features/start.feature
@@ -40,6 +40,13 @@
     When its file changes after it was loaded, and its watch begins
     Then the changed seeds are applied
 
+  # Guards against a sidecar that reports to nobody once all controllers that it
+  # knew are replaced.
+  Scenario: A sidecar uses the seeds of a settings file that changes
+    Given a sidecar with the settings of a file
+    When the seeds in its file change while it runs
+    Then it asks the new seeds for the leader too
+
   Scenario Outline: No early socket is opened for a settings file that is <file>
     Given a settings file that is <file>
     Then no socket listens early
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -13,10 +13,11 @@
 
 from behave import given, then, when
 import trio
+import trio.testing
 import yaml
 
 from mountridge.documents import routes
-from mountridge import errors, settings, settingswatch
+from mountridge import errors, settings, settingswatch, sidecar
 from mountridge.net import httpserver, listening
 from standins import ports
 
@@ -234,6 +235,56 @@
     trio.run(begin)
 
 
+SIDECAR = {
+    'role': 'sidecar',
+    'name': 's1',
+    'bind': 'tcp://127.0.0.1:7000',
+    'keys': {'off': True},
+    'entry': {'seeds': ['127.0.0.1:8002']},
+    'sidecar': {'engine': '127.0.0.1:9000'},
+}
+
+
+@given('a sidecar with the settings of a file')
+def make_sidecar(context):
+    _write(context, json.dumps(SIDECAR))
+    app = types.SimpleNamespace(
+        settings=settings.load(context.path),
+        tasks=[],
+        reload=[],
+        dumpers={},
+        now_s=trio.current_time,
+    )
+    context.app = app
+    context.sidecar = sidecar.build(app, str(context.path), None)
+
+
+@when('the seeds in its file change while it runs')
+def change_seeds(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            # Without the task that talks to its engine.
+            for task in context.app.tasks:
+                if task != context.sidecar.run:
+                    nursery.start_soon(task)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            changed = {'seeds': ['127.0.0.9:8002']}
+            context.path.write_text(json.dumps({**SIDECAR, 'entry': changed}))
+            for request in context.app.reload:
+                request()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then('it asks the new seeds for the leader too')
+def check_seeds(context):
+    leader = context.sidecar.leader
+    assert leader.seeds == ['tcp://127.0.0.9:7000'], leader.seeds
+    assert 'tcp://127.0.0.9:7000' in leader._names, leader._names
+
+
 @then('the changed seeds are applied')
 def check_applied(context):
     (applied,) = context.applied
--- a/mountridge/cli.py
+++ b/mountridge/cli.py
@@ -73,7 +73,7 @@
     from mountridge import sidecar as daemon
 
     def run(loaded: dict) -> None:
-        daemon.run(loaded, engines.connect)
+        daemon.run(loaded, settings_file, engines.connect)
 
     _run_daemon(run, settings_file, 'sidecar')
 
--- a/mountridge/sidecar.py
+++ b/mountridge/sidecar.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from mountridge import application, errors, messages
+from mountridge import application, errors, messages, settingswatch
 from mountridge.experts import demand, mapdeltas, ranks
 from mountridge.logs import logger
 from mountridge.net import httpserver
@@ -331,20 +331,26 @@
         }
 
 
-def build(app: application.Application, engine: Engine) -> Sidecar:
-    """Return a sidecar with its tasks added to ``app``."""
+def build(app: application.Application, path: str, engine: Engine) -> Sidecar:
+    """Return a sidecar with its tasks added to ``app``.
+
+    ``path`` is the settings file, of which changed seeds are applied.
+    """
     built = Sidecar(app, engine)
     app.tasks.append(built.run)
+    update = built.leader.update_seeds
+    app.tasks.append(settingswatch.task(app, path, update))
     app.dumpers['sidecar'] = built.dump
     return built
 
 
 def run(
     settings: dict,
+    path: str,
     connect: typing.Callable[[application.Application], Engine],
 ) -> None:
-    """Run a sidecar until it is stopped."""
+    """Run a sidecar until it is stopped; ``path`` is its settings file."""
     app = application.Application(settings)
-    build(app, connect(app))
+    build(app, path, connect(app))
     app.tasks.append(httpserver.metrics_task(app))
     trio.run(app.run)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -2028,6 +2028,11 @@
         '_send(waiter, errors.NotLeader())\n\n', 'pass\n\n', 'consensus',
         'a snapshot overtakes',
     ),
+    Mutant(
+        'sidecar: changed seeds are not used', 'sidecar',
+        'app.tasks.append(settingswatch.task(app, path, update))', 'pass',
+        'start', 'A sidecar uses the seeds',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
