Scenarios for runners that read request bodies slowly

16 bodies of 1 MB that are unread take under 24 MB, and of 40 the 24 that are bounded arrive whole, while the other callers get 503 and 1217 before they have sent all.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -114,6 +114,20 @@
       | leave              | gets 200                     |
       | send the rest      | gets 200                     |
 
+  # Guards against bodies that are copied, or collected without a bound, for
+  # runners that read them slowly.
+  Scenario Outline: Runners read the bodies of <count> requests slowly
+    Given a gateway that holds 24 MB of request bodies for runners that read slowly
+    When <count> callers send bodies of 1 MB
+    Then the process holds under <held_mb> MB for them meanwhile
+    And <whole> of the bodies arrive whole, and as many callers get 200
+    And the other callers get 503 and the code 1217, before they have sent all
+
+    Examples:
+      | count | held_mb | whole |
+      | 16    | 24      | 16    |
+      | 40    | 36      | 24    |
+
   # Guards against a 200 with an empty or short body after half a head.
   Scenario Outline: A runner closes at any byte of a head framed by <framing>
     Given a runner that closes after each number of bytes of a head framed by <framing>
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -26,6 +26,7 @@
 #: Deadline of requests for large answers.
 LARGE_DEADLINE_MS = 30000
 LARGE_BYTES = 4_000_000
+MB = 1 << 20
 #: Positions within a head that are tried at once. With ten times as many the
 #: process is so busy beside load that connections to its runners time out.
 BATCH = 4
@@ -248,6 +249,15 @@
             self.closed.set()
 
 
+def _allow_long(world):
+    """Let routes allow requests that take long."""
+    table = world.index.table
+    listed = [
+        route._replace(timeout_ms=LARGE_DEADLINE_MS) for route in table.routes
+    ]
+    world.index = routes.index(table._replace(routes=listed))
+
+
 @given('a process that holds {held_mb:d} MB of answers for all callers')
 def bound_held(context, held_mb):
     context.held_answers = routedanswers.HeldAnswers(held_mb << 20)
@@ -279,12 +289,7 @@
         world.runners[0] = Large(framing)
         if 'held_answers' in context:
             world.forwarder.held_answers = context.held_answers
-        table = world.index.table
-        listed = [
-            route._replace(timeout_ms=LARGE_DEADLINE_MS)
-            for route in table.routes
-        ]
-        world.index = routes.index(table._replace(routes=listed))
+        _allow_long(world)
         async with trio.open_nursery() as nursery:
             await world.start(nursery)
             async with trio.open_nursery() as callers:
@@ -409,6 +414,86 @@
     assert context.fourth.startswith(b'HTTP/1.1 200'), context.fourth
 
 
+class SlowReader(base.Runner):
+    """A runner that reads the body of a request late."""
+
+    #: Set when bodies are to be read.
+    may_read: trio.Event
+
+    async def serve(self, stream):
+        data = await stream.receive_some(2048)
+        await self.may_read.wait()
+        head, _, start = data.partition(b'\r\n\r\n')
+        size = len(start)
+        while size < MB and (piece := await stream.receive_some(65536)):
+            size += len(piece)
+        self.received.append(size)
+        lines = [line.partition(b': ') for line in head.split(b'\r\n')[1:]]
+        request = {name.lower(): value for name, _, value in lines}
+        await stream.send_all(base._answer_bytes(200, request, b'whole'))
+
+
+@given(
+    'a gateway that holds {held_mb:d} MB of request bodies for runners that'
+    ' read slowly'
+)
+def make_slow_readers(context, held_mb):
+    context.world = world = base.World('answers correctly')
+    world.runners[0] = SlowReader('reads slowly')
+    world.runners[0].may_read = trio.Event()
+    _allow_long(world)
+    world.server._limits = lambda: routes.Limits(body_bytes=2 * MB)
+    world.server._bodies = httpserver.BodyBudget(held_mb * MB)
+
+
+@when('{count:d} callers send bodies of 1 MB')
+def send_large_bodies(context, count):
+    context.answers, body = [], _pad(MB)
+
+    async def call(world):
+        stream = await world.open()
+        extra = b'Content-Length: %d\r\n' % MB
+        request = base._request(b'/unsafe/1', extra=extra, method=b'POST')
+        deadline = b'%d' % LARGE_DEADLINE_MS
+        await stream.send_all(_closing(request.replace(b'2500', deadline)))
+        context.answers.append(await _finish(stream, body))
+
+    async def script(world):
+        bodies = world.server._bodies
+        most = min(count, bodies.max_bytes // MB)
+        async with trio.open_nursery() as callers:
+            for _ in range(count):
+                callers.start_soon(call, world)
+            while bodies.held_bytes < most * MB or (
+                len(context.answers) < count - most
+            ):
+                await trio.sleep(0.01)
+            context.held = tracemalloc.get_traced_memory()[1]
+            world.runners[0].may_read.set()
+
+    tracemalloc.start()
+    try:
+        base._run(context, script)
+    finally:
+        tracemalloc.stop()
+
+
+@then('{whole:d} of the bodies arrive whole, and as many callers get 200')
+def check_bodies(context, whole):
+    assert context.world.runners[0].received == whole * [MB]
+    good = [a for a in context.answers if a.startswith(b'HTTP/1.1 200')]
+    assert len(good) == whole, len(good)
+
+
+@then('the other callers get 503 and the code 1217, before they have sent all')
+def check_refused(context):
+    assert not context.world.server._bodies.held_bytes
+    for answer in context.answers:
+        if not answer.startswith(b'HTTP/1.1 200'):
+            assert answer.startswith(b'HTTP/1.1 503'), answer
+            assert b'"code": 1217' in answer, answer
+
+
 # Heads that stop.
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -2033,6 +2033,16 @@
         'app.tasks.append(settingswatch.task(app, path, update))', 'pass',
         'start', 'A sidecar uses the seeds',
     ),
+    Mutant(
+        'last hop: long bodies are copied', 'lasthop',
+        'if len(body) <= MAX_COPIED_BYTES:', 'if True:', 'endless',
+        'Runners read the bodies',
+    ),
+    Mutant(
+        'server: request bodies are not bounded together', 'httpserver',
+        'if self.held_bytes + count > self.max_bytes:', 'if False:',
+        'endless', 'Runners read the bodies',
+    ),
     Mutant(
         'answers: a long one that is cut is sent again', 'forwarding',
         'if exchange.is_body_begun:', 'if False:', 'endless',
