Answers with a status that HTTP does not have reach no caller

Callers would see: an answer with a status from 600 to 999 of a runner in trouble, passed on as if it had meant to give it, by an entry, by a gateway with agents, and for streams; one from 000 to 099, which was seen on another system, was refused already.

Cause: the parser of answers takes any three digits from 200 on for a final status, and nothing behind it looked at the range.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -102,6 +102,9 @@
       | between two events     | HTTP/1.1 | incomplete         |
       | before its first event | HTTP/1.1 | refused as ran     |
       | before its head        | HTTP/1.1 | refused as unknown |
+      | with status 000        | HTTP/1.1 | refused as unknown |
+      | with status 999        | HTTP/1.1 | refused as unknown |
+      | with status 999        | HTTP/1.0 | refused as unknown |
       | by a reset             | HTTP/1.1 | incomplete         |
       | by a reset             | HTTP/1.0 | refused as ran     |
       | as the agent dies      | HTTP/1.1 | incomplete         |
@@ -121,6 +124,7 @@
       | between two events     | HTTP/2   | ended by an error  |
       | before its first event | HTTP/2   | refused as ran     |
       | before its head        | HTTP/2   | refused as unknown |
+      | with status 999        | HTTP/2   | refused as unknown |
       | by a reset             | HTTP/2   | ended by an error  |
       | as the agent dies      | HTTP/2   | ended by an error  |
 
@@ -167,9 +171,12 @@
       | routes get        | is reset                      | 3    |
       | routes get        | is an error that is cut       | 3    |
       | routes get        | is an error of another server | 3    |
+      | routes get        | has status 000                | 3    |
+      | routes get        | has status 999                | 3    |
       | halls list        | closes too early              | 3    |
       | halls drain north | closes too early              | 3    |
       | halls drain north | is reset                      | 3    |
+      | halls drain north | has status 999                | 3    |
 
   # Guards against a snapshot that is put together from those of two leaders,
   # whose bytes may differ.
--- a/features/steps/brokenoff_steps.py
+++ b/features/steps/brokenoff_steps.py
@@ -80,6 +80,7 @@
 
 @given('a runner that {manner} {place} of an answer framed by {framing}')
 def set_break(context, manner, place, framing):
+    context.make_runner = Runner
     context.breaks = [(each, place, manner) for each in FRAMINGS[framing]]
 
 
@@ -104,7 +105,7 @@
         async with trio.open_nursery() as nursery:
             for place in context.breaks:
                 world = base.World('answers correctly', 'answers correctly')
-                world.runners[0] = Runner(*place)
+                world.runners[0] = context.make_runner(*place)
                 worlds.append(world)
                 nursery.start_soon(
                     _ask, world, path, received.setdefault(place, [])
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -358,6 +358,14 @@
         'is reset': (ok + length + DOCUMENT[:-3], True),
         'is an error that is cut': (failed + b'\r\n' + ERROR[:-3], False),
         'is an error of another server': (failed + b'\r\nno', False),
+        'has status 000': (
+            ok.replace(b'200', b'000') + length + DOCUMENT,
+            False,
+        ),
+        'has status 999': (
+            ok.replace(b'200', b'999') + length + DOCUMENT,
+            False,
+        ),
     }[answer]
 
 
--- a/features/steps/native_endings_steps.py
+++ b/features/steps/native_endings_steps.py
@@ -58,6 +58,11 @@
         ends = json.loads(self.rfile.read(length) or b'{}').get('ends', '')
         if ends == 'before its head':
             return
+        if ends.startswith('with status '):
+            status = ends.rpartition(' ')[2].encode()
+            self.wfile.write(HEAD.replace(b' 200 ', b' %s ' % status))
+            self.wfile.write(b''.join(EVENTS))
+            return
         count = SENT.get(ends, 2)
         self.wfile.write(HEAD + b''.join(EVENTS[: int(count)]))
         time.sleep(PAUSE_S)
--- a/mountridge/net/lasthop.py
+++ b/mountridge/net/lasthop.py
@@ -26,6 +26,9 @@
 #: Framings of an answer, by what marks its end: a length in its head, its
 #: last chunk, or the end of the connection.
 LENGTH, CHUNKED, CLOSE = 'length', 'chunked', 'close'
+#: Statuses of final answers in HTTP. The parser rejects lower ones, but takes
+#: any three digits above.
+FINAL_STATUSES = range(200, 600)
 #: Statuses whose answers have no body.
 BODILESS_STATUSES = (204, 304)
 
@@ -291,7 +294,8 @@
         request is sent; if it raises, nothing is sent.
 
         :raises NoRunner: no connection could be made; nothing was sent.
-        :raises OutcomeUnknown: the connection broke before the answer.
+        :raises OutcomeUnknown: the connection broke before the answer, or
+            what came is none.
         """
         connection = await self._connect(address)
         request = h11.Request(method=method, target=target, headers=headers)
@@ -362,6 +366,11 @@
             raise errors.OutcomeUnknown(
                 'the runner closed the connection without an answer'
             )
+        if event.status_code not in FINAL_STATUSES:
+            raise errors.OutcomeUnknown(
+                'the runner answered with the invalid status'
+                f' {event.status_code}'
+            )
         headers = list(event.headers.raw_items())
         connection.update_idle_timeout(headers)
         return event.status_code, headers
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -621,6 +621,11 @@
         'return self.outdated and',
         'demand',
     ),
+    Mutant(
+        'last hop: statuses that HTTP does not have', 'lasthop',
+        'if event.status_code not in FINAL_STATUSES:', 'if False:',
+        'statuses', 'status 999',
+    ),
     Mutant(
         'last hop: no reset of abandoned connections', 'lasthop',
         'connection.reset_on_close()', 'pass', 'forwarding',
