A map is only planned from reports of one map

Callers would see: nothing at once; a map planned from parts of two maps can leave an expert without a rank, which engines refuse, so that the group keeps its imbalance, or which lacks the work of those before.

Cause: ranks report one after the other. Dimensions were compared, not the version of the map that each report is of; a rank that is armed for the next map passed as well. The map was also put together when the search began, not with the states that allowed it, and nothing was compared after the search.

Counter `maps.reports_differ`.

Seen failing before: five rows of features/manyranks.feature and one of mapplans.feature.

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -85,6 +85,33 @@
     When the routes name twice as many experts as are reported
     Then reports are answered for 1 s, and no change begins
 
+  # Guards against a plan from two maps, in which an expert has no rank.
+  Scenario Outline: No map is planned while one rank <reports>
+    Given a leader that 4 ranks have reported to
+    And enough demand to plan, and a map that all ranks use
+    When one rank <reports>
+    Then no search begins
+    When the reports of all ranks are of one map again
+    Then a search begins with that map
+
+    Examples: reports of one change, some from before it and some from after it
+      | reports                      |
+      | reports the next map already |
+      | is armed for the next map    |
+      | reports another size         |
+
+  # Guards against the same, where the reports change during the search.
+  Scenario Outline: A plan is dropped where a rank <reports> during the search
+    Given a leader that 4 ranks have reported to
+    And enough demand to plan, and a map that all ranks use
+    When a rank <reports> while the search runs
+    Then no change begins
+
+    Examples:
+      | reports                      |
+      | reports the next map already |
+      | is armed for the next map    |
+
   Scenario: A shift of demand during a search makes its plan outdated
     Given a leader that 192 ranks have reported to
     When demand shifts during the search for a plan
--- a/features/mapplans.feature
+++ b/features/mapplans.feature
@@ -85,6 +85,7 @@
       | the counts are of one set more            |
       | a rank holds an expert beyond the counts  |
       | a rank has not reported its experts       |
+      | an expert is reported by no rank          |
       | no rank has reported                      |
 
   Scenario: Requests avoid a slow runner while another is available
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -445,3 +445,72 @@
 def check_loads_rate(context, most):
     assert context.gateways / context.interval_s <= most + 1e-6
     assert controller.loads_interval_s(1) == controller.MIN_LOADS_INTERVAL_S
+
+
+@given('enough demand to plan, and a map that all ranks use')
+def make_demand(context):
+    context.planned_from, context.on_search = [], lambda: None
+
+    async def search(_function, placement, *_args):
+        context.planned_from.append(placement)
+        context.on_search()
+        return mapplans.MapPlan([[[1]] * context.size], 'better')
+
+    async def propose(_payload):
+        return 12
+
+    context.group = _make_plannable(context, search)
+    context.leader.propose = propose
+
+
+#: What one rank reports, before or during a search.
+OTHERS = {
+    'reports the next map already': {'map_version': 7},
+    'is armed for the next map': {'armed': 7, 'armed_step': 60},
+    'reports another size': {'size': 5},
+}
+
+
+@when('one rank {reports}')
+def report_other(context, reports):
+    fields = {'size': context.size, **OTHERS[reports]}
+    context.leader.at_s += 1.0
+    context.leader.report(1, **fields)
+    context.leader.report(0, context.size)
+
+
+@then('no search begins')
+def check_no_search(context):
+    assert not context.planned_from, context.planned_from
+
+
+@when('the reports of all ranks are of one map again')
+def report_one_map(context):
+    for rank in range(context.size):
+        context.leader.report(rank, context.size, map_version=7)
+
+
+@then('a search begins with that map')
+def check_search(context):
+    assert context.planned_from[:1] == [[[[1]] * 4]], context.planned_from
+
+
+@when('a rank {reports} while the search runs')
+def change_in_search(context, reports):
+    fields = OTHERS[reports]
+
+    def report():
+        state = _state(1, context.size, **fields)
+        report = messages.RankReport(
+            'i-1', state, [[1]], demand.NO_COUNTS, ranks.NO_VERSION
+        )
+        context.group.record_report(report, context.leader.at_s)
+
+    context.on_search = report
+    context.leader.at_s += 1.0
+    context.leader.report(0, context.size)
+
+
+@then('no change begins')
+def check_no_change(context):
+    assert context.planned_from and context.group.change is None
--- a/features/steps/mapplans_steps.py
+++ b/features/steps/mapplans_steps.py
@@ -156,6 +156,9 @@
         context.counts += context.counts[:EXPERTS]
     elif fault == 'a rank holds an expert beyond the counts':
         context.placement[-1][-1].append(EXPERTS)
+    elif fault == 'an expert is reported by no rank':
+        # As where one of two ranks reports the map before, the other the next.
+        context.placement[-1][-1].pop()
     elif fault == 'a rank has not reported its experts':
         context.placement = [by_rank[:-1] for by_rank in context.placement]
     else:
--- a/mountridge/experts/mapchanges.py
+++ b/mountridge/experts/mapchanges.py
@@ -24,7 +24,7 @@
 
 __all__ = [
     'Change', 'DEFAULT_PASS_S', 'HOLD_RANK', 'Phase', 'Progress',
-    'find_change',
+    'find_change', 'share_one_map',
 ]  # fmt: skip
 
 #: How far ahead the pass to be held is chosen, by recent pass times. Longer
@@ -78,6 +78,16 @@
     return Change(first.group, first.epoch, version, [], first.held_step)
 
 
+def share_one_map(states: typing.Iterable[ranks.RankState]) -> bool:
+    """Return whether the reports of all ranks are of one and the same map.
+
+    Ranks report one after the other, so during a change some reports may be
+    from before it and others from after it.
+    """
+    maps = {(state.size, state.map_version, state.armed) for state in states}
+    return len(maps) == 1 and maps.pop()[-1] == ranks.NO_VERSION
+
+
 class Progress:
     """Progress of each rank of a group in one change."""
 
--- a/mountridge/experts/mapplans.py
+++ b/mountridge/experts/mapplans.py
@@ -77,7 +77,8 @@
 
     :raises InconsistentGroup: the arguments do not fit each other. The map
         and the counts are reported by engines, the parameters come from the
-        routes, and each may already be those of the next model.
+        routes, and each may already be those of the next model; or the parts
+        of the map are from before and after a change.
     """
     _check_dimensions(placement, counts, slowdowns, parameters)
     load = [
@@ -132,6 +133,13 @@
         raise errors.InconsistentGroup(
             f'a rank holds expert {largest} of {parameters.experts}'
         )
+    for number, by_rank in enumerate(placement):
+        held_count = len({expert for each in by_rank for expert in each})
+        if held_count < parameters.experts:
+            raise errors.InconsistentGroup(
+                f'ranks hold {held_count} of {parameters.experts} experts'
+                f' in set {number}'
+            )
 
 
 def _describe_slow_ranks(slowdowns: list[float]) -> str:
--- a/mountridge/groups/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -93,23 +93,33 @@
             or sum(group.demand.mean) < MIN_SELECTIONS
         ):
             return
+        if not mapchanges.share_one_map(states):
+            self.app.metrics.incr('maps.reports_differ')
+            return
         group.planning = True
         # A shift detected during the search makes its plan outdated.
         group.outdated = False
-        self.app.start_task(self._search, group, states, engine_parameters)
+        placement = group.current_map()
+        self.app.start_task(
+            self._search, group, states, placement, engine_parameters
+        )
 
     async def _search(
         self,
         group: rankgroups.Group,
         states: list[ranks.RankState],
+        placement: ranks.Placement,
         engine_parameters: mapplans.EngineParameters,
     ) -> None:
-        """Search for a better map, and start the change to it if found."""
+        """Search for a better map, and start the change to it if found.
+
+        ``placement`` is the map of the moment of ``states``.
+        """
         slowdowns = [state.slowdown for state in states]
         try:
             planned = await self.offload(
                 mapplans.plan,
-                group.current_map(),
+                placement,
                 list(group.demand.mean),
                 slowdowns,
                 engine_parameters,
@@ -137,10 +147,13 @@
         has_step = change is not None and change.step != ranks.NO_VERSION
         if group.epoch != state.epoch or has_step or group.has_held_pass:
             return
+        states = [report.state for report, _ in group.reports.values()]
+        if not mapchanges.share_one_map([state, *states]):
+            self.app.metrics.incr('maps.reports_differ')
+            return
         while len(group.maps) >= KEPT_MAPS:
             del group.maps[next(iter(group.maps))]
         group.maps[version] = planned.placement
-        states = [report.state for report, _ in group.reports.values()]
         group.progress = mapchanges.Progress(
             mapchanges.Change(
                 state.group, state.epoch, version, planned.placement
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -621,6 +621,21 @@
         'return self.outdated and',
         'demand',
     ),
+    Mutant(
+        'maps: plans from reports before and after a change', 'mapplanning',
+        'if not mapchanges.share_one_map(states):', 'if False:',
+        'manyranks', 'No map is planned while',
+    ),
+    Mutant(
+        'maps: plans that reports overtake', 'mapplanning',
+        'if not mapchanges.share_one_map([state, *states]):', 'if False:',
+        'manyranks', 'A plan is dropped',
+    ),
+    Mutant(
+        'maps: plans from a map without some expert', 'mapplans',
+        'if held_count < parameters.experts:', 'if False:', 'mapplans',
+        'No map is planned',
+    ),
     Mutant(
         'last hop: statuses that HTTP does not have', 'lasthop',
         'if event.status_code not in FINAL_STATUSES:', 'if False:',
