Experts are reported with the map that they belong to

Callers would see: nothing at once; the leader plans from experts that a rank does not hold by the map that its report names.

Cause: the state and the experts of an engine are read by two calls. An engine that used its next map or started again in between was reported with the state of before and the experts of after, by its sidecar and by a leader that acts for one.

That costs one more call to the engine for each map.

Seen failing before: four rows of features/manyranks.feature ("reads its experts").

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -29,6 +29,19 @@
     When it receives the order again with the whole map
     Then the order is carried out with that map
 
+  # Guards against reports with the experts of another map than they name.
+  Scenario Outline: An engine <changes> while <reader> reads its experts
+    Given a rank's engine that <changes> once its state was read
+    When <reader> reports its rank until it has reported its experts
+    Then each report has the experts of the map that it names
+
+    Examples:
+      | changes          | reader    |
+      | uses another map | a sidecar |
+      | starts again     | a sidecar |
+      | uses another map | a leader  |
+      | starts again     | a leader  |
+
   Scenario: A sidecar with a long interval reports more often while it copies
     Given a sidecar that knows no map
     And a report interval of 0.5 s set by the leader
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -8,7 +8,8 @@
 from behave import given, then, when
 import trio
 
-from mountridge import application, controller, errors, messages, sidecar
+from mountridge import application, controller, errors, messages, remoteranks
+from mountridge import sidecar
 from mountridge.experts import demand, mapchanges, mapdeltas, mapplans, ranks
 from mountridge.groups import groups, mapplanning
 
@@ -170,6 +171,96 @@
     assert context.sidecar._is_due(state, now_s + interval_s)
 
 
+class _ChangingEngine:
+    """Uses another map, or starts again, once its state has been read."""
+
+    def __init__(self, change):
+        self.before = _state(1, RANKS, born_ms=1000)
+        self.after = self.before._replace(**change)
+        self.reads = 0
+
+    async def state(self):
+        self.reads += 1
+        return self.before if self.reads == 1 else self.after
+
+    async def experts(self):
+        return _experts_of(self.after)
+
+    async def counts(self):
+        return [0]
+
+    async def instance_id(self):
+        return 'i-1'
+
+
+def _experts_of(state):
+    """Return the experts by which a map of an engine can be told."""
+    return [[state.map_version, state.epoch, state.born_ms]]
+
+
+@given("a rank's engine that {changes} once its state was read")
+def make_changing_engine(context, changes):
+    make_sidecar(context)
+    context.engine = _ChangingEngine(
+        {
+            'uses another map': {'map_version': 4, 'step': 51},
+            'starts again': {'map_version': 0, 'epoch': 2, 'born_ms': 2000},
+        }[changes]
+    )
+
+
+@when('a sidecar reports its rank until it has reported its experts')
+def report_by_sidecar(context):
+    context.reports = []
+
+    async def call(report, _timeout_s):
+        context.reports.append(report)
+        return messages.RankReply(
+            1, None, mapdeltas.NO_MAP, 0.0, False, False, False
+        )
+
+    made = context.sidecar
+    made.engine, made.leader.call = context.engine, call
+    made.app.metrics = types.SimpleNamespace(incr=lambda _: None)
+
+    async def check():
+        for _ in range(3):
+            try:
+                await made._check()
+            except errors.MountridgeError:
+                continue
+
+    trio.run(check)
+
+
+@when('a leader reports its rank until it has reported its experts')
+def report_by_leader(context):
+    leader, context.reports = _Leader(), []
+    remote = remoteranks.RemoteRanks(
+        leader, leader.groups, lambda _: context.engine
+    )
+    leader.groups.on_remote_report = context.reports.append
+    # The sidecar has reported another map before.
+    state = context.engine.before._replace(map_version=2)
+    last = messages.RankReport(
+        'i-1', state, [[9]], demand.NO_COUNTS, ranks.NO_VERSION
+    )
+
+    async def update():
+        for _ in range(3):
+            await remote._try_update(last)
+
+    trio.run(update)
+
+
+@then('each report has the experts of the map that it names')
+def check_experts(context):
+    named = [each for each in context.reports if each.experts]
+    assert named, context.reports
+    for report in named:
+        assert report.experts == _experts_of(report.state), report
+
+
 def _state(rank, size, **fields):
     state = ranks.RankState(
         'g', 1, rank, size, True, 50, 3, 3, ranks.NO_VERSION,
--- a/mountridge/remoteranks.py
+++ b/mountridge/remoteranks.py
@@ -75,7 +75,7 @@
         experts = last.experts
         before = (last.state.map_version, last.state.born_ms)
         if (state.map_version, state.born_ms) != before:
-            experts = await engine.experts()
+            experts = await sidecar.read_experts(engine, state)
         report = messages.RankReport(
             last.instance_id,
             state,
--- a/mountridge/sidecar.py
+++ b/mountridge/sidecar.py
@@ -17,7 +17,9 @@
 from mountridge.net import httpserver
 from mountridge.state import members
 
-__all__ = ['Engine', 'Sidecar', 'build', 'execute_order', 'run']
+__all__ = [
+    'Engine', 'Sidecar', 'build', 'execute_order', 'read_experts', 'run',
+]  # fmt: skip
 
 #: Interval of the engine checks while it carries out an order. Only changes
 #: are reported, so the leader has no extra load.
@@ -87,6 +89,26 @@
     }
 
 
+async def read_experts(
+    engine: Engine, state: ranks.RankState
+) -> list[list[int]]:
+    """Return the experts that an engine holds by the map in ``state``.
+
+    The experts are read by a call of their own, so the engine may have used
+    another map or have restarted by then.
+
+    :raises BadAnswer: it has.
+    """
+    experts = await engine.experts()
+    if _map_of(await engine.state()) != _map_of(state):
+        raise errors.BadAnswer('the map has changed while it was read')
+    return experts
+
+
+def _map_of(state: ranks.RankState) -> tuple[int, int, int]:
+    return state.epoch, state.born_ms, state.map_version
+
+
 class _UrgentState(typing.NamedTuple):
     """Parts of an engine's state of which each change is reported at once."""
 
@@ -298,7 +320,7 @@
             self._map_version = ranks.NO_VERSION
             self._order = (ranks.NO_ORDER, float('-inf'))
         if state.map_version != self._map_version:
-            self._experts = await self.engine.experts()
+            self._experts = await read_experts(self.engine, state)
             self._send_experts = True
             self._map_version = state.map_version
 
