A map that an engine refuses is not ordered again at once

Callers would see: a leader that is busy with reports, and engines that are busy with orders, from the change of a model in the routes until its runners have come, however late.

Cause: the routes state how many experts a rank takes, and the engines may be of another model than the routes. A sidecar reports at once after an order that its engine has refused, the leader returns the same order, and so on as fast as both can: of four ranks one that refused got 703 orders in 5 s and 3,200 in 20 s (processes on loopback; 82 a second for each rank on virtual time).

Fix: an order to prepare a map that the engine has refused is sent to it again after 1 s. Orders without an answer are repeated as before, as are refused ones of a pass that is held.

Seen failing before: "that an engine refuses" of features/refusedmaps.feature (150 orders in 3 s).

--- a/mountridge/sidecar.py
+++ b/mountridge/sidecar.py
@@ -37,13 +37,18 @@
 #: An order that is received again within this time, pushed and in the reply
 #: to a report, is carried out once.
 DUPLICATE_S = 0.05
+#: An order to prepare a map that the engine has refused is sent to it again
+#: after this time: a map beyond its limits is refused each time, and one that
+#: came while it was armed is not urgent.
+REFUSED_RETRY_S = 1.0
 #: Timeout of a report, after which the leader is determined again.
 REPORT_TIMEOUT_S = 0.8
 #: Number of newest maps kept as the base of the next one: the leader may not
 #: know yet that the newest was received.
 KEPT_MAPS = 2
-#: Outcome, in the log, of an order that the engine has accepted.
-ACCEPTED = 'taken'
+#: Outcomes, in the log, of an order that the engine has accepted, and the
+#: start of that of one that it has refused.
+ACCEPTED, REFUSED = 'taken', 'refused'
 
 
 class Engine(typing.Protocol):
@@ -75,7 +80,7 @@
         await engine.execute(order)
         outcome = ACCEPTED
     except errors.RefusedChange as problem:
-        outcome = f'refused: {problem}'
+        outcome = f'{REFUSED}: {problem}'
     except errors.OutcomeUnknown as problem:
         outcome = f'unknown: {problem}'
     except errors.MountridgeError as problem:
@@ -109,6 +114,10 @@
     return state.epoch, state.born_ms, state.map_version
 
 
+def _is_refused_map(order: ranks.RankOrder, outcome: str) -> bool:
+    return order.kind == ranks.PREPARE and outcome.startswith(REFUSED)
+
+
 class _UrgentState(typing.NamedTuple):
     """Parts of an engine's state of which each change is reported at once."""
 
@@ -162,6 +171,8 @@
         self._reported_s = float('-inf')
         #: The order carried out last, and when.
         self._order = (ranks.NO_ORDER, float('-inf'))
+        #: The order to prepare a map that was refused last, and when.
+        self._refused = (ranks.NO_ORDER, float('-inf'))
         #: Maps by version, in the order in which they were received.
         self._maps: dict[int, ranks.Placement] = {}
         self._wake = trio.Event()
@@ -278,6 +289,9 @@
         last, sent_s = self._order
         if order == last and now_s - sent_s < DUPLICATE_S:
             return
+        refused, refused_s = self._refused
+        if order == refused and now_s - refused_s < REFUSED_RETRY_S:
+            return
         if order.kind == ranks.PREPARE:
             order = order._replace(placed=self._unpack(order, packed))
         self._order = (order._replace(placed=[]), now_s)
@@ -285,6 +299,8 @@
         logger.info('order', **fields)
         if fields['outcome'] != ACCEPTED:
             # Reports at once: the leader decides whether to repeat the order.
+            if _is_refused_map(order, fields['outcome']):
+                self._refused = (order._replace(placed=[]), now_s)
             self._order = (ranks.NO_ORDER, float('-inf'))
             self._reported = None
         self._wake.set()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -636,6 +636,11 @@
         'if held_count < parameters.experts:', 'if False:', 'mapplans',
         'No map is planned',
     ),
+    Mutant(
+        'sidecar: refused maps are ordered again at once', 'sidecar',
+        'if order == refused and now_s - refused_s < REFUSED_RETRY_S:',
+        'if False:', 'refusedmaps', 'that an engine refuses',
+    ),
     Mutant(
         'last hop: statuses that HTTP does not have', 'lasthop',
         'if event.status_code not in FINAL_STATUSES:', 'if False:',
