A change of a map that some rank does not prepare is abandoned

Callers would see: a group that keeps its imbalance, with late answers, after the routes and the engines were of two models for a while.

Cause: a change waits until all ranks have prepared its map, for as long as that takes. Engines that refuse the map, as the routes stated the limits of another model, do so each time; only a shift of demand or a new epoch ended the change, also once the routes were right.

Fix: a change whose map is not prepared 5 s after its copies were due is abandoned, while no pass was chosen for it, so that nothing has to be undone; the next search follows after a pause. Both double with each change in a row that is abandoned, three times at most, and end with a change that comes into use or a new epoch. Log line `map change abandoned`, counter `maps.abandoned`. The emulated engines refuse more experts than places, as real ones do.

--- a/features/worlds/ranks.py
+++ b/features/worlds/ranks.py
@@ -19,6 +19,10 @@
 from standins import engine
 
 SHEET = engine.EngineParameters()
+#: What the routes state of these engines.
+PARAMETERS = mapplans.EngineParameters(
+    SHEET.places, SHEET.spare, SHEET.experts
+)
 #: Requests that each rank always has, running or waiting.
 REQUESTS_PER_RANK = 3
 #: Interval at which a stalled group is checked.
@@ -36,10 +40,7 @@
         self.metrics = types.SimpleNamespace(
             incr=lambda _: None, gauge=world.gauges.__setitem__
         )
-        sheet = mapplans.EngineParameters(
-            SHEET.places, SHEET.spare, SHEET.experts
-        )
-        self.groups = groups.Groups(self, self, lambda _: sheet)
+        self.groups = groups.Groups(self, self, lambda _: world.parameters)
         if not world.without_other_box:
             self.groups.send_remote_order = self._send_remote_order
 
@@ -110,7 +111,11 @@
         await trio.sleep(0.001)
         if world.rng.random() >= world.order_loss:
             now_s = trio.current_time()
-            world.group.execute_order(self.number, order, now_s)
+            try:
+                world.group.execute_order(self.number, order, now_s)
+            except errors.RefusedChange:
+                world.refused += 1
+                raise
             freezes = world.freezing and order.kind == ranks.HOLD
             if freezes and not self.is_remote:
                 world.frozen_until_s[self.number] = now_s + FROZEN_S
@@ -177,6 +182,19 @@
         self.frozen_until_s = [0.0] * SHEET.ranks
         #: Whether there is no other box that could send orders.
         self.without_other_box = 'no other box' in faults
+        #: Limits of the engines by the routes, which may be of another model.
+        self.parameters = PARAMETERS
+        if 'another model' in faults:
+            self.parameters = PARAMETERS._replace(slots=3 * SHEET.places)
+            self.shifting = False
+            # One rank holds all experts that are in demand.
+            self.group.popularity = [
+                50.0 if number % SHEET.ranks == 0 else 1.0
+                for number in range(SHEET.sets * SHEET.experts)
+            ]
+        #: Orders that engines refused while faults were injected.
+        self.refused = 0
+        self.span_s = 0.0
         self.term, self.log_index, self.changes = 1, 0, 0
         self.reports = 0
         #: When each map was planned, and the times from then to its use.
@@ -281,7 +299,8 @@
 def play(span_s, faults, seed):
     """Simulate ``span_s`` and 20 s more; return the world.
 
-    In the last 20 s no order is lost and demand does not shift.
+    In the last 20 s no order is lost, demand does not shift and the routes
+    are those of the engines' model.
     """
 
     async def main():
@@ -289,7 +308,9 @@
             world = World(nursery, faults, seed)
             world.start()
             await trio.sleep(span_s)
+            world.span_s = span_s
             world.order_loss = 0.0
+            world.parameters = PARAMETERS
             world.shifting = False
             await trio.sleep(20)
             nursery.cancel_scope.cancel()
--- a/mountridge/experts/mapplans.py
+++ b/mountridge/experts/mapplans.py
@@ -53,6 +53,11 @@
             return limit
         return max(1, min(limit, int(MAX_COPY_S / self.copy_s)))
 
+    @property
+    def max_copy_s(self) -> float:
+        """How long a rank copies the experts of one change at most."""
+        return max(MAX_COPY_S, self.copy_s)
+
 
 class MapPlan(typing.NamedTuple):
     """A map that is worth a change, and the reason."""
--- a/mountridge/groups/groups.py
+++ b/mountridge/groups/groups.py
@@ -217,6 +217,8 @@
         progress = group.progress
         if progress is None or not group.is_complete(now_s):
             return
+        if self.planner.abandon_overdue(group, now_s):
+            return
         progress.choose_step(group.newest_step, group.pass_s(now_s))
         change, phase = progress.change, progress.phase
         if phase == mapchanges.Phase.DONE:
@@ -231,6 +233,7 @@
                     f'maps.{change.group}.shift_to_use_ms', age_ms
                 )
             group.progress = None
+            group.abandoned = 0
             group.next_plan_s = now_s + mapplanning.PAUSE_S
             return
         if group.announced != (phase, change.version, change.step):
--- a/mountridge/groups/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -23,6 +23,13 @@
 #: Expert selections counted since the last demand shift, below which no search
 #: is made: an idle group gains nothing from a new map.
 MIN_SELECTIONS = 10000
+#: How long ranks may take to prepare a map, beyond the time of its copies. By
+#: then orders that were lost or are carried out late have arrived; engines of
+#: another model than the routes refuse the map each time. Also the pause
+#: before the next search. Both double with each change in a row that is
+#: abandoned, up to `MAX_DOUBLINGS` times.
+PREPARE_TIMEOUT_S = 5.0
+MAX_DOUBLINGS = 3
 #: Number of newest maps kept, as bases for packing later ones.
 KEPT_MAPS = 3
 
@@ -41,6 +48,10 @@
     }
 
 
+def _prepare_timeout_s(group: rankgroups.Group) -> float:
+    return PREPARE_TIMEOUT_S * 2 ** min(group.abandoned, MAX_DOUBLINGS)
+
+
 class Planner:
     """Searches for better maps, and starts the changes to them."""
 
@@ -125,7 +136,8 @@
                 engine_parameters,
             )
             if planned is not None:
-                await self._begin(group, states[0], planned)
+                copy_s = engine_parameters.max_copy_s
+                await self._begin(group, states[0], planned, copy_s)
         except errors.MountridgeError as problem:
             # Either another leader plans now, or this one retries later.
             logger.info('map change not started', reason=str(problem))
@@ -139,8 +151,12 @@
         group: rankgroups.Group,
         state: ranks.RankState,
         planned: mapplans.MapPlan,
+        copy_s: float,
     ) -> None:
-        """Start the change to a planned map, under a new unique version."""
+        """Start the change to a planned map, under a new unique version.
+
+        Its experts are copied within ``copy_s``.
+        """
         command = commands.NextVersion(self.app.wall_s())
         version = await self.replica.propose(commands.encode(command))
         change = group.change
@@ -160,6 +176,8 @@
             ),
             states,
         )
+        timeout_s = _prepare_timeout_s(group) + copy_s
+        group.prepare_until_s = self.app.now_s() + timeout_s
         group.answer_shift()
         gauge, name = self.app.metrics.gauge, f'maps.{state.group}'
         gauge(f'{name}.slowest_before', round(planned.slowest_before, 2))
@@ -171,3 +189,27 @@
             shift_age_ms=group.shift_age_ms(self.app.now_s()),
         )
         self.on_change_begun(group)
+
+    def abandon_overdue(self, group: rankgroups.Group, now_s: float) -> bool:
+        """Abandon a change that some rank does not prepare in time.
+
+        Until a pass is chosen for a change, nothing has to be undone: ranks
+        that have prepared its map use it only by a later order.
+        """
+        progress = group.progress
+        if now_s < group.prepare_until_s:
+            return False
+        if progress.phase != mapchanges.Phase.PREPARING:
+            return False
+        group.progress = None
+        pause_s = _prepare_timeout_s(group)
+        group.next_plan_s = now_s + pause_s
+        group.abandoned += 1
+        self.app.metrics.incr('maps.abandoned')
+        logger.warning(
+            'map change abandoned',
+            **log_fields(progress.change),
+            not_prepared=progress.waiting_for(),
+            next_plan_ms=round(pause_s * 1000),
+        )
+        return True
--- a/mountridge/groups/rankgroups.py
+++ b/mountridge/groups/rankgroups.py
@@ -60,6 +60,10 @@
         #: Whether demand has shifted since the current change was planned.
         self.outdated = False
         self.planning = False
+        #: When a change that some rank has not prepared yet is abandoned.
+        self.prepare_until_s = math.inf
+        #: Changes abandoned in a row.
+        self.abandoned = 0
         #: When the last shift was detected, if no change was planned since.
         self._shifted_s: float | None = None
         #: When the shift was detected that the last change answers, if any.
@@ -117,6 +121,7 @@
         # Demand is kept, so that the first change of the new epoch can be
         # planned as soon as the group is open.
         self.progress = None
+        self.abandoned = 0
         self._passes.clear()
         self._complete_until_s = 0.0
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -183,6 +183,8 @@
             raise errors.RefusedChange('a version is armed')
         copies = 0
         for before, by_rank in zip(rank.held, order.placed):
+            if len(by_rank[rank.number]) > self.params.places:
+                raise errors.RefusedChange('more experts than places')
             new = set(by_rank[rank.number]) - set(before)
             if len(new) > self.params.spare:
                 raise errors.RefusedChange(
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -641,6 +641,20 @@
         'if order == refused and now_s - refused_s < REFUSED_RETRY_S:',
         'if False:', 'refusedmaps', 'that an engine refuses',
     ),
+    Mutant(
+        'maps: no change is abandoned', 'groups',
+        'if self.planner.abandon_overdue(group, now_s):', 'if False:',
+        'refusedmaps', 'does not prepare|another model',
+    ),
+    Mutant(
+        'maps: changes are abandoned while experts are copied', 'mapplanning',
+        '_prepare_timeout_s(group) + copy_s', '_prepare_timeout_s(group)',
+        'refusedmaps', 'are copied',
+    ),
+    Mutant(
+        'maps: pauses stay long once a map is in use', 'groups',
+        'group.abandoned = 0', 'pass', 'refusedmaps', 'ends the pauses',
+    ),
     Mutant(
         'last hop: statuses that HTTP does not have', 'lasthop',
         'if event.status_code not in FINAL_STATUSES:', 'if False:',
