--- a/mountridge/groups/rankgroups.py
+++ b/mountridge/groups/rankgroups.py
@@ -121,8 +121,8 @@
         # Demand is kept, so that the first change of the new epoch can be
         # planned as soon as the group is open.
         self.progress = None
-        self.abandoned = 0
         self._passes.clear()
+        self.abandoned = 0
         self._complete_until_s = 0.0
 
     def answer_shift(self) -> None:
