Libraries of another kind of machine are not used

What operators would see: processes that end at their start, for folders of a build that were carried over from a box of another architecture, or of another Python: some libraries are compiled.

Seen on a clean clone, x86-64: the build installs, does nothing when run again, and installs anew, without what was there, where the folder's record says aarch64. Nothing was run on arm64: this machine says x86-64.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,13 @@
 FEATURES := $(sort $(wildcard features/*.feature))
 
 .PHONY: setup lint format test demo bench bench-maps plots mutants slopes soak
-setup: $(VENV)/.done
+# Made anew on a box of another architecture or with another Python: some
+# libraries are compiled.
+DONE := $(VENV)/.done-$(shell uname -m)-$(lastword $(shell python3 --version))
+setup: $(DONE)
 
-$(VENV)/.done: requirements.txt test-requirements.txt pyproject.toml
-	test -x $(PY) || python3 -m venv $(VENV)
+$(DONE): requirements.txt test-requirements.txt pyproject.toml
+	test -e $@ || python3 -m venv --clear $(VENV)
 	$(PY) -m pip install -q -r requirements.txt -r test-requirements.txt
 	$(PY) -m pip install -q --no-deps -e .
 	touch $@
