A leader outlasts a part that is released in the commit that quarantines it

Callers would see: the process of the leader ends, with the requests that it had passed on, as an operator or a success releases a part of prompts in the moment in which its probe expires.

Cause: the log line on a quarantine looked the part up in the list as it is after the commit. Where the release was committed with it, it is not in the list: a KeyError in the task that watches the leader's state, which ends the process.

Fix: the line uses the entry that was committed.

Seen failing before: "released by an operator as its probe expires" of features/partevidence.feature, with the KeyError. Not shown on processes.

--- a/features/partevidence.feature
+++ b/features/partevidence.feature
@@ -73,6 +73,15 @@
     And 46 s later the probes expire while a success of mid is reported
     Then the parts held are bad:red first:red
 
+  # Guards against a leader that ends as it logs a part that is released in the
+  # commit that quarantines it.
+  Scenario: A part is released by an operator as its probe expires
+    Given a leader of gateways that report crashes of runners
+    When gateways report 1:red/r1/bad,first,mid 2:red/r2/bad,first,mid
+    And 6 s later a request with the parts bad asks for a probe
+    And 46 s later the probe of bad expires and an operator releases it, in one commit
+    Then the parts held are first:red mid:red
+
   Scenario: A part that is held for a team and for all is probed as one
     Given a leader of gateways that report crashes of runners
     When gateways report 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad
--- a/features/steps/partevidence_steps.py
+++ b/features/steps/partevidence_steps.py
@@ -51,11 +51,19 @@
             self.app, self.machine, replica, lambda: None
         )
         self.crashes, self.grants_s = [], []
+        #: Commands that are not committed, and the replies to others.
+        self.pending, self.replies = [], {}
+        #: Whether all of them are committed with the first one.
+        self.is_batching = False
 
     async def _propose(self, payload):
+        self.pending.append(payload)
         await trio.sleep(COMMIT_S)
-        self.index += 1
-        return self.machine.apply_payload(self.index, payload)
+        while payload in self.pending or (self.is_batching and self.pending):
+            self.index += 1
+            first = self.pending.pop(0)
+            self.replies[first] = self.machine.apply_payload(self.index, first)
+        return self.replies.pop(payload)
 
     def report(self, crashes=(), successes=()):
         """Report the (time, crash) pairs, and the parts that succeed now."""
@@ -299,6 +307,26 @@
     run(both)
 
 
+@when(
+    '{after_s:d} s later the probe of {name} expires and an operator releases'
+    ' it, in one commit'
+)
+def expire_beside_release(context, after_s, name):
+    leader = context.leader
+    assert context.is_granted
+    leader.now_s += after_s
+    leader.is_batching = True
+
+    async def both():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader.parts.expire)
+            await trio.sleep(COMMIT_S / 2)
+            key = part(name) + team('red')
+            nursery.start_soon(leader.parts.release, key)
+
+    run(both)
+
+
 @then('it is {granted}, and if it {end} the parts held are {held}')
 def check_grant(context, granted, end, held):
     leader = context.leader
--- a/mountridge/control/partquarantine.py
+++ b/mountridge/control/partquarantine.py
@@ -218,6 +218,8 @@
         """Quarantine a part; those of one decision have the same time."""
         command = commands.QuarantineRequest(key, crashes, wall_s)
         entry = await self._commit(key, command)
+        # The part may have been released again since its commit.
+        listed = {**self._entries(), key: entry}
         self._app.metrics.incr('quarantine.parts_held')
         logger.info(
             'part quarantined',
@@ -225,7 +227,7 @@
             is_for_all_teams=key.endswith(promptparts.ALL_TEAMS),
             crashes=entry.crashes,
             holds=entry.holds,
-            probe_after_s=partrecords.probe_wait_s(key, self._entries()),
+            probe_after_s=partrecords.probe_wait_s(key, listed),
         )
 
     async def _release(self, key: bytes, why: str) -> None:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -641,6 +641,11 @@
         'if order == refused and now_s - refused_s < REFUSED_RETRY_S:',
         'if False:', 'refusedmaps', 'that an engine refuses',
     ),
+    Mutant(
+        'parts: the list after a commit has what was committed',
+        'partquarantine', 'listed = {**self._entries(), key: entry}',
+        'listed = self._entries()', 'partevidence', 'by an operator',
+    ),
     Mutant(
         'maps: no change is abandoned', 'groups',
         'if self.planner.abandon_overdue(group, now_s):', 'if False:',
