Log lines on unexpected errors tell where they were raised

Operators would see: a line "request failed unexpectedly" with the error alone, or an exception group that names no place, so that the cause can't be found.

Cause: the formatter of log lines kept the text of the exception only.

Fix: a field `traceback`, with its last 4,000 characters.

Seen failing before: "fails unexpectedly is logged" of features/endings.feature.

--- a/features/endings.feature
+++ b/features/endings.feature
@@ -178,6 +178,12 @@
       | halls drain north | is reset                      | 3    |
       | halls drain north | has status 999                | 3    |
 
+  # Guards against a request that ends without an answer, of which the log does not
+  # tell why.
+  Scenario: A request that fails unexpectedly is logged with where it failed
+    When the handler of a request fails with a KeyError
+    Then the log has a line on it, with the line of code that failed
+
   # Guards against a snapshot that is put together from those of two leaders,
   # whose bytes may differ.
   Scenario: A snapshot that a new leader sends is received from its start
--- a/features/steps/endings_steps.py
+++ b/features/steps/endings_steps.py
@@ -3,7 +3,10 @@
 """Steps on the evidence by which answers and streams count as complete."""
 
 import contextlib
+import io
 import itertools
+import json
+import logging
 import socket
 import struct
 
@@ -16,7 +19,7 @@
 from mountridge import clihalls, cliroutes
 from mountridge.dispatch import streamends, upstreams
 from mountridge.documents import routes
-from mountridge import errors
+from mountridge import errors, logs
 from mountridge.experts import ranks
 from mountridge.groups import engines
 from mountridge.net import dialects, httpserver, lasthop
@@ -389,3 +392,26 @@
 def check_code(context, code):
     shown = context.shown
     assert shown.exit_code == code, (shown.output, shown.exception)
+
+
+@when('the handler of a request fails with a KeyError')
+def fail_unexpectedly(context):
+    async def handle(_, responder):
+        return {}['missing']
+
+    shown = io.StringIO()
+    handler = logging.StreamHandler(shown)
+    handler.setFormatter(logs._LineFormatter('entry', as_json=True))
+    logs.logger.logger.addHandler(handler)
+    try:
+        assert not _play(_serve, handle, REQUEST)
+    finally:
+        logs.logger.logger.removeHandler(handler)
+    context.log = shown.getvalue()
+
+
+@then('the log has a line on it, with the line of code that failed')
+def check_failure_line(context):
+    fields = json.loads(context.log)
+    assert 'KeyError' in fields['exception'], fields
+    assert "return {}['missing']" in fields['traceback'], fields
--- a/mountridge/logs.py
+++ b/mountridge/logs.py
@@ -13,12 +13,15 @@
 import os
 import sys
 import time
+import traceback
 import typing
 
 __all__ = ['LineSink', 'logger', 'open_log']
 
 #: Size of a burst of lines, as a time at the permitted rate.
 BURST_S = 2.0
+#: Characters of a traceback that are kept, from its end.
+MAX_TRACEBACK = 4000
 
 
 class LineSink:
@@ -109,6 +112,8 @@
         fields = {'process': self._process, **getattr(record, 'fields', {})}
         if record.exc_info:
             fields['exception'] = repr(record.exc_info[1])
+            lines = traceback.format_exception(record.exc_info[1])
+            fields['traceback'] = ''.join(lines)[-MAX_TRACEBACK:]
         if not self._as_json:
             return f'{at:%H:%M:%S} {level} {fields} {message}\n'
         line = {
