A search for a map that fails unexpectedly ends no leader

Cause: the search is a task of the process, and any error but the project's own ends the process. Its arguments are what engines and operators have reported, at different times; each next leader gets the same ones.

Fix: such an error is logged with its traceback, counted (`maps.failed`), and no map is planned then. The search is a function of its arguments alone and changes no state, so nothing is left half done. Errors anywhere else still end a process.

Seen failing before: "fails unexpectedly" of features/manyranks.feature, with the IndexError.

--- a/features/manyranks.feature
+++ b/features/manyranks.feature
@@ -125,6 +125,15 @@
       | reports the next map already |
       | is armed for the next map    |
 
+  # Guards against a leader that ends, and the next one after it, as a search
+  # fails on reports that nobody has foreseen.
+  Scenario: A search that fails unexpectedly ends no leader
+    Given a leader that 4 ranks have reported to
+    And enough demand to plan, and a map that all ranks use
+    When searches fail with an IndexError
+    Then reports are answered for 1 s, and no change begins
+    And the log names where the search has failed
+
   Scenario: A shift of demand during a search makes its plan outdated
     Given a leader that 192 ranks have reported to
     When demand shifts during the search for a plan
--- a/features/steps/manyranks_steps.py
+++ b/features/steps/manyranks_steps.py
@@ -2,14 +2,17 @@
 
 """Steps on the load on the leader of groups with many ranks."""
 
+import io
+import json
+import logging
 import random
 import types
 
 from behave import given, then, when
 import trio
 
-from mountridge import application, controller, errors, messages, remoteranks
-from mountridge import sidecar
+from mountridge import application, controller, errors, logs, messages
+from mountridge import remoteranks, sidecar
 from mountridge.experts import demand, mapchanges, mapdeltas, mapplans, ranks
 from mountridge.groups import groups, mapplanning
 
@@ -605,3 +608,28 @@
 @then('no change begins')
 def check_no_change(context):
     assert context.planned_from and context.group.change is None
+
+
+@when('searches fail with an IndexError')
+def fail_search(context):
+    context.searches = 0
+
+    async def search(*_args):
+        context.searches += 1
+        return [][0]
+
+    planner = context.leader.groups.planner
+    planner.offload = search
+    context.log = io.StringIO()
+    handler = logging.StreamHandler(context.log)
+    handler.setFormatter(logs._LineFormatter('leader', as_json=True))
+    logs.logger.logger.addHandler(handler)
+    context.add_cleanup(logs.logger.logger.removeHandler, handler)
+
+
+@then('the log names where the search has failed')
+def check_log(context):
+    lines = context.log.getvalue().splitlines()
+    fields = json.loads(next(x for x in lines if 'search for a map' in x))
+    assert 'IndexError' in fields['exception'], fields
+    assert 'return [][0]' in fields['traceback'], fields
--- a/mountridge/groups/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -126,15 +126,11 @@
 
         ``placement`` is the map of the moment of ``states``.
         """
+        counts = list(group.demand.mean)
         slowdowns = [state.slowdown for state in states]
+        arguments = placement, counts, slowdowns, engine_parameters
         try:
-            planned = await self.offload(
-                mapplans.plan,
-                placement,
-                list(group.demand.mean),
-                slowdowns,
-                engine_parameters,
-            )
+            planned = await self._plan(group, arguments)
             if planned is not None:
                 copy_s = engine_parameters.max_copy_s
                 await self._begin(group, states[0], planned, copy_s)
@@ -146,6 +142,30 @@
             if group.change is None and not group.outdated:
                 group.next_plan_s = self.app.now_s() + FUTILE_S
 
+    async def _plan(
+        self, group: rankgroups.Group, arguments: tuple
+    ) -> mapplans.MapPlan | None:
+        """Return what `mapplans.plan` does; None if it fails unexpectedly.
+
+        It changes no state, and its arguments come from engines and operators:
+        each next leader would fail on them as well.
+
+        :raises InconsistentGroup: the arguments do not fit each other.
+        """
+        try:
+            return await self.offload(mapplans.plan, *arguments)
+        except errors.MountridgeError:
+            raise
+        except Exception as problem:
+            self.app.metrics.incr('maps.failed')
+            logger.error(
+                'search for a map failed unexpectedly',
+                exc_info=problem,
+                epoch=group.epoch,
+                ranks=group.size,
+            )
+            return None
+
     async def _begin(
         self,
         group: rankgroups.Group,
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -646,6 +646,11 @@
         'partquarantine', 'listed = {**self._entries(), key: entry}',
         'listed = self._entries()', 'partevidence', 'by an operator',
     ),
+    Mutant(
+        'maps: a search that fails unexpectedly ends its leader',
+        'mapplanning', 'except Exception as problem:',
+        'except KeyError as problem:', 'manyranks', 'fails unexpectedly',
+    ),
     Mutant(
         'maps: no change is abandoned', 'groups',
         'if self.planner.abandon_overdue(group, now_s):', 'if False:',
