--- a/features/partevidence.feature
+++ b/features/partevidence.feature
@@ -82,6 +82,10 @@
     And 46 s later the probe of bad expires and an operator releases it, in one commit
     Then the parts held are first:red mid:red
 
+  # Guards against the same in any order of reports, probes, releases and commits.
+  Scenario: No schedule of reports, probes and releases ends a leader
+    Then a leader goes on in 150 random schedules of reports, probes and releases
+
   Scenario: A part that is held for a team and for all is probed as one
     Given a leader of gateways that report crashes of runners
     When gateways report 1:red/r1/bad 2:red/r2/bad 3:blue/r3/bad 4:blue/r4/bad
--- a/features/steps/partevidence_steps.py
+++ b/features/steps/partevidence_steps.py
@@ -2,6 +2,7 @@
 
 """Steps for the evidence on parts of prompts, and for their quarantine."""
 
+import random
 import types
 
 from behave import given, then, when
@@ -10,7 +11,7 @@
 
 from mountridge.control import partquarantine
 from mountridge.documents import promptparts
-from mountridge import messages, metrics
+from mountridge import errors, messages, metrics
 from mountridge.routing import partrecords
 from mountridge.state import partevidence, statemachine
 
@@ -52,18 +53,20 @@
         )
         self.crashes, self.grants_s = [], []
         #: Commands that are not committed, and the replies to others.
-        self.pending, self.replies = [], {}
+        self.pending, self.replies = {}, {}
         #: Whether all of them are committed with the first one.
         self.is_batching = False
 
     async def _propose(self, payload):
-        self.pending.append(payload)
+        self.index += 1
+        index = self.index
+        self.pending[index] = payload
         await trio.sleep(COMMIT_S)
-        while payload in self.pending or (self.is_batching and self.pending):
-            self.index += 1
-            first = self.pending.pop(0)
-            self.replies[first] = self.machine.apply_payload(self.index, first)
-        return self.replies.pop(payload)
+        while index in self.pending or (self.is_batching and self.pending):
+            first = min(self.pending)
+            command = self.pending.pop(first)
+            self.replies[first] = self.machine.apply_payload(first, command)
+        return self.replies.pop(index)
 
     def report(self, crashes=(), successes=()):
         """Report the (time, crash) pairs, and the parts that succeed now."""
@@ -357,3 +360,70 @@
     assert leader.held() == '-', leader.held()
     context.gateway.acknowledge(report, 2.1)
     assert context.gateway.make_report(2.2) is None
+
+
+NAMES = ('bad', 'worse', 'first')
+
+
+class _Schedule:
+    """Random operations on a leader, which overlap."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.leader = Leader()
+        self.leader.is_batching = self.rng.random() < 0.5
+        self.refused = 0
+
+    def _report(self):
+        rng = self.rng
+        runner = f'i-{rng.randrange(6)}'
+        by, request = team(rng.choice(['red', 'blue'])), rng.randbytes(2)
+        crashes = [
+            promptparts.PartCrash(
+                part(name), by, request, runner, rng.randrange(3), 0, 0.0
+            )
+            for name in rng.sample(NAMES, rng.randrange(3))
+        ]
+        good = rng.sample(NAMES, rng.randrange(2))
+        successes = [(part(name), 0.0) for name in good]
+        report = messages.PartReport(crashes, successes)
+        return self.leader.parts.on_report, None, report
+
+    def _draw(self):
+        """Return an operation and its arguments."""
+        rng, parts = self.rng, self.leader.parts
+        keys = list(self.leader.machine.quarantine)
+        choices = [self._report(), (parts.expire,)]
+        if keys:
+            peer = types.SimpleNamespace(name='e1')
+            order = messages.TakeProbe(rng.sample(keys, 1))
+            choices.append((parts.on_take_probe, peer, order))
+            choices.append((parts.release, rng.choice(keys)))
+        return rng.choices(choices, [6, 3, 3, 1][: len(choices)])[0]
+
+    async def _run(self, operation, *args):
+        try:
+            await operation(*args)
+        except errors.MountridgeError:
+            self.refused += 1
+
+    async def play(self):
+        async with trio.open_nursery() as nursery:
+            for _ in range(60):
+                self.leader.now_s += self.rng.choice([0, 0.1, 3, 46, 130])
+                nursery.start_soon(self._run, *self._draw())
+                await trio.sleep(self.rng.choice([0, COMMIT_S, COMMIT_S / 2]))
+
+
+@then(
+    'a leader goes on in {count:d} random schedules of reports, probes and'
+    ' releases'
+)
+def play_schedules(context, count):
+    held = 0
+    for seed in range(count):
+        schedule = _Schedule(seed)
+        run(schedule.play)
+        assert not schedule.refused, seed
+        held += len(schedule.leader.machine.quarantine)
+    assert held, 'nothing was quarantined'
