An agent that leaves the view during a call ends no request without an answer

Callers would see: a connection that closes, or a 500 without a code, for a call with a key, where its agent leaves the gateway's view while the gateway waits for that agent's load or answer, or for the claim.

Cause: the agent was selected, or named by the holder of a claim, by a view from before the wait, and looked up in the one after it: KeyErrors in the claim of the key, in the count of the requests sent, and in the connection that is to revoke.

Fix: an agent that has left is NoRunner (1202) where nothing was sent, and OutcomeUnknown (1302) where the holder of a claim may have run the call.

Seen failing before: three of the four rows "leaves the view" of features/requests.feature, each with its KeyError.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -205,3 +205,18 @@
     Given a system of 2 gateways, 2 agents and 3 controllers
     When a call with a key has its answer truncated by the runner and is sent again
     Then neither answer is delivered as complete, and it ran once
+
+  # Guards against a request that ends without an answer, as a gateway looks up an
+  # agent that has left its view while it waited for another process. Another
+  # gateway sends the call first where it is sent twice.
+  Scenario Outline: An agent leaves the view while a gateway waits for <reply>
+    Given a system of 2 gateways, 1 agents and 3 controllers
+    When a call with a key is sent <times>, and its agent leaves the view with <reply>
+    Then each call gets an answer or a coded error, and it ran at most once
+
+    Examples:
+      | reply                     | times |
+      | its first load            | once  |
+      | the claim of the key      | once  |
+      | a running answer          | twice |
+      | an answer that is unknown | twice |
--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -2,13 +2,15 @@
 
 """Steps that run the code of the daemons over a simulated network."""
 
+import functools
 import logging
+import types
 
 from behave import given, then, when
 import trio
 
 from features.worlds import system as system_world
-from mountridge import errors
+from mountridge import errors, messages
 from mountridge.logs import logger
 
 logger.logger.addHandler(logging.NullHandler())
@@ -284,3 +286,65 @@
         assert result.data is None, result.data
         assert result.outcome != errors.NOT_RUN, result.problem
     assert context.runs == 1, context.runs
+
+
+def _leave_with(dispatcher, reply):
+    """Empty the view of a gateway as it gets a reply."""
+    leave = functools.partial(dispatcher.update_members, [])
+    call, connect = dispatcher.leader.call, dispatcher._connection
+
+    async def claim(message, timeout_s):
+        answer = await call(message, timeout_s)
+        if isinstance(message, messages.Claim) and 'claim' in reply:
+            leave()
+        return answer
+
+    def connection(name):
+        found = connect(name)
+
+        async def ask(message, timeout_s):
+            answer = await found.call(message, timeout_s)
+            is_load = isinstance(message, messages.WatchLoad)
+            if is_load == ('load' in reply):
+                leave()
+            if reply == 'an answer that is unknown':
+                answer = answer._replace(outcome=errors.UNKNOWN)
+            return answer
+
+        return types.SimpleNamespace(
+            call=ask, send=found.send, close=found.close
+        )
+
+    if 'claim' in reply:
+        dispatcher.leader.call = claim
+    else:
+        dispatcher._connection = connection
+
+
+@when(
+    'a call with a key is sent {times}, and its agent leaves the view with'
+    ' {reply}'
+)
+def call_as_agent_leaves(context, times, reply):
+    async def script(world):
+        await world.begin()
+        dispatcher = world.daemons['g1'].dispatcher
+        arguments = 'receipts', 'corrections', 'k', _key('k')
+        if times == 'twice':
+            world.runners['a1'].gap_s = 0.5
+            world.nursery.start_soon(world.request, 'g2', *arguments)
+            await trio.sleep(0.1)
+            await dispatcher._ensure_load('a1')
+        _leave_with(dispatcher, reply)
+        await world.request('g1', *arguments)
+        await trio.sleep(20)
+        return world.results, world.runs('k')
+
+    context.results, context.runs = system_world.play_for(context, script)
+
+
+@then('each call gets an answer or a coded error, and it ran at most once')
+def check_coded(context):
+    assert context.results and context.runs <= 1, context.runs
+    for _, result in context.results:
+        assert result.data is not None or result.problem, vars(result)
--- a/mountridge/dispatch/dispatching.py
+++ b/mountridge/dispatch/dispatching.py
@@ -103,8 +103,11 @@
                 self.attempts.fail_agent(name, 'unresponsive')
 
     def _connection(self, name: str) -> sockets.Connection:
-        """Return the connection to an agent, opening it if necessary."""
-        member = self.runners.states[name].member
+        """Return the connection to an agent, opening it if necessary.
+
+        :raises NoRunner: the agent has left the view.
+        """
+        member = self.runners.state(name).member
         found = self._connections.get(name)
         if found is None or found[0] != member.address:
             if found:
@@ -122,7 +125,7 @@
         A ticket carries the agent's own clock, known from its reports, so
         that the agent can refuse a ticket that was delayed for too long.
         """
-        state = self.runners.states[name]
+        state = self.runners.state(name)
         if state.load is not None:
             return
         load = await self._connection(name).call(
@@ -170,7 +173,7 @@
         self, exchange: exchanges.Exchange, name: str, reason: str, attempt
     ) -> messages.Ticket:
         now_s = self.app.now_s()
-        state = self.runners.states[name]
+        state = self.runners.state(name)
         row = exchange.row
         return messages.Ticket(
             exchange.request_id,
@@ -193,12 +196,9 @@
     def _send_ticket(
         self, exchange: exchanges.Exchange, choice: placing.Choice, attempt
     ) -> None:
-        if choice.name not in self.runners.states:
-            # It left the view during the call that claimed the key.
-            raise errors.NoRunner(f'{choice.name} is no longer a member')
+        member = self.runners.state(choice.name).member
         # It may have been quarantined since the request arrived.
         self.crashes.check(exchange)
-        member = self.runners.states[choice.name].member
         exchange.agent_incarnation = member.incarnation
         ticket = self._make_ticket(
             exchange, choice.name, choice.reason, attempt
@@ -400,7 +400,7 @@
         that yields the answer of the claim's holder: the stored answer, or
         the one that its agent is sending.
         """
-        state = self.runners.states[choice.name]
+        state = self.runners.state(choice.name)
         claim = messages.Claim(
             exchange.key,
             xxhash.xxh128_hexdigest(exchange.path.encode() + exchange.body),
@@ -432,12 +432,7 @@
         :raises OutcomeUnknown: it can't; the call may have run.
         :raises NoRunner: the call has not run, and its claim is released.
         """
-        state = self.runners.states.get(reply.agent)
-        if not state or state.member.incarnation != reply.incarnation:
-            raise errors.OutcomeUnknown(
-                f'{reply.agent} has restarted or is no longer a member;'
-                ' the call may have run'
-            )
+        self._check_holder(reply)
         attached = attempts.Attempt(utils.fresh_id(), reply.agent)
         self.attempts.add(attached)
         connection = self._connection(reply.agent)
@@ -446,6 +441,8 @@
         )
         try:
             found = await connection.call(attach, REVOKE_TIMEOUT_S)
+            # It may have left the view during the call.
+            self._check_holder(reply)
             if found.outcome != errors.RAN:
                 await self._release_claim(exchange, reply)
         except errors.MountridgeError:
@@ -454,6 +451,18 @@
         self.runners.record_sent(reply.agent, self.app.now_s())
         return attached
 
+    def _check_holder(self, reply: messages.ClaimReply) -> None:
+        """Check that the agent of a claim's holder is in the view.
+
+        :raises OutcomeUnknown: it is not, or has restarted.
+        """
+        state = self.runners.states.get(reply.agent)
+        if not state or state.member.incarnation != reply.incarnation:
+            raise errors.OutcomeUnknown(
+                f'{reply.agent} has restarted or is no longer a member;'
+                ' the call may have run'
+            )
+
     async def _release_claim(
         self, exchange: exchanges.Exchange, reply: messages.ClaimReply
     ) -> None:
--- a/mountridge/dispatch/runners.py
+++ b/mountridge/dispatch/runners.py
@@ -5,7 +5,7 @@
 import typing
 
 from mountridge.dispatch import links, placing
-from mountridge import messages
+from mountridge import errors, messages
 from mountridge.state import views
 
 __all__ = ['Runners', 'RunnerState']
@@ -86,6 +86,17 @@
                 self.states[name] = RunnerState(member, now_s)
         return restarted
 
+    def state(self, name: str) -> RunnerState:
+        """Return the state of a runner in the view.
+
+        A runner may leave the view while a request waits for any process.
+
+        :raises NoRunner: it has left the view.
+        """
+        if name not in self.states:
+            raise errors.NoRunner(f'{name} is no longer a member')
+        return self.states[name]
+
     def record_load(
         self, load: messages.Load, with_frames: bool, now_s: float
     ) -> links.Loss:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -651,6 +651,19 @@
         'mapplanning', 'except Exception as problem:',
         'except KeyError as problem:', 'manyranks', 'fails unexpectedly',
     ),
+    Mutant(
+        'claims: no check of the holder after the call to its agent',
+        'dispatching',
+        '            # It may have left the view during the call.\n'
+        '            self._check_holder(reply)\n', '', 'requests',
+        'leaves the view',
+    ),
+    Mutant(
+        'claims: no check of the selected agent', 'dispatching',
+        'state = self.runners.state(choice.name)',
+        'state = self.runners.states[choice.name]', 'requests',
+        'leaves the view',
+    ),
     Mutant(
         'maps: no change is abandoned', 'groups',
         'if self.planner.abandon_overdue(group, now_s):', 'if False:',
