Soak: answers with a status that HTTP does not have

What it adds: `tools/soak/statuses.yaml`, in which runners give some of their whole answers, in each framing, the status 000, 099, 600 or 999, and the rule "statuses of HTTP" for what callers get.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -15,6 +15,8 @@
 
 __all__ = ['Answer', 'Checker', 'SentRequest']
 
+#: Statuses that HTTP has for answers.
+FINAL_STATUSES = range(200, 600)
 #: Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 #: Statuses of requests that no route allows; the routes allow all that is
@@ -150,6 +152,9 @@
         if runner is not None and runner.is_leaving and answer.status:
             names = (runner.name, request.entry)
             self.announcements.record_leaving(*names, now_s)
+        if answer.status:
+            is_valid = answer.status in FINAL_STATUSES
+            self.check('statuses of HTTP', is_valid, asked=request, got=answer)
         if 200 <= answer.status < 300:
             self._check_answer(request, answer)
         elif answer.is_whole:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -265,7 +265,7 @@
             runner.state = 'ready'
             self.checker.end_drain(runner)
         else:
-            is_own = fault_name in ('garbled', 'endless')
+            is_own = fault_name in ('garbled', 'endless', 'invalid')
             target = runner if is_own else runner.faults
             with self._mark_faulted(f'link-{runner.name}'):
                 setattr(target, fault_name, fault.strength)
--- a/tools/soak/framings.py
+++ b/tools/soak/framings.py
@@ -20,6 +20,9 @@
 BEFORE_HEAD, WITHIN_HEAD, AFTER_HEAD = 'before head', 'in head', 'after head'
 WITHIN, BETWEEN, AT_END = 'within', 'between events', 'before the end'
 PLACES = (BEFORE_HEAD, WITHIN_HEAD, AFTER_HEAD, WITHIN, BETWEEN, AT_END)
+#: The answer is whole but for its status, one of those that HTTP lacks.
+IN_STATUS = 'in status'
+INVALID_STATUSES = (0, 99, 600, 999)
 #: In `ENDS_FRAMING` the length or the last chunk is that of the part sent.
 CLOSES, RESETS, GOES_SILENT = 'closes', 'resets', 'goes silent'
 ENDS_FRAMING, ENDS_PROCESS = 'ends the framing', 'ends its process'
@@ -37,6 +40,7 @@
     place: str
     manner: str
     events: int  # that come before it
+    status: int = 200
 
 
 class Drawn(typing.NamedTuple):
@@ -46,9 +50,21 @@
     broken: Break | None
 
 
-def draw(rng: random.Random, broken_share: float, is_stream: bool) -> Drawn:
-    """Draw the framing of one answer, and whether it is broken off."""
+def draw(
+    rng: random.Random,
+    broken_share: float,
+    is_stream: bool,
+    invalid_share: float = 0.0,
+) -> Drawn:
+    """Draw the framing of one answer, and whether it is broken off.
+
+    ``invalid_share`` is that of answers with an invalid status.
+    """
     framing = rng.choice(FRAMINGS)
+    if invalid_share and framing != AS_SERVED:
+        if rng.random() < invalid_share:
+            status = rng.choice(INVALID_STATUSES)
+            return Drawn(framing, Break(IN_STATUS, CLOSES, 0, status))
     if framing == AS_SERVED or rng.random() >= broken_share:
         return Drawn(framing, None)
     place, manner = rng.choice(PLACES), rng.choice(MANNERS)
@@ -126,7 +142,9 @@
             self._framing = CHUNKED
             await self._send_head(CHUNKED)
         if self._broken is not None:
-            await self._break_off(b'')
+            is_whole = self._broken.place == IN_STATUS
+            is_chunked = self._framing == CHUNKED
+            await self._break_off(LAST_CHUNK * (is_whole and is_chunked))
         if self._framing == AS_SERVED:
             await self._inner.finish()
         elif self._framing == CHUNKED:
@@ -148,7 +166,9 @@
         await self.finish()
 
     async def _send_head(self, framing: str) -> None:
-        lines = [b'HTTP/1.1 %d Answer' % self._status, b'Connection: close']
+        is_invalid = self._broken and self._broken.place == IN_STATUS
+        status = self._broken.status if is_invalid else self._status
+        lines = [b'HTTP/1.1 %03d Answer' % status, b'Connection: close']
         lines += [b'%s: %s' % header for header in self._headers]
         if framing == LENGTH:
             lines.append(b'Content-Length: %d' % self._length())
@@ -174,7 +194,7 @@
 
     async def _send_piece(self, data: bytes) -> None:
         is_chunked = self._framing == CHUNKED
-        place, manner, events = self._broken or (None, None, None)
+        place, manner, events = (self._broken or (None, None, None))[:3]
         framed = _chunk(data) if is_chunked else data
         if place == WITHIN and self._sent_pieces == events:
             half = data[: len(data) // 2]
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -53,6 +53,9 @@
     'runner limits: no gate at selection': Expectation(
         'named limits are kept', 'tools/soak/limits.yaml'
     ),
+    'last hop: statuses that HTTP does not have': Expectation(
+        'statuses of HTTP', 'tools/soak/statuses.yaml'
+    ),
     'events: a stream may end within an event': Expectation(
         'whole and right answers', 'tools/soak/framings.yaml'
     ),
--- a/tools/soak/runners.py
+++ b/tools/soak/runners.py
@@ -62,6 +62,7 @@
         self.is_leaving = False  # announced in all its answers
         self.limit_per_s: float | None = None  # named in all its answers
         self.broken_off = 0.0  # share of answers that are broken off
+        self.invalid = 0.0  # share of answers with an invalid status
         #: Set when the process is about to end in the middle of an answer.
         self.is_ending = trio.Event()
         self.cold_until_s = 0.0
@@ -257,7 +258,8 @@
         checker: checks.Checker,
     ) -> framings.FramedResponder:
         """Return a responder that draws the framing of its answer."""
-        drawn = framings.draw(rng, self.broken_off, self.service == 'llm')
+        is_stream = self.service == 'llm'
+        drawn = framings.draw(rng, self.broken_off, is_stream, self.invalid)
 
         def on_end(status: int, broken: framings.Break | None) -> None:
             if broken is not None:
