Soak: the rule on statuses notes the status alone

The headers of an answer have names in bytes, which the events of a run can't hold, so a run that broke the rule ended with a TypeError instead.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -154,7 +154,12 @@
             self.announcements.record_leaving(*names, now_s)
         if answer.status:
             is_valid = answer.status in FINAL_STATUSES
-            self.check('statuses of HTTP', is_valid, asked=request, got=answer)
+            self.check(
+                'statuses of HTTP',
+                is_valid,
+                asked=request,
+                status=answer.status,
+            )
         if 200 <= answer.status < 300:
             self._check_answer(request, answer)
         elif answer.is_whole:
