--- a/mountridge/groups/mapplanning.py
+++ b/mountridge/groups/mapplanning.py
@@ -124,7 +124,7 @@
     ) -> None:
         """Search for a better map, and start the change to it if found.
 
-        ``placement`` is the map of the moment of ``states``.
+        ``placement`` is the map that the ranks used in these ``states``.
         """
         counts = list(group.demand.mean)
         slowdowns = [state.slowdown for state in states]
