--- a/features/steps/partevidence_steps.py
+++ b/features/steps/partevidence_steps.py
@@ -34,6 +34,14 @@
     return trio.run(function, *args, clock=clock)
 
 
+async def _overlap(first, second):
+    """Call a function with its arguments, and another during its commit."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(*first)
+        await trio.sleep(COMMIT_S / 2)
+        nursery.start_soon(*second)
+
+
 class Leader:
     """A leader's quarantine of parts, on scripted time."""
 
@@ -300,14 +308,11 @@
     assert context.is_granted
     leader.now_s += after_s
     report = messages.PartReport([], [(part(name), 0.0)])
-
-    async def both():
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(leader.parts.on_report, None, report)
-            await trio.sleep(COMMIT_S / 2)
-            nursery.start_soon(leader.parts.expire)
-
-    run(both)
+    run(
+        _overlap,
+        (leader.parts.on_report, None, report),
+        (leader.parts.expire,),
+    )
 
 
 @when(
@@ -319,15 +324,8 @@
     assert context.is_granted
     leader.now_s += after_s
     leader.is_batching = True
-
-    async def both():
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(leader.parts.expire)
-            await trio.sleep(COMMIT_S / 2)
-            key = part(name) + team('red')
-            nursery.start_soon(leader.parts.release, key)
-
-    run(both)
+    release = leader.parts.release, part(name) + team('red')
+    run(_overlap, (leader.parts.expire,), release)
 
 
 @then('it is {granted}, and if it {end} the parts held are {held}')
