Scenarios on statuses check that the connection is not used again

The step said so, but the runner closed each connection itself. It now waits for another request where the framing lets one come, and counts those that do.

--- a/features/steps/statuses_steps.py
+++ b/features/steps/statuses_steps.py
@@ -28,6 +28,18 @@
     def __init__(self, framing, status, manner):
         super().__init__(framing, 'at the end', manner)
         self.status = status
+        #: Requests that came behind such an answer on its connection.
+        self.reused = 0
+
+    async def serve(self, stream):
+        """Answer one request, and wait for another where that may come."""
+        request = await self._read(stream)
+        if request is None:
+            return
+        self.runs += 1
+        await stream.send_all(self._broken(request))
+        if self.framing != 'close':
+            self.reused += await self._read(stream) is not None
 
     def _broken(self, request):
         last_chunk = b'0\r\n\r\n' if self.framing == 'chunks' else b''
@@ -91,6 +103,7 @@
     for world in context.worlds:
         runner = world.runners[0]
         assert 0 < runner.runs < REQUESTS, runner.runs
+        assert not runner.reused, runner.reused
         assert world.known.by_id['i-0'].ejected_until_s > 0
 
 
