Scenarios on statuses share the runner of broken-off answers

The step of statuses had a copy of the runner's way to answer; only how the connection ends differs, which is a method of its own now.

--- a/features/steps/brokenoff_steps.py
+++ b/features/steps/brokenoff_steps.py
@@ -43,6 +43,10 @@
             return
         self.runs += 1
         await stream.send_all(self._broken(request))
+        await self._end(stream)
+
+    async def _end(self, stream):
+        """End a connection after its answer; it is closed then."""
         if self.fault == 'stalls':
             await base._read_to_end(stream)
         if self.fault == 'resets':
--- a/features/steps/statuses_steps.py
+++ b/features/steps/statuses_steps.py
@@ -31,13 +31,8 @@
         #: Requests that came behind such an answer on its connection.
         self.reused = 0
 
-    async def serve(self, stream):
-        """Answer one request, and wait for another where that may come."""
-        request = await self._read(stream)
-        if request is None:
-            return
-        self.runs += 1
-        await stream.send_all(self._broken(request))
+    async def _end(self, stream):
+        """Wait for another request, where the framing lets one come."""
         if self.framing != 'close':
             self.reused += await self._read(stream) is not None
 
